--- /dev/null
+++ b/crates/core/src/control.rs
@@ -0,0 +1,660 @@
+//! What an entry VM does for control: takes announcements, keeps rosters,
+//! spreads documents and watches its neighbours.
+//!
+//! Events and the time go in, actions come out. Every document is taken only
+//! if its version is higher than the one at hand, whoever sends it, so nothing
+//! ever reverts. A change is pushed at once to a few random peers, which pull
+//! what they lack and push in turn; heartbeats carry a hash of all versions,
+//! by which gaps are found and repaired.
+
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::rngs::StdRng;
+use rand::seq::IteratorRandom;
+use rand::{Rng, SeedableRng};
+
+use crate::chart::{HostEvent, HostState};
+use crate::document::{DocumentId, DocumentItem, DocumentKind, DocumentPatch, DocumentStore};
+use crate::ids::{EntryName, HostName, ObjectVersion, ServiceId};
+use crate::keeper::{HostKeeper, RosterEdit, SUSPECT_AFTER};
+use crate::members::{EntryRecord, EntryWatch, KEEPERS_PER_HOST, MemberRing, RANK_DELAY};
+use crate::roster::HostRecord;
+use crate::timer::{TimerPart, TimerService};
+use crate::units::TimePoint;
+use crate::view::RoutingView;
+
+/// Peers that are told of a change at once.
+pub const SPREAD_FANOUT: usize = 4;
+
+/// Changed documents that a heartbeat names.
+pub const RECENT_LIMIT: usize = 8;
+
+/// Time between heartbeats.
+pub const HEARTBEAT_PERIOD: Duration = Duration::from_millis(1000);
+
+/// Time between looks at what to write.
+pub const BATCH_PERIOD: Duration = Duration::from_millis(200);
+
+/// Time between looks at what is missing.
+pub const REPAIR_PERIOD: Duration = Duration::from_millis(1000);
+
+/// Time after which an unanswered pull or write may be tried again.
+pub const JOB_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// What an entry VM knows counts as fresh if the platform confirmed it within
+/// this time.
+pub const FRESH_AGE: Duration = Duration::from_secs(5);
+
+/// A change of a data centre's entry VMs.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum MemberEdit {
+    /// Add or replace an entry VM.
+    Put(EntryRecord),
+    /// Take an entry VM off, if it is still this incarnation.
+    Remove(EntryRecord),
+}
+
+/// A heartbeat as the control part sees it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct HeartbeatNews {
+    /// The sender.
+    pub entry: EntryRecord,
+    /// Hash of all versions that it has.
+    pub summary: u64,
+    /// Time since the platform confirmed what it has.
+    pub age: Duration,
+    /// Documents that changed lately.
+    pub recent: Vec<(DocumentId, ObjectVersion)>,
+}
+
+/// What the keepers tell a host.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct WelcomeNews {
+    /// The keepers of the host, best first.
+    pub keepers: Vec<EntryRecord>,
+    /// Hash of what the host should know of its service.
+    pub slice: u64,
+    /// Whether the platform confirmed that lately.
+    pub fresh: bool,
+}
+
+/// What happens to an entry VM.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ControlEvent {
+    /// A host announced itself.
+    Announced {
+        /// The host.
+        record: HostRecord,
+        /// Version of its firm's manifest that it has in force.
+        manifest: ObjectVersion,
+        /// Where the answer goes.
+        from: SocketAddrV4,
+    },
+    /// An entry VM sent a heartbeat.
+    Heard(HeartbeatNews),
+    /// A peer answered a pull.
+    Pulled(Vec<DocumentPatch>),
+    /// The platform answered a read.
+    Loaded {
+        /// The document.
+        id: DocumentId,
+        /// Its version.
+        version: ObjectVersion,
+        /// Its items.
+        items: Vec<DocumentItem>,
+    },
+    /// The platform said which versions there are.
+    Listed {
+        /// The versions, all or those that changed.
+        list: Vec<(DocumentId, ObjectVersion)>,
+        /// Whether the platform seems to answer from an old copy.
+        stale: bool,
+    },
+    /// A write ended, well or not.
+    Wrote(DocumentId),
+    /// A timer is due.
+    Tick(TimerPart),
+    /// The process was asked to stop.
+    Stop,
+}
+
+/// What an entry VM is to do.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ControlAction {
+    /// Send a heartbeat.
+    Heartbeat(SocketAddrV4, HeartbeatNews),
+    /// Answer an announcement.
+    Welcome(SocketAddrV4, WelcomeNews),
+    /// Ask the peer with this status address for newer documents; the list
+    /// names what is wanted, all if it is empty.
+    Pull(SocketAddrV4, Vec<(DocumentId, ObjectVersion)>),
+    /// Read a document from the platform.
+    Load(DocumentId),
+    /// Change a roster.
+    WriteRoster(DocumentId, Vec<RosterEdit>),
+    /// Change the members.
+    WriteMembers(DocumentId, Vec<MemberEdit>),
+    /// Watch the platform, or stop it.
+    Watch(bool),
+    /// Documents or suspicions changed; route by [`EntryControl::view`].
+    Publish,
+    /// A document came into force.
+    InForce(DocumentId, ObjectVersion),
+}
+
+/// How far the hosts that announce themselves here are.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct HostProgress {
+    /// The service.
+    pub service: ServiceId,
+    /// Version of the manifest that the host has in force.
+    pub manifest: ObjectVersion,
+    /// When it said so.
+    pub heard: TimePoint,
+}
+
+/// The control part of an entry VM.
+#[derive(Debug)]
+pub struct EntryControl {
+    me: EntryRecord,
+    seeds: Vec<SocketAddrV4>,
+    documents: DocumentStore,
+    timers: TimerService,
+    keeper: HostKeeper,
+    watch: EntryWatch,
+    progress: BTreeMap<HostName, HostProgress>,
+    silent_entries: HashMap<EntryName, TimePoint>,
+    recent: VecDeque<(DocumentId, ObjectVersion)>,
+    jobs: HashMap<DocumentId, TimePoint>,
+    suspects: Vec<HostName>,
+    view: Arc<RoutingView>,
+    all: MemberRing,
+    local: MemberRing,
+    adopt_due: bool,
+    confirmed: Option<TimePoint>,
+    watching: bool,
+    stopping: bool,
+    random: StdRng,
+}
+
+impl EntryControl {
+    /// The control part of `me`; `seeds` are addresses of other entry VMs.
+    pub fn new(me: EntryRecord, seeds: Vec<SocketAddrV4>, seed: u64, now: TimePoint) -> Self {
+        let mut timers = TimerService::default();
+        timers.subscribe(TimerPart::Heartbeat, HEARTBEAT_PERIOD, now);
+        timers.subscribe(TimerPart::Batch, BATCH_PERIOD, now);
+        timers.subscribe(TimerPart::Repair, REPAIR_PERIOD, now);
+        timers.subscribe(TimerPart::Liveness, BATCH_PERIOD, now);
+        Self {
+            me,
+            seeds,
+            documents: DocumentStore::default(),
+            timers,
+            keeper: HostKeeper::default(),
+            watch: EntryWatch::default(),
+            progress: BTreeMap::new(),
+            silent_entries: HashMap::new(),
+            recent: VecDeque::new(),
+            jobs: HashMap::new(),
+            suspects: Vec::new(),
+            view: Arc::default(),
+            all: MemberRing::default(),
+            local: MemberRing::default(),
+            adopt_due: false,
+            confirmed: None,
+            watching: false,
+            stopping: false,
+            random: StdRng::seed_from_u64(seed),
+        }
+    }
+
+    /// The documents.
+    pub fn documents(&self) -> &DocumentStore {
+        &self.documents
+    }
+
+    /// How far the hosts are that announce themselves here.
+    pub fn progress(&self) -> impl Iterator<Item = (&HostName, &HostProgress)> {
+        self.progress.iter()
+    }
+
+    /// Whether this entry VM watches the platform.
+    pub fn is_watching(&self) -> bool {
+        self.watching
+    }
+
+    /// Time since the platform confirmed what is known here.
+    pub fn age(&self, now: TimePoint) -> Option<Duration> {
+        self.confirmed.map(|at| now.since(at))
+    }
+
+    /// When [`ControlEvent::Tick`] is due next.
+    pub fn next_due(&self) -> Option<TimePoint> {
+        self.timers.next_due()
+    }
+
+    /// The next timer that is due.
+    pub fn poll_timer(&mut self, now: TimePoint) -> Option<TimerPart> {
+        self.timers.poll(now)
+    }
+
+    /// The view that packets are routed by: rosters, with the suspicions of
+    /// this entry VM on top.
+    pub fn view(&self) -> &Arc<RoutingView> {
+        &self.view
+    }
+
+    fn build_view(&self) -> RoutingView {
+        let records = self
+            .documents
+            .items(DocumentKind::Roster)
+            .filter_map(|item| match item {
+                DocumentItem::Host(record) => Some(self.suspected(record)),
+                _ => None,
+            });
+        RoutingView::build(
+            self.documents.generation(DocumentKind::Roster),
+            self.documents.granted_services(),
+            records,
+        )
+    }
+
+    fn suspected(&self, record: &HostRecord) -> HostRecord {
+        let mut record = record.clone();
+        if self.suspects.contains(&record.name) {
+            record.state = record.state.after(HostEvent::Silent).unwrap_or(record.state);
+        }
+        record
+    }
+
+    fn roster_id(&self) -> DocumentId {
+        DocumentId::new(DocumentKind::Roster, self.me.datacenter.as_str())
+    }
+
+    fn members_id(&self) -> DocumentId {
+        DocumentId::new(DocumentKind::Members, self.me.datacenter.as_str())
+    }
+
+    /// All entry VMs that are known.
+    pub fn entries(&self) -> impl ExactSizeIterator<Item = &EntryRecord> {
+        self.all.entries()
+    }
+
+    fn rebuild_rings(&mut self) {
+        let entries = scan_entries(self.documents.items(DocumentKind::Members));
+        let here = &self.me.datacenter;
+        let local = entries.iter().filter(|entry| entry.datacenter == *here);
+        self.local = MemberRing::new(local.cloned());
+        self.all = MemberRing::new(entries);
+    }
+
+    /// Handles an event.
+    pub fn handle(&mut self, event: ControlEvent, now: TimePoint) -> Vec<ControlAction> {
+        let mut actions = Vec::new();
+        match event {
+            ControlEvent::Announced {
+                record,
+                manifest,
+                from,
+            } => self.on_announced(record, manifest, from, now, &mut actions),
+            ControlEvent::Heard(news) => self.on_heard(news, now, &mut actions),
+            ControlEvent::Pulled(patches) => {
+                for patch in patches {
+                    let id = patch.id.clone();
+                    if self.documents.get_mut(&id).apply(patch) {
+                        self.on_changed(id, &mut actions);
+                    }
+                }
+            }
+            ControlEvent::Loaded { id, version, items } => {
+                self.jobs.remove(&id);
+                if self.documents.get_mut(&id).replace(version, items) {
+                    self.on_changed(id, &mut actions);
+                }
+            }
+            ControlEvent::Listed { list, stale } => {
+                self.on_listed(list, stale, now, &mut actions);
+            }
+            ControlEvent::Wrote(id) => {
+                self.jobs.remove(&id);
+            }
+            ControlEvent::Tick(part) => self.on_tick(part, now, &mut actions),
+            ControlEvent::Stop => {
+                self.stopping = true;
+                let edit = MemberEdit::Remove(self.me.clone());
+                actions.push(ControlAction::WriteMembers(self.members_id(), vec![edit]));
+            }
+        }
+        actions
+    }
+
+    fn on_announced(
+        &mut self,
+        record: HostRecord,
+        manifest: ObjectVersion,
+        from: SocketAddrV4,
+        now: TimePoint,
+        actions: &mut Vec<ControlAction>,
+    ) {
+        let chosen = self.keepers_of(&record);
+        let rank = chosen.iter().position(|entry| entry.name == self.me.name);
+        let news = WelcomeNews {
+            keepers: chosen,
+            slice: self
+                .view
+                .service(&record.service)
+                .map_or(0, |service| service.slice),
+            fresh: self.age(now).is_some_and(|age| age < FRESH_AGE),
+        };
+        actions.push(ControlAction::Welcome(from, news));
+        // A host that doesn't know its keepers yet is looked after by all.
+        let rank = rank.unwrap_or(KEEPERS_PER_HOST) as u32;
+        let progress = HostProgress {
+            service: record.service.clone(),
+            manifest,
+            heard: now,
+        };
+        if record.state == HostState::Gone {
+            self.progress.remove(&record.name);
+        } else {
+            self.progress.insert(record.name.clone(), progress);
+        }
+        if record.datacenter == self.me.datacenter {
+            self.keeper.hear(record, rank, now);
+        }
+    }
+
+    // The entry VMs of the host's data centre that look after it; none if no
+    // entry VM is known there.
+    fn keepers_of(&self, record: &HostRecord) -> Vec<EntryRecord> {
+        let here = record.datacenter == self.me.datacenter;
+        if here && self.local.is_empty() {
+            vec![self.me.clone()]
+        } else if here {
+            self.local.keepers(&record.name).into_iter().cloned().collect()
+        } else {
+            let there = self
+                .all
+                .entries()
+                .filter(|entry| entry.datacenter == record.datacenter);
+            let ring = MemberRing::new(there.cloned());
+            ring.keepers(&record.name).into_iter().cloned().collect()
+        }
+    }
+
+    fn on_heard(
+        &mut self,
+        news: HeartbeatNews,
+        now: TimePoint,
+        actions: &mut Vec<ControlAction>,
+    ) {
+        if news.entry.name == self.me.name {
+            return;
+        }
+        self.watch.hear(news.entry.name.clone(), now);
+        self.silent_entries.remove(&news.entry.name);
+        if news.summary == self.documents.summary() {
+            let confirmed = TimePoint(now.0.saturating_sub(news.age.as_millis() as u64));
+            self.confirmed = self.confirmed.max(Some(confirmed));
+            return;
+        }
+        let newer: Vec<_> = news
+            .recent
+            .iter()
+            .map(|(id, version)| (id.clone(), *version, self.documents.version(id)))
+            .filter(|(_, version, own)| version > own)
+            .map(|(id, _, own)| (id, own))
+            .collect();
+        if newer.is_empty() {
+            // The difference is older than what the heartbeat names.
+            if self.claim_job(&repair_id(), now) {
+                actions.push(ControlAction::Pull(news.entry.status, Vec::new()));
+            }
+        } else {
+            let wanted: Vec<_> = newer
+                .into_iter()
+                .filter(|(id, _)| self.claim_job(id, now))
+                .collect();
+            if !wanted.is_empty() {
+                actions.push(ControlAction::Pull(news.entry.status, wanted));
+            }
+        }
+        if self.all.find(&news.entry.name).is_none() {
+            // It may be new and know nobody else.
+            actions.push(ControlAction::Heartbeat(news.entry.peers, self.news(now)));
+        }
+    }
+
+    // Whether nobody works on this document; if so it is claimed.
+    fn claim_job(&mut self, id: &DocumentId, now: TimePoint) -> bool {
+        let free = self
+            .jobs
+            .get(id)
+            .is_none_or(|since| now.since(*since) >= JOB_TIMEOUT);
+        if free {
+            self.jobs.insert(id.clone(), now);
+        }
+        free
+    }
+
+    fn on_listed(
+        &mut self,
+        list: Vec<(DocumentId, ObjectVersion)>,
+        stale: bool,
+        now: TimePoint,
+        actions: &mut Vec<ControlAction>,
+    ) {
+        let mut complete = !stale;
+        for (id, version) in list {
+            complete &= version >= self.documents.version(&id);
+            if version > self.documents.version(&id) {
+                complete = false;
+                if self.claim_job(&id, now) {
+                    actions.push(ControlAction::Load(id));
+                }
+            }
+        }
+        if complete {
+            self.confirmed = Some(now);
+        }
+    }
+
+    fn on_changed(&mut self, id: DocumentId, actions: &mut Vec<ControlAction>) {
+        self.jobs.remove(&id);
+        self.jobs.remove(&repair_id());
+        let version = self.documents.version(&id);
+        match id.kind {
+            DocumentKind::Members => {
+                self.rebuild_rings();
+                self.adopt_due = true;
+            }
+            DocumentKind::Roster => self.adopt_due = true,
+            DocumentKind::Grants | DocumentKind::Manifest => {}
+        }
+        if id.kind != DocumentKind::Members {
+            self.view = Arc::new(self.build_view());
+            actions.push(ControlAction::Publish);
+        }
+        self.recent.retain(|(known, _)| *known != id);
+        self.recent.push_front((id.clone(), version));
+        self.recent.truncate(RECENT_LIMIT);
+        actions.push(ControlAction::InForce(id.clone(), version));
+        let news = self.news_at_change(id, version);
+        for peer in self.random_peers() {
+            actions.push(ControlAction::Heartbeat(peer.peers, news.clone()));
+        }
+    }
+
+    fn random_peers(&mut self) -> Vec<EntryRecord> {
+        let me = &self.me.name;
+        let peers = self.all.entries().filter(|entry| entry.name != *me);
+        peers
+            .choose_multiple(&mut self.random, SPREAD_FANOUT)
+            .into_iter()
+            .cloned()
+            .collect()
+    }
+
+    fn news(&self, now: TimePoint) -> HeartbeatNews {
+        HeartbeatNews {
+            entry: self.me.clone(),
+            summary: self.documents.summary(),
+            age: self.age(now).unwrap_or(Duration::MAX),
+            recent: self.recent.iter().cloned().collect(),
+        }
+    }
+
+    // A push names just the change and confirms nothing.
+    fn news_at_change(&self, id: DocumentId, version: ObjectVersion) -> HeartbeatNews {
+        HeartbeatNews {
+            entry: self.me.clone(),
+            summary: self.documents.summary(),
+            age: Duration::MAX,
+            recent: vec![(id, version)],
+        }
+    }
+
+    fn on_tick(&mut self, part: TimerPart, now: TimePoint, actions: &mut Vec<ControlAction>) {
+        match part {
+            TimerPart::Heartbeat => self.send_heartbeats(now, actions),
+            TimerPart::Batch => self.write_roster(now, actions),
+            TimerPart::Liveness => self.check_liveness(now, actions),
+            TimerPart::Repair => self.repair(now, actions),
+            _ => {}
+        }
+    }
+
+    fn send_heartbeats(&mut self, now: TimePoint, actions: &mut Vec<ControlAction>) {
+        let news = self.news(now);
+        let mut targets: Vec<_> = self
+            .all
+            .successors(&self.me.name)
+            .into_iter()
+            .map(|entry| entry.peers)
+            .collect();
+        if targets.is_empty() || self.confirmed.is_none() {
+            targets.extend(self.seeds.iter().copied());
+        } else if !self.seeds.is_empty() {
+            // Now and then a seed, so that parts which lost each other meet.
+            let seed = self.random.random_range(0..self.seeds.len());
+            targets.push(self.seeds[seed]);
+        }
+        targets.sort_unstable();
+        targets.dedup();
+        targets.retain(|target| *target != self.me.peers);
+        for target in targets {
+            actions.push(ControlAction::Heartbeat(target, news.clone()));
+        }
+    }
+
+    fn write_roster(&mut self, now: TimePoint, actions: &mut Vec<ControlAction>) {
+        let id = self.roster_id();
+        let documents = &self.documents;
+        let current = |name: &HostName| find_host(documents, &id, name);
+        let edits = self.keeper.edits(current, now);
+        let suspects: Vec<_> = edits
+            .iter()
+            .filter_map(|edit| match edit {
+                RosterEdit::Put(record) if record.state == HostState::Suspect => {
+                    Some(record.name.clone())
+                }
+                RosterEdit::Put(_) => None,
+                RosterEdit::Remove(name) => Some(name.clone()),
+            })
+            .collect();
+        if suspects != self.suspects {
+            self.suspects = suspects;
+            self.view = Arc::new(self.build_view());
+            actions.push(ControlAction::Publish);
+        }
+        if !edits.is_empty() && !self.stopping && self.claim_job(&id, now) {
+            actions.push(ControlAction::WriteRoster(id, edits));
+        }
+    }
+
+    fn check_liveness(&mut self, now: TimePoint, actions: &mut Vec<ControlAction>) {
+        self.progress
+            .retain(|_, progress| now.since(progress.heard) < SUSPECT_AFTER * 5);
+        let watching =
+            !self.stopping && self.local.is_watcher(&self.me.name, &self.me.datacenter);
+        if watching != self.watching {
+            self.watching = watching;
+            actions.push(ControlAction::Watch(watching));
+        }
+        let watched: Vec<EntryRecord> = self
+            .all
+            .predecessors(&self.me.name)
+            .into_iter()
+            .cloned()
+            .collect();
+        let names: Vec<_> = watched.iter().map(|entry| entry.name.clone()).collect();
+        let silent = self.watch.silent(&names, now);
+        self.silent_entries.retain(|name, _| silent.contains(name));
+        for (rank, entry) in watched.into_iter().enumerate() {
+            if !silent.contains(&entry.name) {
+                continue;
+            }
+            let since = *self.silent_entries.entry(entry.name.clone()).or_insert(now);
+            let id = DocumentId::new(DocumentKind::Members, entry.datacenter.as_str());
+            if now.since(since) >= RANK_DELAY * rank as u32 && self.claim_job(&id, now) {
+                let edit = MemberEdit::Remove(entry);
+                actions.push(ControlAction::WriteMembers(id, vec![edit]));
+            }
+        }
+    }
+
+    fn repair(&mut self, now: TimePoint, actions: &mut Vec<ControlAction>) {
+        if self.stopping {
+            return;
+        }
+        let members = self.members_id();
+        let listed = self.all.find(&self.me.name) == Some(&self.me);
+        if !listed && self.claim_job(&members, now) {
+            let edit = MemberEdit::Put(self.me.clone());
+            actions.push(ControlAction::WriteMembers(members, vec![edit]));
+        }
+        if std::mem::take(&mut self.adopt_due) {
+            self.adopt_hosts(now);
+        }
+    }
+
+    // Takes on the hosts of this data centre that fall to this entry VM, also
+    // those that were never heard since this process started.
+    fn adopt_hosts(&mut self, now: TimePoint) {
+        let Some(document) = self.documents.get(&self.roster_id()) else {
+            return;
+        };
+        for item in document.items() {
+            let DocumentItem::Host(record) = item else {
+                continue;
+            };
+            let keepers = self.local.keepers(&record.name);
+            if let Some(rank) = keepers.iter().position(|keeper| keeper.name == self.me.name) {
+                self.keeper.adopt(record, rank as u32, now);
+            }
+        }
+    }
+}
+
+fn repair_id() -> DocumentId {
+    DocumentId::new(DocumentKind::Members, "")
+}
+
+fn scan_entries<'a>(items: impl Iterator<Item = &'a DocumentItem>) -> Vec<EntryRecord> {
+    items
+        .filter_map(|item| match item {
+            DocumentItem::Entry(record) => Some(record.clone()),
+            _ => None,
+        })
+        .collect()
+}
+
+fn find_host(documents: &DocumentStore, id: &DocumentId, name: &HostName) -> Option<HostRecord> {
+    match documents.get(id)?.item(name.as_str())? {
+        DocumentItem::Host(record) => Some(record.clone()),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/core/src/ids.rs
@@ -0,0 +1,176 @@
+//! Identifiers. Names are short texts that are checked once, at the edge of
+//! the process; numbers are wrapped so that two kinds can't be mixed up.
+
+use std::fmt;
+use std::str::FromStr;
+
+use compact_str::CompactString;
+use quick_error::quick_error;
+
+/// Longest accepted name, in bytes.
+pub const MAX_NAME_BYTES: usize = 63;
+
+quick_error! {
+    /// Why a text is no identifier.
+    #[derive(Debug, Clone, PartialEq, Eq)]
+    pub enum IdError {
+        /// The text is empty or too long.
+        Length(bytes: usize) {
+            display("is {} bytes long, allowed are 1 to {}", bytes, MAX_NAME_BYTES)
+        }
+        /// The text has a character that names may not have.
+        Character(found: char) {
+            display("has {:?}, allowed are a-z, 0-9 and '-'", found)
+        }
+        /// The text is no whole number.
+        Number(text: CompactString) {
+            display("{:?} is not a whole number", text)
+        }
+    }
+}
+
+fn scan_name(text: &str) -> Result<CompactString, IdError> {
+    if text.is_empty() || text.len() > MAX_NAME_BYTES {
+        return Err(IdError::Length(text.len()));
+    }
+    match text
+        .chars()
+        .find(|c| !matches!(c, 'a'..='z' | '0'..='9' | '-'))
+    {
+        Some(found) => Err(IdError::Character(found)),
+        None => Ok(CompactString::from(text)),
+    }
+}
+
+macro_rules! name_type {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        pub struct $name(CompactString);
+
+        impl $name {
+            /// The name as text.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = IdError;
+
+            fn from_str(text: &str) -> Result<Self, IdError> {
+                scan_name(text).map(Self)
+            }
+        }
+
+        impl From<$name> for CompactString {
+            fn from(name: $name) -> Self {
+                name.0
+            }
+        }
+    };
+}
+
+macro_rules! number_type {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        pub struct $name(pub u64);
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                self.0.fmt(f)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = IdError;
+
+            fn from_str(text: &str) -> Result<Self, IdError> {
+                text.parse()
+                    .map(Self)
+                    .map_err(|_| IdError::Number(CompactString::from(text)))
+            }
+        }
+    };
+}
+
+name_type!(
+    /// Name of a firm.
+    FirmName
+);
+name_type!(
+    /// Name of a service, unique within its firm.
+    ServiceName
+);
+name_type!(
+    /// Name of a data centre.
+    DatacenterName
+);
+name_type!(
+    /// Name of a host, the VM of one backend server.
+    HostName
+);
+name_type!(
+    /// Name of an entry VM.
+    EntryName
+);
+
+number_type!(
+    /// Start of a process, in milliseconds since the Unix epoch. A later
+    /// process in the same place has a higher one.
+    Incarnation
+);
+number_type!(
+    /// Version of an object of the platform.
+    ObjectVersion
+);
+number_type!(
+    /// Identifies a request within the system.
+    RequestId
+);
+number_type!(
+    /// Hash of a firm and a service name, carried by every packet.
+    ServiceTag
+);
+
+/// A service together with the firm that owns it.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ServiceId {
+    /// The owner.
+    pub firm: FirmName,
+    /// The service within the firm.
+    pub service: ServiceName,
+}
+
+impl ServiceId {
+    /// The tag by which packets name this service.
+    pub fn tag(&self) -> ServiceTag {
+        let text = format!("{}/{}", self.firm, self.service);
+        ServiceTag(xxhash_rust::xxh3::xxh3_64(text.as_bytes()))
+    }
+}
+
+impl fmt::Display for ServiceId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.firm, self.service)
+    }
+}
+
+impl FromStr for ServiceId {
+    type Err = IdError;
+
+    fn from_str(text: &str) -> Result<Self, IdError> {
+        let (firm, service) = text.split_once('/').ok_or(IdError::Character('/'))?;
+        Ok(Self {
+            firm: firm.parse()?,
+            service: service.parse()?,
+        })
+    }
+}
--- /dev/null
+++ b/crates/core/src/keeper.rs
@@ -0,0 +1,189 @@
+//! How an entry VM looks after the hosts that announce themselves to it.
+//!
+//! The keeper compares what it heard with the roster and proposes edits. The
+//! first rank proposes at once, a lower rank only if the roster still lacks
+//! the change after a while. Safety does not rest on that: every write of the
+//! roster is conditional.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use crate::chart::{HostEvent, HostState};
+use crate::ids::HostName;
+use crate::members::RANK_DELAY;
+use crate::roster::HostRecord;
+use crate::units::TimePoint;
+
+/// A host that is silent for this time gets no new flows.
+pub const SUSPECT_AFTER: Duration = Duration::from_secs(2);
+
+/// A host that is silent for this time is taken off the roster.
+pub const GONE_AFTER: Duration = Duration::from_secs(30);
+
+/// If more than one host in this many falls silent at once, the keeper takes
+/// itself for cut off and proposes nothing.
+const CUT_OFF_DIVISOR: usize = 2;
+
+/// Fewer hosts than this say nothing about being cut off.
+const CUT_OFF_MIN_HOSTS: usize = 4;
+
+/// A change of the roster.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum RosterEdit {
+    /// Add or replace a host.
+    Put(HostRecord),
+    /// Take a host off, if it still has the state that was seen.
+    Remove(HostName),
+}
+
+#[derive(Debug)]
+struct HostSighting {
+    record: HostRecord,
+    heard: TimePoint,
+    differs_since: Option<TimePoint>,
+    rank: u32,
+}
+
+/// The hosts that one entry VM looks after.
+#[derive(Debug, Default)]
+pub struct HostKeeper {
+    sightings: HashMap<HostName, HostSighting>,
+    last_tick: TimePoint,
+}
+
+impl HostKeeper {
+    /// Notes an announcement. `rank` is this entry VM's rank for the host.
+    pub fn hear(&mut self, record: HostRecord, rank: u32, now: TimePoint) {
+        match self.sightings.get_mut(&record.name) {
+            Some(known) if known.record.incarnation > record.incarnation => {}
+            Some(known) => {
+                if known.record != record {
+                    known.differs_since = None;
+                }
+                known.record = record;
+                known.heard = now;
+                known.rank = rank;
+            }
+            None => {
+                let name = record.name.clone();
+                let sighting = HostSighting {
+                    record,
+                    heard: now,
+                    differs_since: None,
+                    rank,
+                };
+                self.sightings.insert(name, sighting);
+            }
+        }
+    }
+
+    /// Hosts looked after.
+    pub fn len(&self) -> usize {
+        self.sightings.len()
+    }
+
+    /// Whether no host is looked after.
+    pub fn is_empty(&self) -> bool {
+        self.sightings.is_empty()
+    }
+
+    /// Takes on the hosts of the roster that were never heard here, as after
+    /// a start, so that their silence is noticed.
+    pub fn adopt(&mut self, record: &HostRecord, rank: u32, now: TimePoint) {
+        if !self.sightings.contains_key(&record.name) {
+            self.hear(record.clone(), rank, now);
+        }
+    }
+
+    /// Edits that the roster needs. `current` finds a host in the roster.
+    pub fn edits(
+        &mut self,
+        current: impl Fn(&HostName) -> Option<HostRecord>,
+        now: TimePoint,
+    ) -> Vec<RosterEdit> {
+        self.forgive_pause(now);
+        let cut_off = self.seems_cut_off(now);
+        let mut edits = Vec::new();
+        let mut ended = Vec::new();
+        for (name, sighting) in &mut self.sightings {
+            let in_roster = current(name);
+            if let Some(record) = &in_roster
+                && record.incarnation > sighting.record.incarnation
+            {
+                // Another keeper heard a later start of this host.
+                sighting.record = record.clone();
+                sighting.heard = now;
+                continue;
+            }
+            let wanted = wanted_record(sighting, now);
+            if wanted.is_none() && in_roster.is_none() {
+                ended.push(name.clone());
+                continue;
+            }
+            if !needs_edit(in_roster.as_ref(), wanted.as_ref()) {
+                sighting.differs_since = None;
+                continue;
+            }
+            let silent = now.since(sighting.heard) >= SUSPECT_AFTER;
+            if silent && cut_off {
+                continue;
+            }
+            let since = *sighting.differs_since.get_or_insert(now);
+            if now.since(since) >= RANK_DELAY * sighting.rank {
+                edits.push(match wanted {
+                    Some(record) => RosterEdit::Put(record),
+                    None => RosterEdit::Remove(name.clone()),
+                });
+            }
+        }
+        for name in ended {
+            self.sightings.remove(&name);
+        }
+        edits
+    }
+
+    // After a pause of this process its silence says nothing about the hosts.
+    fn forgive_pause(&mut self, now: TimePoint) {
+        if now.since(self.last_tick) >= SUSPECT_AFTER / 2 {
+            for sighting in self.sightings.values_mut() {
+                sighting.heard = now;
+            }
+        }
+        self.last_tick = now;
+    }
+
+    fn seems_cut_off(&self, now: TimePoint) -> bool {
+        let silent = self
+            .sightings
+            .values()
+            .filter(|sighting| now.since(sighting.heard) >= SUSPECT_AFTER)
+            .count();
+        self.sightings.len() >= CUT_OFF_MIN_HOSTS
+            && silent > self.sightings.len() / CUT_OFF_DIVISOR
+    }
+}
+
+fn needs_edit(current: Option<&HostRecord>, wanted: Option<&HostRecord>) -> bool {
+    match (current, wanted) {
+        (None, None) => false,
+        (None, Some(_)) => true,
+        (Some(_), None) => true,
+        (Some(current), Some(wanted)) => current != wanted,
+    }
+}
+
+// What the roster should say of a host; none if it should not be there.
+fn wanted_record(sighting: &HostSighting, now: TimePoint) -> Option<HostRecord> {
+    let silence = now.since(sighting.heard);
+    let mut record = sighting.record.clone();
+    if silence >= GONE_AFTER {
+        return None;
+    }
+    if silence >= SUSPECT_AFTER {
+        record.state = record.state.after(HostEvent::Silent).unwrap_or(record.state);
+    }
+    match record.state {
+        HostState::Gone | HostState::Joining => None,
+        _ => Some(record),
+    }
+}
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,61 @@
+//! Decisions of chestnutlb, without any input or output.
+//!
+//! Whoever drives this crate hands in events together with the time and
+//! carries out what comes back. Nothing here reads a clock, opens a socket or
+//! starts a thread, so every decision can be tested in virtual time.
+//!
+//! ```
+//! use chestnutlb_core::{SlotOffer, SlotPolicy, SlotScheduler};
+//! use chestnutlb_core::{RequestClass, RequestId, TimePoint};
+//!
+//! let mut slots = SlotScheduler::new(SlotPolicy::Classes, 1, 8);
+//! let deadline = TimePoint(1_000);
+//! let offer = slots.offer(RequestId(1), RequestClass::Short, deadline, TimePoint(0));
+//! assert_eq!(offer, SlotOffer::Start);
+//! ```
+
+pub mod admission;
+pub mod budget;
+pub mod chart;
+pub mod control;
+pub mod document;
+pub mod entry;
+pub mod flow;
+pub mod ids;
+pub mod keeper;
+pub mod manifest;
+pub mod members;
+pub mod ownership;
+pub mod placement;
+pub mod requests;
+pub mod roster;
+pub mod slots;
+pub mod timer;
+pub mod units;
+pub mod view;
+
+pub use admission::HostAdmission;
+pub use budget::RetryBudget;
+pub use chart::{
+    FlowEvent, FlowState, HostEvent, HostState, RequestEvent, RequestState, check_charts,
+};
+pub use control::{ControlAction, ControlEvent, EntryControl, HeartbeatNews, MemberEdit, WelcomeNews};
+pub use document::{DocumentId, DocumentItem, DocumentKind, DocumentPatch, DocumentStore};
+pub use entry::{EntryRouter, HopPlan, PlanSource, RouteDecision, RouteDrop};
+pub use flow::{BucketIndex, FlowHash, FlowKey, SegmentFacts};
+pub use ids::{
+    DatacenterName, EntryName, FirmName, HostName, Incarnation, ObjectVersion, RequestId,
+    ServiceId, ServiceName, ServiceTag,
+};
+pub use keeper::{HostKeeper, RosterEdit};
+pub use manifest::{
+    AddressBlock, FirmManifest, ManifestChange, RequestClass, RouteRule, ServiceKind, ServiceSpec,
+};
+pub use members::{EntryRecord, EntryWatch};
+pub use ownership::{FlowTable, OpeningGate, PacketArrival, PacketDrop, PacketVerdict};
+pub use requests::{CancelWord, RelayLedger, RelayWord, RequestLedger, RequestOutcome};
+pub use roster::{HostIndex, HostRecord};
+pub use slots::{SlotEvent, SlotOffer, SlotPolicy, SlotRefusal, SlotScheduler};
+pub use timer::{TimerPart, TimerService};
+pub use units::{ByteCount, HostWeight, PercentShare, TimePoint};
+pub use view::RoutingView;
--- /dev/null
+++ b/crates/core/src/slots.rs
@@ -0,0 +1,268 @@
+//! The slots of a host: which request runs next.
+//!
+//! Short and long requests wait in queues of their own. Long ones never take
+//! the last slot, so short work does not wait behind them. Work whose deadline
+//! can't be met is refused before it takes a slot; a queue that stays long is
+//! served newest first, since its oldest requests are about to expire.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use crate::ids::RequestId;
+use crate::manifest::RequestClass;
+use crate::units::TimePoint;
+
+/// A queue whose head waited longer than this is overloaded.
+pub const OVERLOAD_WAIT: Duration = Duration::from_millis(100);
+
+/// How slots are given out.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SlotPolicy {
+    /// One queue in the order of arrival; the baseline of the measurements.
+    Fifo,
+    /// A queue for each class and a slot kept for short work.
+    Classes,
+}
+
+/// Why a request gets no slot.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum SlotRefusal {
+    /// The queue is full.
+    QueueFull,
+    /// The wait would outlast the deadline.
+    WaitTooLong,
+    /// The deadline passed while it waited.
+    Expired,
+    /// The host is leaving.
+    Leaving,
+}
+
+impl SlotRefusal {
+    /// Name in logs, metrics and answers.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::QueueFull => "queue-full",
+            Self::WaitTooLong => "wait-too-long",
+            Self::Expired => "expired",
+            Self::Leaving => "leaving",
+        }
+    }
+}
+
+/// What becomes of an offered request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SlotOffer {
+    /// It runs now.
+    Start,
+    /// It waits, by estimate for this long.
+    Queued(Duration),
+    /// It was refused.
+    Refused(SlotRefusal),
+}
+
+/// What the queue gives out.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SlotEvent {
+    /// This request runs now.
+    Start(RequestId),
+    /// This request will not run.
+    Refuse(RequestId, SlotRefusal),
+}
+
+#[derive(Debug, Clone, Copy)]
+struct WaitingRequest {
+    id: RequestId,
+    class: RequestClass,
+    arrived: TimePoint,
+    deadline: TimePoint,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct RunningRequest {
+    id: RequestId,
+    class: RequestClass,
+    started: TimePoint,
+}
+
+/// Smoothed run time of a class.
+#[derive(Debug, Clone, Copy)]
+struct MeanTime(f64);
+
+impl MeanTime {
+    const SMOOTHING: f64 = 0.1;
+
+    fn add(&mut self, span: Duration) {
+        let millis = span.as_secs_f64() * 1000.0;
+        self.0 += (millis - self.0) * Self::SMOOTHING;
+    }
+}
+
+/// Slots and queues of one host.
+#[derive(Debug)]
+pub struct SlotScheduler {
+    policy: SlotPolicy,
+    slots: usize,
+    queue_limit: usize,
+    running: Vec<RunningRequest>,
+    short: VecDeque<WaitingRequest>,
+    long: VecDeque<WaitingRequest>,
+    short_time: MeanTime,
+    long_time: MeanTime,
+}
+
+impl SlotScheduler {
+    /// A scheduler for this many slots and waiting requests.
+    pub fn new(policy: SlotPolicy, slots: usize, queue_limit: usize) -> Self {
+        Self {
+            policy,
+            slots,
+            queue_limit,
+            running: Vec::with_capacity(slots),
+            short: VecDeque::new(),
+            long: VecDeque::new(),
+            short_time: MeanTime(1.0),
+            long_time: MeanTime(1.0),
+        }
+    }
+
+    /// Changes the limits; running requests are not touched.
+    pub fn set_limits(&mut self, slots: usize, queue_limit: usize) {
+        self.slots = slots;
+        self.queue_limit = queue_limit;
+    }
+
+    /// Running requests.
+    pub fn running(&self) -> usize {
+        self.running.len()
+    }
+
+    /// Waiting requests.
+    pub fn waiting(&self) -> usize {
+        self.short.len() + self.long.len()
+    }
+
+    fn has_slot(&self, class: RequestClass) -> bool {
+        if self.running.len() >= self.slots {
+            return false;
+        }
+        match (self.policy, class) {
+            (SlotPolicy::Fifo, _) | (_, RequestClass::Short) => true,
+            (SlotPolicy::Classes, RequestClass::Long) => {
+                let long = self.running.iter().filter(|run| run.class == class).count();
+                long < self.long_slots()
+            }
+        }
+    }
+
+    // Long work gets all slots but one, and at least one.
+    fn long_slots(&self) -> usize {
+        self.slots.saturating_sub(1).max(1)
+    }
+
+    fn queue(&mut self, class: RequestClass) -> &mut VecDeque<WaitingRequest> {
+        match (self.policy, class) {
+            (SlotPolicy::Fifo, _) | (_, RequestClass::Short) => &mut self.short,
+            (SlotPolicy::Classes, RequestClass::Long) => &mut self.long,
+        }
+    }
+
+    /// How long a request of this class would wait, by estimate.
+    pub fn expected_wait(&self, class: RequestClass) -> Duration {
+        if self.has_slot(class) {
+            return Duration::ZERO;
+        }
+        let (queue, mean, slots) = match (self.policy, class) {
+            (SlotPolicy::Classes, RequestClass::Long) => {
+                (&self.long, self.long_time, self.long_slots())
+            }
+            _ => (&self.short, self.short_time, self.slots),
+        };
+        let rounds = (queue.len() + 1) as f64 / slots.max(1) as f64;
+        Duration::from_secs_f64(rounds * mean.0 / 1000.0)
+    }
+
+    /// Offers a request.
+    pub fn offer(
+        &mut self,
+        id: RequestId,
+        class: RequestClass,
+        deadline: TimePoint,
+        now: TimePoint,
+    ) -> SlotOffer {
+        if self.has_slot(class) && self.queue(class).is_empty() {
+            self.run(id, class, now);
+            return SlotOffer::Start;
+        }
+        if self.waiting() >= self.queue_limit {
+            return SlotOffer::Refused(SlotRefusal::QueueFull);
+        }
+        let wait = self.expected_wait(class);
+        if now + wait >= deadline {
+            return SlotOffer::Refused(SlotRefusal::WaitTooLong);
+        }
+        self.queue(class).push_back(WaitingRequest {
+            id,
+            class,
+            arrived: now,
+            deadline,
+        });
+        SlotOffer::Queued(wait)
+    }
+
+    fn run(&mut self, id: RequestId, class: RequestClass, now: TimePoint) {
+        self.running.push(RunningRequest {
+            id,
+            class,
+            started: now,
+        });
+    }
+
+    /// Notes that a running request ended.
+    pub fn finish(&mut self, id: RequestId, now: TimePoint) {
+        let Some(place) = self.running.iter().position(|run| run.id == id) else {
+            return;
+        };
+        let run = self.running.swap_remove(place);
+        let span = now.since(run.started);
+        match run.class {
+            RequestClass::Short => self.short_time.add(span),
+            RequestClass::Long => self.long_time.add(span),
+        }
+    }
+
+    /// Takes a waiting request out. Returns whether it was waiting.
+    pub fn withdraw(&mut self, id: RequestId) -> bool {
+        let before = self.waiting();
+        self.short.retain(|waiting| waiting.id != id);
+        self.long.retain(|waiting| waiting.id != id);
+        self.waiting() < before
+    }
+
+    /// The next thing to do, none when slots or queues are exhausted.
+    pub fn next(&mut self, now: TimePoint) -> Option<SlotEvent> {
+        self.next_of(RequestClass::Short, now)
+            .or_else(|| self.next_of(RequestClass::Long, now))
+    }
+
+    fn next_of(&mut self, class: RequestClass, now: TimePoint) -> Option<SlotEvent> {
+        let newest_first = self.policy == SlotPolicy::Classes;
+        let has_slot = self.has_slot(class);
+        let queue = self.queue(class);
+        let head = *queue.front()?;
+        if head.deadline <= now {
+            queue.pop_front();
+            return Some(SlotEvent::Refuse(head.id, SlotRefusal::Expired));
+        }
+        if !has_slot {
+            return None;
+        }
+        let overloaded = now.since(head.arrived) > OVERLOAD_WAIT;
+        let next = if newest_first && overloaded {
+            queue.pop_back()?
+        } else {
+            queue.pop_front()?
+        };
+        self.run(next.id, next.class, now);
+        Some(SlotEvent::Start(next.id))
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/entry_control.rs
@@ -0,0 +1,237 @@
+//! The control thread of an entry VM: carries out what the core decides.
+
+use std::net::{SocketAddrV4, UdpSocket};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use crossbeam_channel::{Receiver, RecvTimeoutError, Sender};
+
+use chestnutlb_core::{
+    ControlAction, ControlEvent, DocumentId, EntryControl, HostRecord, MemberEdit, ObjectVersion,
+    RosterEdit, RoutingView,
+};
+use chestnutlb_wire::peer::{
+    MAX_PEER_DATAGRAM_BYTES, PeerMessage, scan_message, write_message,
+};
+
+use crate::clock;
+use crate::entry_http::EntryShared;
+use crate::metrics::{Counter, offer};
+
+/// Longest time that the thread waits for an event.
+const MAX_WAIT: Duration = Duration::from_millis(100);
+
+/// A call of the platform.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum StoreJob {
+    /// Read a document.
+    Load(DocumentId),
+    /// Change a roster.
+    WriteRoster(DocumentId, Vec<RosterEdit>),
+    /// Change members.
+    WriteMembers(DocumentId, Vec<MemberEdit>),
+}
+
+/// A call of a peer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PullJob {
+    /// Where the peer answers over HTTP.
+    pub peer: SocketAddrV4,
+    /// What is wanted; everything if it is empty.
+    pub wanted: Vec<(DocumentId, ObjectVersion)>,
+}
+
+/// The rings that the control thread fills.
+#[derive(Debug, Clone)]
+pub struct ControlRings {
+    /// Calls of the platform.
+    pub store: Sender<StoreJob>,
+    /// Calls of peers.
+    pub pulls: Sender<PullJob>,
+    /// Views for the packet thread.
+    pub views: Sender<Arc<RoutingView>>,
+}
+
+/// The control thread.
+#[derive(Debug)]
+pub struct ControlLoop {
+    control: EntryControl,
+    socket: UdpSocket,
+    events: Receiver<ControlEvent>,
+    rings: ControlRings,
+    watching: Arc<AtomicBool>,
+    shared: Arc<EntryShared>,
+    unsent_view: Option<Arc<RoutingView>>,
+}
+
+impl ControlLoop {
+    /// A loop that sends from `socket`.
+    pub fn new(
+        control: EntryControl,
+        socket: UdpSocket,
+        events: Receiver<ControlEvent>,
+        rings: ControlRings,
+        watching: Arc<AtomicBool>,
+        shared: Arc<EntryShared>,
+    ) -> Self {
+        Self {
+            control,
+            socket,
+            events,
+            rings,
+            watching,
+            shared,
+            unsent_view: None,
+        }
+    }
+
+    /// Runs until the events end.
+    pub fn run(mut self) {
+        loop {
+            let now = clock::now();
+            while let Some(part) = self.control.poll_timer(now) {
+                self.handle(ControlEvent::Tick(part));
+            }
+            self.send_view();
+            let wait = self
+                .control
+                .next_due()
+                .map_or(MAX_WAIT, |due| due.since(clock::now()).min(MAX_WAIT));
+            match self.events.recv_timeout(wait) {
+                Ok(event) => self.handle(event),
+                Err(RecvTimeoutError::Timeout) => {}
+                Err(RecvTimeoutError::Disconnected) => return,
+            }
+            self.shared.publish_status(&self.control, clock::now());
+        }
+    }
+
+    fn handle(&mut self, event: ControlEvent) {
+        for action in self.control.handle(event, clock::now()) {
+            self.carry_out(action);
+        }
+    }
+
+    fn carry_out(&mut self, action: ControlAction) {
+        let counters = &self.shared.counters;
+        match action {
+            ControlAction::Heartbeat(target, news) => {
+                self.send(target, &PeerMessage::Heartbeat((&news).into()));
+            }
+            ControlAction::Welcome(target, news) => {
+                self.send(target, &PeerMessage::Welcome((&news).into()));
+            }
+            ControlAction::Pull(peer, wanted) => {
+                offer(&self.rings.pulls, PullJob { peer, wanted }, counters);
+            }
+            ControlAction::Load(id) => {
+                offer(&self.rings.store, StoreJob::Load(id), counters);
+            }
+            ControlAction::WriteRoster(id, edits) => {
+                for edit in &edits {
+                    log_edit(edit);
+                }
+                offer(&self.rings.store, StoreJob::WriteRoster(id, edits), counters);
+            }
+            ControlAction::WriteMembers(id, edits) => {
+                for edit in &edits {
+                    match edit {
+                        MemberEdit::Put(entry) => {
+                            log::info!(target: "members", entry:% = entry.name; "put");
+                        }
+                        MemberEdit::Remove(entry) => {
+                            log::info!(target: "members", entry:% = entry.name; "remove");
+                        }
+                    }
+                }
+                offer(&self.rings.store, StoreJob::WriteMembers(id, edits), counters);
+            }
+            ControlAction::Watch(on) => self.watching.store(on, Ordering::Relaxed),
+            ControlAction::Publish => {
+                let view = Arc::clone(self.control.view());
+                self.shared.publish_view(&view, self.control.documents());
+                self.unsent_view = Some(view);
+                self.send_view();
+            }
+            ControlAction::InForce(id, version) => {
+                log::info!(target: "document", document:% = id, version = version.0; "in force");
+                self.shared.publish_documents(self.control.documents());
+            }
+        }
+    }
+
+    // The newest view must arrive, so one that finds the ring full waits here.
+    fn send_view(&mut self) {
+        if let Some(view) = self.unsent_view.take()
+            && let Err(error) = self.rings.views.try_send(view)
+        {
+            self.unsent_view = Some(error.into_inner());
+        }
+    }
+
+    fn send(&self, target: SocketAddrV4, message: &PeerMessage) {
+        let bytes = write_message(message);
+        let counters = &self.shared.counters;
+        // A lost datagram is made up for by the next heartbeat.
+        if self.socket.send_to(&bytes, target).is_ok() {
+            counters.add(Counter::PeerOut);
+            counters.add_many(Counter::PeerBytesOut, bytes.len() as u64);
+        }
+    }
+}
+
+fn log_edit(edit: &RosterEdit) {
+    match edit {
+        RosterEdit::Put(record) => {
+            log::info!(
+                target: "placement",
+                host:% = record.name, service:% = record.service, state:% = record.state;
+                "put"
+            );
+        }
+        RosterEdit::Remove(name) => log::info!(target: "placement", host:% = name; "remove"),
+    }
+}
+
+/// The thread that takes datagrams from peers and hosts.
+pub fn receive_peers(socket: &UdpSocket, events: &Sender<ControlEvent>, shared: &EntryShared) {
+    let counters = &shared.counters;
+    let mut datagram = [0; MAX_PEER_DATAGRAM_BYTES + 1];
+    loop {
+        let Ok((len, std::net::SocketAddr::V4(from))) = socket.recv_from(&mut datagram) else {
+            continue;
+        };
+        counters.add(Counter::PeerIn);
+        counters.add_many(Counter::PeerBytesIn, len as u64);
+        match read_event(&datagram[..len], from) {
+            Some(event) => {
+                offer(events, event, counters);
+            }
+            None => {
+                counters.add(Counter::PeerBad);
+                log::info!(target: "peer", from:% = from, bytes = len; "malformed");
+            }
+        }
+    }
+}
+
+fn read_event(datagram: &[u8], from: SocketAddrV4) -> Option<ControlEvent> {
+    if datagram.len() > MAX_PEER_DATAGRAM_BYTES {
+        return None;
+    }
+    match scan_message(datagram).ok()? {
+        PeerMessage::Announce(announcement) => {
+            let record = HostRecord::try_from(&announcement.host).ok()?;
+            Some(ControlEvent::Announced {
+                record,
+                manifest: ObjectVersion(announcement.manifest),
+                from,
+            })
+        }
+        PeerMessage::Heartbeat(heartbeat) => {
+            Some(ControlEvent::Heard((&heartbeat).try_into().ok()?))
+        }
+        PeerMessage::Welcome(_) => None,
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/entry_http.rs
@@ -0,0 +1,258 @@
+//! What an entry VM answers over HTTP: status and health for operators,
+//! documents for peers, slices for side processes.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddrV4;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, PoisonError, RwLock};
+
+use compact_str::ToCompactString;
+use rocket::data::{Data, ToByteUnit};
+use rocket::http::Status;
+use rocket::serde::json::Json;
+use rocket::{Build, Rocket, State, get, post, routes};
+
+use chestnutlb_core::entry::EntryRouter;
+use chestnutlb_core::{
+    DocumentId, DocumentKind, DocumentStore, EntryControl, EntryRecord, FlowKey, HostIndex,
+    RouteDecision, RoutingView, SegmentFacts, ServiceId, TimePoint,
+};
+use chestnutlb_wire::peer::{PullQuery, ServiceSlice, scan_message, wire_versions, write_message};
+use chestnutlb_wire::status::{EntryStatus, FlowExplanation, HopExplanation, HostStatus};
+
+use crate::entry_store::answer_pull;
+use crate::metrics::{Counter, CounterSet};
+
+/// Largest query of a peer, in kibibytes.
+const MAX_QUERY_KIB: u64 = 256;
+
+/// What the threads of an entry VM share. Each part is replaced as a whole.
+#[derive(Debug)]
+pub struct EntryShared {
+    /// What is counted.
+    pub counters: Arc<CounterSet>,
+    /// Whether the process was asked to stop.
+    pub stopping: AtomicBool,
+    documents: RwLock<Arc<DocumentStore>>,
+    view: RwLock<Arc<RoutingView>>,
+    status: RwLock<Arc<EntryStatus>>,
+}
+
+fn read<T>(lock: &RwLock<Arc<T>>) -> Arc<T> {
+    Arc::clone(&lock.read().unwrap_or_else(PoisonError::into_inner))
+}
+
+fn replace<T>(lock: &RwLock<Arc<T>>, value: Arc<T>) {
+    *lock.write().unwrap_or_else(PoisonError::into_inner) = value;
+}
+
+impl EntryShared {
+    /// What is shared when the process starts.
+    pub fn new(me: &EntryRecord, counters: Arc<CounterSet>) -> Self {
+        let status = EntryStatus {
+            name: me.name.clone().into(),
+            datacenter: me.datacenter.clone().into(),
+            stopping: false,
+            watching: false,
+            age_ms: None,
+            documents: Vec::new(),
+            entries: Vec::new(),
+            hosts: Vec::new(),
+            counters: BTreeMap::new(),
+        };
+        Self {
+            counters,
+            stopping: AtomicBool::new(false),
+            documents: RwLock::default(),
+            view: RwLock::default(),
+            status: RwLock::new(Arc::new(status)),
+        }
+    }
+
+    /// The documents in force.
+    pub fn documents(&self) -> Arc<DocumentStore> {
+        read(&self.documents)
+    }
+
+    /// Replaces the documents.
+    pub fn publish_documents(&self, documents: &DocumentStore) {
+        replace(&self.documents, Arc::new(documents.clone()));
+    }
+
+    /// Replaces the view and the documents that it was built from.
+    pub fn publish_view(&self, view: &Arc<RoutingView>, documents: &DocumentStore) {
+        self.publish_documents(documents);
+        replace(&self.view, Arc::clone(view));
+    }
+
+    /// Replaces the status.
+    pub fn publish_status(&self, control: &EntryControl, now: TimePoint) {
+        let old = read(&self.status);
+        let hosts = control.progress().map(|(name, progress)| HostStatus {
+            name: name.to_compact_string(),
+            service: progress.service.to_compact_string(),
+            manifest: progress.manifest.0,
+        });
+        let status = EntryStatus {
+            name: old.name.clone(),
+            datacenter: old.datacenter.clone(),
+            stopping: self.stopping.load(Ordering::Relaxed),
+            watching: control.is_watching(),
+            age_ms: control.age(now).map(|age| age.as_millis() as u64),
+            documents: wire_versions(&control.documents().digest()),
+            entries: control.entries().map(Into::into).collect(),
+            hosts: hosts.collect(),
+            counters: BTreeMap::new(),
+        };
+        replace(&self.status, Arc::new(status));
+    }
+}
+
+#[get("/health")]
+fn health(shared: &State<Arc<EntryShared>>) -> Status {
+    if shared.stopping.load(Ordering::Relaxed) {
+        Status::ServiceUnavailable
+    } else {
+        Status::Ok
+    }
+}
+
+#[get("/v1/status")]
+fn status(shared: &State<Arc<EntryShared>>) -> Json<EntryStatus> {
+    let mut status = EntryStatus::clone(&read(&shared.status));
+    status.counters = shared.counters.snapshot();
+    Json(status)
+}
+
+#[get("/v1/explain?<caller>&<service>")]
+fn explain(
+    shared: &State<Arc<EntryShared>>,
+    caller: &str,
+    service: &str,
+) -> Result<Json<FlowExplanation>, (Status, String)> {
+    let address = |name: &str, text: &str| {
+        text.parse::<SocketAddrV4>().map_err(|_| {
+            let text = format!("{name}: found {text:?}, allowed is an IPv4 address and port");
+            (Status::BadRequest, text)
+        })
+    };
+    let key = FlowKey {
+        caller: address("caller", caller)?,
+        service: address("service", service)?,
+    };
+    explain_flow(&read(&shared.view), key)
+        .map(Json)
+        .ok_or_else(|| (Status::NotFound, format!("no service at {}", key.service)))
+}
+
+fn explain_flow(view: &Arc<RoutingView>, key: FlowKey) -> Option<FlowExplanation> {
+    let service = view.service_at(key.service)?;
+    let mut router = EntryRouter::new(0);
+    router.replace_view(Arc::clone(view));
+    let mut hops = |opens: bool| {
+        let segment = SegmentFacts {
+            key,
+            opens,
+            resets: false,
+            sequence: 0,
+            acknowledgement: None,
+            payload: 0,
+        };
+        match router.route(&segment) {
+            RouteDecision::Forward(plan) => (
+                plan.hops().iter().map(|host| explain_hop(view, *host)).collect(),
+                plan.complete,
+            ),
+            RouteDecision::Drop(_) => (Vec::new(), false),
+        }
+    };
+    let (opening, _) = hops(true);
+    let (walk, complete) = hops(false);
+    Some(FlowExplanation {
+        service: service.id.to_compact_string(),
+        bucket: key.hash().bucket().0,
+        generation: view.generation.0,
+        opening,
+        walk,
+        complete,
+    })
+}
+
+fn explain_hop(view: &RoutingView, index: HostIndex) -> HopExplanation {
+    let host = view.host(index);
+    HopExplanation {
+        host: host.name.to_compact_string(),
+        state: host.state.to_compact_string(),
+        weight: host.weight.get(),
+        packets: host.packets.to_compact_string(),
+    }
+}
+
+#[post("/peer/pull", data = "<body>")]
+async fn pull(shared: &State<Arc<EntryShared>>, body: Data<'_>) -> Result<Vec<u8>, Status> {
+    let query: PullQuery = read_query(body, &shared.counters).await?;
+    let answer = answer_pull(shared, &query).ok_or(Status::BadRequest)?;
+    Ok(write_message(&answer))
+}
+
+/// Reads a query of a peer.
+pub async fn read_query<T: serde::de::DeserializeOwned>(
+    body: Data<'_>,
+    counters: &CounterSet,
+) -> Result<T, Status> {
+    read_query_of(body, MAX_QUERY_KIB, counters).await
+}
+
+/// Reads a query of a peer with a limit of its own, in kibibytes.
+pub async fn read_query_of<T: serde::de::DeserializeOwned>(
+    body: Data<'_>,
+    limit_kib: u64,
+    counters: &CounterSet,
+) -> Result<T, Status> {
+    let bad = |status| {
+        counters.add(Counter::BodiesBad);
+        log::info!(target: "http", status:% = status; "bad body");
+        status
+    };
+    let bytes = body
+        .open(limit_kib.kibibytes())
+        .into_bytes()
+        .await
+        .map_err(|_| bad(Status::BadRequest))?;
+    if !bytes.is_complete() {
+        return Err(bad(Status::PayloadTooLarge));
+    }
+    scan_message(&bytes).map_err(|_| bad(Status::BadRequest))
+}
+
+#[get("/peer/slice/<firm>/<service>")]
+fn slice(
+    shared: &State<Arc<EntryShared>>,
+    firm: &str,
+    service: &str,
+) -> Result<Vec<u8>, Status> {
+    let id: ServiceId = format!("{firm}/{service}")
+        .parse()
+        .map_err(|_| Status::BadRequest)?;
+    let view = read(&shared.view);
+    let documents = shared.documents();
+    let manifest = documents.version(&DocumentId::new(DocumentKind::Manifest, firm));
+    let service = view.service(&id);
+    let answer = ServiceSlice {
+        manifest: manifest.0,
+        slice: service.map_or(0, |service| service.slice),
+        service: service.map(|service| service.spec.as_ref().into()),
+        hosts: service.map_or_else(Vec::new, |service| {
+            view.hosts_of(service).iter().map(Into::into).collect()
+        }),
+    };
+    Ok(write_message(&answer))
+}
+
+/// The server of an entry VM.
+pub fn server(shared: Arc<EntryShared>, address: SocketAddrV4) -> Rocket<Build> {
+    crate::http::server(address)
+        .manage(shared)
+        .mount("/", routes![health, status, explain, pull, slice])
+}
+
--- /dev/null
+++ b/crates/daemon/src/entry_packets.rs
@@ -0,0 +1,149 @@
+//! The packet thread of an entry VM: from the fabric to side processes.
+
+use std::net::{SocketAddrV4, UdpSocket};
+use std::sync::Arc;
+
+use crossbeam_channel::Receiver;
+
+use chestnutlb_core::{EntryRouter, HopPlan, PlanSource, RouteDecision, RouteDrop, RoutingView};
+use chestnutlb_core::{Incarnation, SegmentFacts};
+use chestnutlb_wire::packet::{MAX_DATAGRAM_BYTES, write_data};
+use chestnutlb_wire::{PacketError, PacketFrame, PacketHeader, WireHop, scan_frame, scan_segment};
+
+use crate::metrics::{Counter, CounterSet};
+
+/// First byte of the system's own datagrams.
+const MAGIC_FIRST: u8 = b'C';
+
+/// The packet thread.
+#[derive(Debug)]
+pub struct PacketLoop {
+    socket: UdpSocket,
+    own: SocketAddrV4,
+    router: EntryRouter,
+    views: Receiver<Arc<RoutingView>>,
+    counters: Arc<CounterSet>,
+    buffer: Vec<u8>,
+}
+
+impl PacketLoop {
+    /// A loop on a bound socket.
+    pub fn new(
+        socket: UdpSocket,
+        own: SocketAddrV4,
+        hints: usize,
+        views: Receiver<Arc<RoutingView>>,
+        counters: Arc<CounterSet>,
+    ) -> Self {
+        Self {
+            socket,
+            own,
+            router: EntryRouter::new(hints),
+            views,
+            counters,
+            buffer: Vec::with_capacity(MAX_DATAGRAM_BYTES),
+        }
+    }
+
+    /// Runs until the views end.
+    pub fn run(mut self) {
+        let mut datagram = [0; MAX_DATAGRAM_BYTES + 1];
+        loop {
+            match self.views.try_recv() {
+                Ok(view) => self.router.replace_view(view),
+                Err(crossbeam_channel::TryRecvError::Empty) => {}
+                Err(crossbeam_channel::TryRecvError::Disconnected) => return,
+            }
+            // A timeout lets the loop look for a new view.
+            if let Ok((len, _)) = self.socket.recv_from(&mut datagram) {
+                self.handle(&datagram[..len]);
+            }
+        }
+    }
+
+    fn handle(&mut self, datagram: &[u8]) {
+        let outcome = if datagram.first() == Some(&MAGIC_FIRST) {
+            self.take_note(datagram)
+        } else {
+            self.forward(datagram)
+        };
+        if let Err(error) = outcome {
+            self.counters.add(Counter::PacketsBad);
+            log::info!(target: "route", cause:% = error, bytes = datagram.len(); "drop");
+        }
+    }
+
+    fn take_note(&mut self, datagram: &[u8]) -> Result<(), PacketError> {
+        match scan_frame(datagram)? {
+            PacketFrame::Note(note) => {
+                self.counters.add(Counter::NotesIn);
+                let owner = Incarnation(note.incarnation);
+                self.router.learn(note.flow(), note.service(), owner);
+                Ok(())
+            }
+            PacketFrame::Data { .. } => Err(PacketError::Header),
+        }
+    }
+
+    fn forward(&mut self, packet: &[u8]) -> Result<(), PacketError> {
+        self.counters.add(Counter::PacketsIn);
+        let segment = scan_segment(packet)?;
+        match self.router.route(&segment) {
+            RouteDecision::Forward(plan) => self.send(&segment, &plan, packet),
+            RouteDecision::Drop(cause) => self.drop_packet(&segment, cause),
+        }
+        Ok(())
+    }
+
+    fn send(&mut self, segment: &SegmentFacts, plan: &HopPlan, packet: &[u8]) {
+        let view = self.router.view();
+        let Some(service) = view.service_at(segment.key.service) else {
+            return;
+        };
+        let hops: Vec<WireHop> = plan
+            .hops()
+            .iter()
+            .map(|host| view.host(*host).into())
+            .collect();
+        let header = PacketHeader {
+            tag: service.tag.0,
+            generation: view.generation.0,
+            complete: plan.complete,
+            entry: (u32::from(*self.own.ip()), self.own.port()),
+            hops,
+        };
+        let first = view.host(plan.hops()[0]);
+        let target = first.packets;
+        if segment.opens {
+            log::info!(
+                target: "route",
+                flow:% = segment.key, service:% = service.id, host:% = first.name,
+                generation = view.generation.0, hops = plan.hops().len();
+                "open"
+            );
+        } else {
+            log::debug!(
+                target: "route",
+                flow:% = segment.key, service:% = service.id, host:% = first.name,
+                hinted = plan.source == PlanSource::Hint;
+                "forward"
+            );
+        }
+        if plan.source == PlanSource::Hint {
+            self.counters.add(Counter::PacketsHinted);
+        }
+        write_data(&mut self.buffer, &header, packet);
+        match self.socket.send_to(&self.buffer, target) {
+            Ok(_) => self.counters.add(Counter::PacketsForwarded),
+            Err(_) => self.counters.add(Counter::PacketsUnsent),
+        }
+    }
+
+    fn drop_packet(&self, segment: &SegmentFacts, cause: RouteDrop) {
+        self.counters.add(match cause {
+            RouteDrop::NoService => Counter::PacketsNoService,
+            RouteDrop::NoHost => Counter::PacketsNoHost,
+        });
+        log::info!(target: "route", flow:% = segment.key, cause = cause.as_str(); "drop");
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/entry_store.rs
@@ -0,0 +1,227 @@
+//! Threads of an entry VM that wait for others: for the platform and for
+//! peers.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use crossbeam_channel::{Receiver, Sender};
+
+use chestnutlb_core::{ControlEvent, DocumentId, DocumentPatch, ObjectVersion};
+use chestnutlb_platform::{EditOutcome, LoadedDocument, PlatformClient, objects};
+use chestnutlb_wire::StampList;
+use chestnutlb_wire::peer::{
+    MAX_PEER_BODY_BYTES, PullAnswer, PullQuery, core_versions, scan_message, wire_versions,
+    write_message,
+};
+use chestnutlb_wire::records::WireVersion;
+
+use crate::entry_control::{PullJob, StoreJob};
+use crate::entry_http::EntryShared;
+use crate::metrics::{Counter, CounterSet, offer};
+
+/// Longest wait of one watch.
+const WATCH_WAIT: Duration = Duration::from_secs(2);
+
+/// Pause after a call of the platform failed.
+const FAILURE_PAUSE: Duration = Duration::from_millis(500);
+
+/// Pause between two looks at whether to watch.
+const IDLE_PAUSE: Duration = Duration::from_millis(100);
+
+/// Time for a peer to answer a pull.
+const PULL_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// The thread that reads and writes documents.
+pub fn run_store(
+    client: &PlatformClient,
+    jobs: &Receiver<StoreJob>,
+    events: &Sender<ControlEvent>,
+    counters: &CounterSet,
+) {
+    for job in jobs {
+        counters.add(Counter::PlatformCalls);
+        let (id, loaded) = run_job(client, job);
+        let event = match loaded {
+            Ok(Some(LoadedDocument { version, items })) => {
+                ControlEvent::Loaded { id, version, items }
+            }
+            Ok(None) => ControlEvent::Wrote(id),
+            Err(cause) => {
+                counters.add(Counter::PlatformFailed);
+                log::warn!(target: "platform", document:% = id, cause = cause.as_str(); "failed");
+                std::thread::sleep(FAILURE_PAUSE);
+                ControlEvent::Wrote(id)
+            }
+        };
+        offer(events, event, counters);
+    }
+}
+
+type JobResult = Result<Option<LoadedDocument>, String>;
+
+fn run_job(client: &PlatformClient, job: StoreJob) -> (DocumentId, JobResult) {
+    match job {
+        StoreJob::Load(id) => {
+            let loaded = objects::load(client, &id).map_err(|error| error.to_string());
+            (id, loaded)
+        }
+        StoreJob::WriteRoster(id, edits) => {
+            let outcome = objects::edit_roster(client, &id, &edits);
+            (id, edit_result(outcome))
+        }
+        StoreJob::WriteMembers(id, edits) => {
+            let outcome = objects::edit_members(client, &id, &edits);
+            (id, edit_result(outcome))
+        }
+    }
+}
+
+fn edit_result(outcome: EditOutcome) -> JobResult {
+    match outcome {
+        EditOutcome::Done(loaded) => Ok(Some(loaded)),
+        EditOutcome::Conflict => Err("conflict".to_owned()),
+        // The next look at the roster shows whether it took effect.
+        EditOutcome::Unsure(error) => Err(error.to_string()),
+    }
+}
+
+/// The thread that watches the platform while it is asked to.
+pub fn run_watch(
+    client: &PlatformClient,
+    on: &AtomicBool,
+    events: &Sender<ControlEvent>,
+    counters: &CounterSet,
+) {
+    let mut after = None;
+    loop {
+        if !on.load(Ordering::Relaxed) {
+            after = None;
+            std::thread::sleep(IDLE_PAUSE);
+            continue;
+        }
+        counters.add(Counter::PlatformCalls);
+        let answer = match after {
+            None => client.list(),
+            Some(after) => client.watch(after, WATCH_WAIT),
+        };
+        match answer {
+            Ok(stamps) => {
+                let revision = ObjectVersion(stamps.revision);
+                let stale = after.is_some_and(|after| revision < after);
+                offer(events, listed(&stamps, stale), counters);
+                after = Some(revision.max(after.unwrap_or_default()));
+                if stale {
+                    std::thread::sleep(FAILURE_PAUSE);
+                }
+            }
+            Err(error) => {
+                counters.add(Counter::PlatformFailed);
+                log::warn!(target: "platform", cause:% = error; "watch failed");
+                after = None;
+                std::thread::sleep(FAILURE_PAUSE);
+            }
+        }
+    }
+}
+
+// Objects of other kinds are none of ours.
+fn listed(stamps: &StampList, stale: bool) -> ControlEvent {
+    let list = stamps
+        .objects
+        .iter()
+        .filter_map(|stamp| {
+            let wire = WireVersion {
+                kind: stamp.kind.clone(),
+                name: stamp.name.clone(),
+                version: stamp.version,
+            };
+            let id = DocumentId::try_from(&wire).ok()?;
+            Some((id, ObjectVersion(stamp.version)))
+        })
+        .collect();
+    ControlEvent::Listed { list, stale }
+}
+
+/// The thread that pulls documents from peers.
+pub fn run_pulls(
+    jobs: &Receiver<PullJob>,
+    events: &Sender<ControlEvent>,
+    shared: &Arc<EntryShared>,
+) {
+    let agent = ureq::AgentBuilder::new().timeout(PULL_TIMEOUT).build();
+    for job in jobs {
+        shared.counters.add(Counter::Pulls);
+        match pull(&agent, &job, shared) {
+            Ok(patches) => {
+                offer(events, ControlEvent::Pulled(patches), &shared.counters);
+            }
+            Err(cause) => {
+                log::warn!(target: "peer", peer:% = job.peer, cause = cause.as_str(); "pull failed");
+            }
+        }
+    }
+}
+
+fn pull(
+    agent: &ureq::Agent,
+    job: &PullJob,
+    shared: &EntryShared,
+) -> Result<Vec<DocumentPatch>, String> {
+    let all = job.wanted.is_empty();
+    let have = if all {
+        shared.documents().digest()
+    } else {
+        job.wanted.clone()
+    };
+    let query = PullQuery {
+        have: wire_versions(&have),
+        all,
+    };
+    let answer = agent
+        .post(&format!("http://{}/peer/pull", job.peer))
+        .send_bytes(&write_message(&query))
+        .map_err(|error| error.to_string())?;
+    let bytes = read_body(answer)?;
+    shared
+        .counters
+        .add_many(Counter::PullBytesIn, bytes.len() as u64);
+    let answer: PullAnswer = scan_message(&bytes).map_err(|error| error.to_string())?;
+    answer
+        .patches
+        .iter()
+        .map(|patch| patch.try_into().map_err(|error| format!("{error}")))
+        .collect()
+}
+
+/// Reads the body of a peer's answer, up to the limit.
+pub fn read_body(answer: ureq::Response) -> Result<Vec<u8>, String> {
+    use std::io::Read;
+    let mut bytes = Vec::new();
+    answer
+        .into_reader()
+        .take(MAX_PEER_BODY_BYTES)
+        .read_to_end(&mut bytes)
+        .map_err(|error| error.to_string())?;
+    Ok(bytes)
+}
+
+/// Answers a pull from the documents at hand.
+pub fn answer_pull(shared: &EntryShared, query: &PullQuery) -> Option<PullAnswer> {
+    let have = core_versions(&query.have).ok()?;
+    let documents = shared.documents();
+    let mut patches: Vec<_> = have
+        .iter()
+        .filter_map(|(id, version)| documents.get(id)?.patch(id, *version))
+        .collect();
+    if query.all {
+        let missing = documents
+            .iter()
+            .filter(|(id, _)| !have.iter().any(|(known, _)| known == *id))
+            .filter_map(|(id, document)| document.patch(id, ObjectVersion(0)));
+        patches.extend(missing);
+    }
+    Some(PullAnswer {
+        patches: patches.iter().map(Into::into).collect(),
+    })
+}
--- /dev/null
+++ b/crates/daemon/src/main.rs
@@ -0,0 +1,131 @@
+//! `chestnutlbd`, the daemon of chestnutlb.
+//!
+//! Its settings say which role it plays: on an entry VM it takes packets from
+//! the fabric and forwards them; beside a backend server it owns the flows and
+//! requests of that server.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::sync::Arc;
+
+use argh::FromArgs;
+use crossbeam_channel::{Receiver, bounded};
+use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::iterator::Signals;
+
+mod clock;
+mod entry;
+mod entry_control;
+mod entry_http;
+mod entry_packets;
+mod entry_store;
+mod http;
+mod http1;
+mod logs;
+mod metrics;
+mod settings;
+mod side;
+mod side_control;
+mod side_events;
+mod side_flows;
+mod side_http;
+mod side_link;
+mod side_relay;
+mod side_requests;
+
+use metrics::CounterSet;
+use settings::DaemonSettings;
+
+/// Exit code when the process can't go on.
+pub const EXIT_FAILURE: i32 = 1;
+/// Exit code for settings that are refused.
+pub const EXIT_SETTINGS: u8 = 2;
+
+/// A request to stop; a second one means at once.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StopSignal;
+
+/// Forwards packets of callers to backend servers.
+#[derive(Debug)]
+#[derive(FromArgs)]
+struct DaemonOptions {
+    /// file with the settings, in JSON
+    #[argh(option)]
+    settings: PathBuf,
+    /// check the settings, print them with all defaults and exit
+    #[argh(switch)]
+    check: bool,
+}
+
+fn main() -> ExitCode {
+    let options: DaemonOptions = argh::from_env();
+    let text = match std::fs::read_to_string(&options.settings) {
+        Ok(text) => text,
+        Err(error) => {
+            eprintln!("{}: {error}", options.settings.display());
+            return ExitCode::from(EXIT_SETTINGS);
+        }
+    };
+    let (settings, effective) = match settings::parse_settings(&text) {
+        Ok(parsed) => parsed,
+        Err(error) => {
+            eprintln!("{}: {error}", options.settings.display());
+            return ExitCode::from(EXIT_SETTINGS);
+        }
+    };
+    chestnutlb_core::check_charts();
+    if options.check {
+        println!("{effective}");
+        return ExitCode::SUCCESS;
+    }
+    let counters = Arc::new(CounterSet::default());
+    let writer = match logs::start(settings.log(), Arc::clone(&counters)) {
+        Ok(writer) => writer,
+        Err(error) => {
+            eprintln!("logs: {error}");
+            return ExitCode::from(EXIT_SETTINGS);
+        }
+    };
+    let outcome = run(&settings, counters);
+    if let Err(error) = &outcome {
+        log::error!(target: "process", cause:% = error; "failed");
+    }
+    writer.flush();
+    match outcome {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(_) => ExitCode::FAILURE,
+    }
+}
+
+fn run(settings: &DaemonSettings, counters: Arc<CounterSet>) -> std::io::Result<()> {
+    let stops = watch_signals()?;
+    match settings {
+        DaemonSettings::Entry(settings) => {
+            if let Some(target) = settings.metrics {
+                metrics::start(target, "chestnutlb.entry", Arc::clone(&counters))?;
+            }
+            entry::run(settings, counters, &stops)
+        }
+        DaemonSettings::Side(settings) => {
+            if let Some(target) = settings.metrics {
+                metrics::start(target, "chestnutlb.side", Arc::clone(&counters))?;
+            }
+            side::run(settings, counters, &stops)
+        }
+    }
+}
+
+fn watch_signals() -> std::io::Result<Receiver<StopSignal>> {
+    const SIGNAL_RING: usize = 4;
+    let (ring, stops) = bounded(SIGNAL_RING);
+    let mut signals = Signals::new([SIGTERM, SIGINT])?;
+    std::thread::Builder::new()
+        .name("signals".to_owned())
+        .spawn(move || {
+            for _ in &mut signals {
+                // More signals than the ring holds say nothing new.
+                let _ = ring.try_send(StopSignal);
+            }
+        })?;
+    Ok(stops)
+}
--- /dev/null
+++ b/crates/daemon/src/side_control.rs
@@ -0,0 +1,317 @@
+//! The control thread of a side process: announces the host to its keepers
+//! and fetches what concerns its service.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddrV4, TcpStream, UdpSocket};
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use chestnutlb_core::{
+    EntryRecord, HostEvent, HostRecord, HostState, Incarnation, ServiceSpec, TimePoint, TimerPart,
+    TimerService, WelcomeNews,
+};
+use chestnutlb_wire::peer::{
+    Announcement, MAX_PEER_DATAGRAM_BYTES, PeerMessage, ServiceSlice, scan_message, write_message,
+};
+
+use crate::clock;
+use crate::entry_store::read_body;
+use crate::metrics::Counter;
+use crate::settings::SideSettings;
+use crate::side_events::{ServiceNews, SideEvent, SideRing, SideShared};
+
+/// Time between two announcements.
+const ANNOUNCE_PERIOD: Duration = Duration::from_millis(500);
+/// Time between two looks at the backend server.
+const PROBE_PERIOD: Duration = Duration::from_millis(500);
+/// Time for the backend server to say how it is.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
+/// Time to wait for a datagram.
+const RECEIVE_TIMEOUT: Duration = Duration::from_millis(50);
+/// Time for a keeper to answer over HTTP.
+const SLICE_TIMEOUT: Duration = Duration::from_secs(2);
+/// A keeper that is silent for this time is asked for another.
+const KEEPER_SILENCE: Duration = Duration::from_secs(3);
+/// Announcements of the end, since each may be lost.
+const GONE_REPEATS: usize = 3;
+
+/// What the backend server says of itself.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum BackendHealth {
+    Ready,
+    Draining,
+    Down,
+}
+
+/// The control thread.
+#[derive(Debug)]
+pub struct AnnounceLoop {
+    settings: Arc<SideSettings>,
+    incarnation: Incarnation,
+    socket: UdpSocket,
+    events: Arc<SideRing>,
+    shared: Arc<SideShared>,
+    timers: TimerService,
+    state: HostState,
+    since: TimePoint,
+    warm_up: Duration,
+    keepers: Vec<EntryRecord>,
+    heard: Option<TimePoint>,
+    slice: Option<u64>,
+    agent: ureq::Agent,
+}
+
+impl AnnounceLoop {
+    /// A loop on a bound socket.
+    pub fn new(
+        settings: Arc<SideSettings>,
+        incarnation: Incarnation,
+        socket: UdpSocket,
+        events: Arc<SideRing>,
+        shared: Arc<SideShared>,
+        now: TimePoint,
+    ) -> std::io::Result<Self> {
+        socket.set_read_timeout(Some(RECEIVE_TIMEOUT))?;
+        let mut timers = TimerService::default();
+        timers.subscribe(TimerPart::Announce, ANNOUNCE_PERIOD, now);
+        timers.subscribe(TimerPart::Probe, PROBE_PERIOD, now);
+        Ok(Self {
+            settings,
+            incarnation,
+            socket,
+            events,
+            shared,
+            timers,
+            state: HostState::Joining,
+            since: now,
+            warm_up: Duration::ZERO,
+            keepers: Vec::new(),
+            heard: None,
+            slice: None,
+            agent: ureq::AgentBuilder::new().timeout(SLICE_TIMEOUT).build(),
+        })
+    }
+
+    /// Runs until the host has left.
+    pub fn run(mut self) {
+        self.probe();
+        while self.state != HostState::Gone {
+            let now = clock::now();
+            while let Some(part) = self.timers.poll(now) {
+                match part {
+                    TimerPart::Announce => self.announce(now),
+                    TimerPart::Probe => self.probe(),
+                    _ => {}
+                }
+            }
+            self.follow_life(now);
+            self.receive(now);
+        }
+        for _ in 0..GONE_REPEATS {
+            self.announce(clock::now());
+        }
+    }
+
+    fn follow_life(&mut self, now: TimePoint) {
+        if self.shared.is_stopping() {
+            self.apply(HostEvent::Leave, now);
+            if !self.shared.busy.load(Ordering::Relaxed) && now.since(self.since) >= ANNOUNCE_PERIOD
+            {
+                self.apply(HostEvent::End, now);
+            }
+        }
+        if self.state == HostState::Warming && now.since(self.since) >= self.warm_up {
+            self.apply(HostEvent::Warmed, now);
+        }
+    }
+
+    fn apply(&mut self, event: HostEvent, now: TimePoint) {
+        if let Some(state) = self.state.after(event) {
+            log::info!(
+                target: "host",
+                host:% = self.settings.name, from:% = self.state, state:% = state;
+                "changed"
+            );
+            self.state = state;
+            self.since = now;
+            self.shared.set_state(state);
+            self.events.push(SideEvent::State(state));
+            self.announce(now);
+        }
+    }
+
+    fn probe(&mut self) {
+        let health = match self.settings.health {
+            Some(address) => ask_health(address),
+            None => match TcpStream::connect_timeout(&self.settings.backend.into(), PROBE_TIMEOUT) {
+                Ok(_) => BackendHealth::Ready,
+                Err(_) => BackendHealth::Down,
+            },
+        };
+        let now = clock::now();
+        match health {
+            // Until the service is known there is nothing to serve.
+            BackendHealth::Ready if self.slice.is_some() => self.apply(HostEvent::Ready, now),
+            BackendHealth::Draining if self.state != HostState::Joining => {
+                self.apply(HostEvent::Leave, now);
+            }
+            // Its word may mislead; what becomes of requests decides.
+            BackendHealth::Ready | BackendHealth::Draining | BackendHealth::Down => {}
+        }
+    }
+
+    fn announce(&mut self, now: TimePoint) {
+        let record = HostRecord {
+            name: self.settings.name.clone(),
+            service: self.settings.service.clone(),
+            datacenter: self.settings.datacenter.clone(),
+            packets: self.settings.packets,
+            relays: self.settings.status,
+            incarnation: self.incarnation,
+            weight: self.settings.weight,
+            state: self.state,
+            held: self.shared.held(),
+        };
+        let announcement = Announcement {
+            host: (&record).into(),
+            manifest: self.shared.manifest.load(Ordering::Relaxed),
+        };
+        let bytes = write_message(&PeerMessage::Announce(announcement));
+        let silent = self
+            .heard
+            .is_none_or(|heard| now.since(heard) >= KEEPER_SILENCE);
+        let mut targets: Vec<SocketAddrV4> =
+            self.keepers.iter().map(|keeper| keeper.peers).collect();
+        if silent || targets.is_empty() {
+            targets.extend(self.settings.seeds.iter().copied());
+        }
+        targets.sort_unstable();
+        targets.dedup();
+        for target in targets {
+            // A lost announcement is made up for by the next one.
+            if self.socket.send_to(&bytes, target).is_ok() {
+                self.shared.counters.add(Counter::PeerOut);
+            }
+        }
+    }
+
+    fn receive(&mut self, now: TimePoint) {
+        let mut datagram = [0; MAX_PEER_DATAGRAM_BYTES + 1];
+        let Ok((len, from)) = self.socket.recv_from(&mut datagram) else {
+            return;
+        };
+        self.shared.counters.add(Counter::PeerIn);
+        let news = match scan_message(&datagram[..len]) {
+            Ok(PeerMessage::Welcome(reply)) => WelcomeNews::try_from(&reply).ok(),
+            _ => None,
+        };
+        match news {
+            Some(news) => self.welcome(news, now),
+            None => {
+                self.shared.counters.add(Counter::PeerBad);
+                log::info!(target: "peer", from:% = from, bytes = len; "malformed");
+            }
+        }
+    }
+
+    fn welcome(&mut self, news: WelcomeNews, now: TimePoint) {
+        self.heard = Some(now);
+        self.events.push(SideEvent::Heard { fresh: news.fresh });
+        if !news.keepers.is_empty() {
+            self.keepers = news.keepers;
+        }
+        if self.slice != Some(news.slice) && news.slice != 0 {
+            let keepers: Vec<_> = self.keepers.iter().map(|keeper| keeper.status).collect();
+            for keeper in keepers {
+                if self.fetch_slice(keeper, news.slice) {
+                    return;
+                }
+            }
+        }
+    }
+
+    // A keeper that is behind may still answer with what is known already.
+    fn fetch_slice(&mut self, keeper: SocketAddrV4, wanted: u64) -> bool {
+        let service = &self.settings.service;
+        let url = format!("http://{keeper}/peer/slice/{}/{}", service.firm, service.service);
+        let fetched = self
+            .agent
+            .get(&url)
+            .call()
+            .map_err(|error| error.to_string())
+            .and_then(read_body)
+            .and_then(|bytes| {
+                scan_message::<ServiceSlice>(&bytes).map_err(|error| error.to_string())
+            });
+        let slice = match fetched {
+            Ok(slice) => slice,
+            Err(cause) => {
+                log::warn!(target: "peer", peer:% = keeper, cause = cause.as_str(); "no slice");
+                return false;
+            }
+        };
+        // A manifest never reverts, whoever sends an older one.
+        if slice.slice != wanted || slice.manifest < self.shared.manifest.load(Ordering::Relaxed) {
+            return false;
+        }
+        match self.read_slice(&slice) {
+            Some(news) => {
+                if let Some(spec) = &news.spec {
+                    self.warm_up = spec.timing.warm_up;
+                }
+                self.slice = Some(slice.slice);
+                self.events.push(SideEvent::News(news));
+                self.shared.manifest.store(slice.manifest, Ordering::Relaxed);
+                log::info!(
+                    target: "document",
+                    service:% = self.settings.service, version = slice.manifest;
+                    "in force"
+                );
+                true
+            }
+            None => {
+                self.shared.counters.add(Counter::BodiesBad);
+                false
+            }
+        }
+    }
+
+    fn read_slice(&self, slice: &ServiceSlice) -> Option<ServiceNews> {
+        let firm = &self.settings.service.firm;
+        let spec = match &slice.service {
+            Some(service) => {
+                let spec: ServiceSpec = service.check(firm, "service").ok()?;
+                if spec.id != self.settings.service {
+                    return None;
+                }
+                Some(Arc::new(spec))
+            }
+            None => None,
+        };
+        let hosts = slice
+            .hosts
+            .iter()
+            .map(|host| host.try_into().ok())
+            .collect::<Option<_>>()?;
+        Some(ServiceNews { spec, hosts })
+    }
+}
+
+// A small request of its own, so that a stuck backend server can't hold up
+// announcements for long.
+fn ask_health(address: SocketAddrV4) -> BackendHealth {
+    let ask = || -> std::io::Result<String> {
+        let mut stream = TcpStream::connect_timeout(&address.into(), PROBE_TIMEOUT)?;
+        stream.set_read_timeout(Some(PROBE_TIMEOUT))?;
+        stream.write_all(b"GET /health HTTP/1.1\r\nHost: backend\r\nConnection: close\r\n\r\n")?;
+        let mut text = String::new();
+        stream.take(4096).read_to_string(&mut text)?;
+        Ok(text)
+    };
+    match ask() {
+        Ok(text) if text.starts_with("HTTP/1.1 200") => BackendHealth::Ready,
+        Ok(text) if text.contains("draining") => BackendHealth::Draining,
+        Ok(_) | Err(_) => BackendHealth::Down,
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/side_http.rs
@@ -0,0 +1,88 @@
+//! What a side process answers over HTTP: status and health for operators,
+//! relays and cancellations for other hosts.
+
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use compact_str::ToCompactString;
+use rocket::data::Data;
+use rocket::http::Status;
+use rocket::serde::json::Json;
+use rocket::tokio::sync::oneshot;
+use rocket::{Build, Rocket, State, get, post, routes};
+
+use chestnutlb_core::HostState;
+use chestnutlb_wire::peer::{CancelAnswer, CancelQuery, RelayAnswer, RelayQuery, write_message};
+use chestnutlb_wire::status::SideStatus;
+
+use crate::entry_http::{read_query, read_query_of};
+use crate::settings::SideSettings;
+use crate::side_events::{SideEvent, SideRing, SideShared};
+
+/// Largest relayed request, in kibibytes: the largest body and head that a
+/// manifest may allow, and the message around them.
+const MAX_RELAY_KIB: u64 = 17 << 10;
+
+/// What the routes need.
+#[derive(Debug)]
+pub struct SideRoutes {
+    /// Settings of the process.
+    pub settings: Arc<SideSettings>,
+    /// What the threads share.
+    pub shared: Arc<SideShared>,
+    /// The flow thread's ring.
+    pub events: Arc<SideRing>,
+}
+
+#[get("/health")]
+fn health(routes: &State<SideRoutes>) -> Status {
+    match routes.shared.state() {
+        HostState::Warming | HostState::Serving => Status::Ok,
+        _ => Status::ServiceUnavailable,
+    }
+}
+
+#[get("/v1/status")]
+fn status(routes: &State<SideRoutes>) -> Json<SideStatus> {
+    let shared = &routes.shared;
+    Json(SideStatus {
+        name: routes.settings.name.to_compact_string(),
+        service: routes.settings.service.to_compact_string(),
+        state: shared.state().to_compact_string(),
+        manifest: shared.manifest.load(Ordering::Relaxed),
+        flows: shared.flows.load(Ordering::Relaxed),
+        running: shared.running.load(Ordering::Relaxed),
+        waiting: shared.waiting.load(Ordering::Relaxed),
+        counters: shared.counters.snapshot(),
+    })
+}
+
+#[post("/peer/relay", data = "<body>")]
+async fn relay(routes: &State<SideRoutes>, body: Data<'_>) -> Result<Vec<u8>, Status> {
+    let query: RelayQuery = read_query_of(body, MAX_RELAY_KIB, &routes.shared.counters).await?;
+    let (sender, receiver) = oneshot::channel();
+    if !routes.events.push(SideEvent::Relay(query, sender)) {
+        return Ok(write_message(&RelayAnswer::NotRun));
+    }
+    let answer = receiver.await.unwrap_or(RelayAnswer::Unknown);
+    Ok(write_message(&answer))
+}
+
+#[post("/peer/cancel", data = "<body>")]
+async fn cancel(routes: &State<SideRoutes>, body: Data<'_>) -> Result<Vec<u8>, Status> {
+    let query: CancelQuery = read_query(body, &routes.shared.counters).await?;
+    let (sender, receiver) = oneshot::channel();
+    if !routes.events.push(SideEvent::Cancel(query, sender)) {
+        return Err(Status::ServiceUnavailable);
+    }
+    let word = receiver.await.unwrap_or(CancelAnswer::Started);
+    Ok(write_message(&word))
+}
+
+/// The server of a side process.
+pub fn server(routes: SideRoutes, address: SocketAddrV4) -> Rocket<Build> {
+    crate::http::server(address)
+        .manage(routes)
+        .mount("/", routes![health, status, relay, cancel])
+}
--- /dev/null
+++ b/crates/platform/src/client.rs
@@ -0,0 +1,134 @@
+//! Calls of the platform's object API. Outcomes are values: a write whose
+//! answer was lost is neither a success nor a failure.
+
+use std::time::Duration;
+
+use compact_str::CompactString;
+use quick_error::quick_error;
+
+use chestnutlb_core::{DocumentId, ObjectVersion};
+use chestnutlb_wire::{ObjectReply, StampList, WriteReply};
+
+/// Time for a call other than a watch.
+pub const CALL_TIMEOUT: Duration = Duration::from_secs(3);
+
+quick_error! {
+    /// Why a call gave no answer.
+    #[derive(Debug, Clone, PartialEq, Eq)]
+    pub enum PlatformError {
+        /// The platform was not reached, or its answer was lost.
+        Unreachable(text: String) {
+            display("the platform does not answer: {}", text)
+        }
+        /// The platform answered with an unexpected status.
+        Status(code: u16) {
+            display("the platform answered with status {}", code)
+        }
+        /// The answer or the object has the wrong form.
+        Form(text: String) {
+            display("the platform's answer can't be read: {}", text)
+        }
+    }
+}
+
+/// The outcome of a conditional write.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum WriteOutcome {
+    /// It took effect with this version.
+    Written(ObjectVersion),
+    /// The object had another version; nothing was written.
+    Conflict(ObjectVersion),
+    /// It may have taken effect or not.
+    Unsure(PlatformError),
+}
+
+/// A client of the object API.
+#[derive(Debug, Clone)]
+pub struct PlatformClient {
+    base: CompactString,
+    agent: ureq::Agent,
+}
+
+impl PlatformClient {
+    /// A client of the platform at `base`, like `http://10.0.0.1:7100`.
+    pub fn new(base: &str) -> Self {
+        Self {
+            base: CompactString::from(base.trim_end_matches('/')),
+            agent: ureq::AgentBuilder::new()
+                .timeout_connect(CALL_TIMEOUT)
+                .build(),
+        }
+    }
+
+    fn path(&self, id: &DocumentId) -> String {
+        format!("{}/v1/objects/{}/{}", self.base, id.kind.as_str(), id.name)
+    }
+
+    /// Reads an object; none if it does not exist.
+    pub fn read(&self, id: &DocumentId) -> Result<Option<ObjectReply>, PlatformError> {
+        let call = self.agent.get(&self.path(id)).timeout(CALL_TIMEOUT);
+        match call.call() {
+            Ok(answer) => answer
+                .into_json()
+                .map(Some)
+                .map_err(|error| PlatformError::Form(error.to_string())),
+            Err(ureq::Error::Status(404, _)) => Ok(None),
+            Err(error) => Err(call_error(error)),
+        }
+    }
+
+    /// Writes an object if it has the version `expected`, zero for none.
+    pub fn write(
+        &self,
+        id: &DocumentId,
+        expected: ObjectVersion,
+        value: &serde_json::Value,
+    ) -> WriteOutcome {
+        let call = self
+            .agent
+            .put(&self.path(id))
+            .timeout(CALL_TIMEOUT)
+            .query("if_version", &expected.to_string());
+        match call.send_json(value) {
+            Ok(answer) => match answer.into_json::<WriteReply>() {
+                Ok(reply) => WriteOutcome::Written(ObjectVersion(reply.version)),
+                Err(error) => WriteOutcome::Unsure(PlatformError::Form(error.to_string())),
+            },
+            Err(ureq::Error::Status(409, answer)) => match answer.into_json::<WriteReply>() {
+                Ok(reply) => WriteOutcome::Conflict(ObjectVersion(reply.version)),
+                Err(error) => WriteOutcome::Unsure(PlatformError::Form(error.to_string())),
+            },
+            Err(error) => WriteOutcome::Unsure(call_error(error)),
+        }
+    }
+
+    /// Lists all objects.
+    pub fn list(&self) -> Result<StampList, PlatformError> {
+        let call = self.agent.get(&format!("{}/v1/objects", self.base));
+        read_stamps(call.timeout(CALL_TIMEOUT))
+    }
+
+    /// Waits for a version above `after`, for `wait` at most.
+    pub fn watch(&self, after: ObjectVersion, wait: Duration) -> Result<StampList, PlatformError> {
+        let call = self
+            .agent
+            .get(&format!("{}/v1/watch", self.base))
+            .query("after", &after.to_string())
+            .query("wait_ms", &wait.as_millis().to_string());
+        read_stamps(call.timeout(wait + CALL_TIMEOUT))
+    }
+}
+
+fn read_stamps(call: ureq::Request) -> Result<StampList, PlatformError> {
+    call.call()
+        .map_err(call_error)?
+        .into_json()
+        .map_err(|error| PlatformError::Form(error.to_string()))
+}
+
+fn call_error(error: ureq::Error) -> PlatformError {
+    match error {
+        ureq::Error::Status(code, _) => PlatformError::Status(code),
+        ureq::Error::Transport(transport) => PlatformError::Unreachable(transport.to_string()),
+    }
+}
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,22 @@
+//! Client of the platform's object API: conditional updates, watches and
+//! what a lost answer means.
+//!
+//! ```no_run
+//! use chestnutlb_core::{DocumentId, DocumentKind};
+//! use chestnutlb_platform::PlatformClient;
+//!
+//! let client = PlatformClient::new("http://127.0.0.1:7100");
+//! let roster = DocumentId::new(DocumentKind::Roster, "honam-1");
+//! if let Some(reply) = client.read(&roster)? {
+//!     println!("version {}", reply.version);
+//! }
+//! # Ok::<(), chestnutlb_platform::PlatformError>(())
+//! ```
+
+pub mod client;
+pub mod commit;
+pub mod objects;
+
+pub use client::{PlatformClient, PlatformError, WriteOutcome};
+pub use commit::{CommitOutcome, CommitPlan, CurrentManifest};
+pub use objects::{EditOutcome, LoadedDocument};
--- /dev/null
+++ b/crates/spec/src/lib.rs
@@ -0,0 +1,1 @@
+//! placeholder
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,10 @@
+//! Stand-ins of the systems around chestnutlb, the tryout and the load tool.
+//! None of this is shipped.
+
+pub mod backend;
+pub mod caller;
+pub mod fabric;
+pub mod fleet;
+pub mod platform;
+pub mod small_http;
+pub mod tryout;
--- /dev/null
+++ b/crates/standin/src/main.rs
@@ -0,0 +1,178 @@
+//! `chestnutlb-standin`: stand-ins, tryout and load tool in one program.
+
+use std::net::SocketAddrV4;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use argh::FromArgs;
+
+use chestnutlb_standin::backend::BackendPlan;
+use chestnutlb_standin::tryout::{TryoutPlan, program_folder};
+use chestnutlb_standin::{backend, fabric, platform, tryout};
+
+/// Stand-ins of the systems around chestnutlb.
+#[derive(Debug)]
+#[derive(FromArgs)]
+struct StandinOptions {
+    #[argh(subcommand)]
+    command: StandinCommand,
+}
+
+#[derive(Debug)]
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum StandinCommand {
+    Platform(PlatformOptions),
+    Fabric(FabricOptions),
+    Backend(BackendOptions),
+    Tryout(TryoutOptions),
+}
+
+/// the platform's object API
+#[derive(Debug)]
+#[derive(FromArgs)]
+#[argh(subcommand, name = "platform")]
+struct PlatformOptions {
+    /// address to serve at
+    #[argh(option)]
+    address: SocketAddrV4,
+}
+
+/// the packet fabric
+#[derive(Debug)]
+#[derive(FromArgs)]
+#[argh(subcommand, name = "fabric")]
+struct FabricOptions {
+    /// address for packets
+    #[argh(option)]
+    packets: SocketAddrV4,
+    /// address for plans
+    #[argh(option)]
+    admin: SocketAddrV4,
+    /// seed of the spraying
+    #[argh(option, default = "1")]
+    seed: u64,
+}
+
+/// a backend server
+#[derive(Debug)]
+#[derive(FromArgs)]
+#[argh(subcommand, name = "backend")]
+struct BackendOptions {
+    /// name, told in each answer
+    #[argh(option)]
+    name: String,
+    /// address for work
+    #[argh(option)]
+    work: SocketAddrV4,
+    /// address for health and reports
+    #[argh(option)]
+    health: SocketAddrV4,
+    /// serve feeds instead of requests
+    #[argh(switch)]
+    feeds: bool,
+    /// requests at once
+    #[argh(option, default = "3")]
+    slots: usize,
+    /// requests that may wait
+    #[argh(option, default = "8")]
+    queue: usize,
+    /// speed, 1 is ordinary
+    #[argh(option, default = "1.0")]
+    speed: f64,
+    /// milliseconds after the start at a third of the speed
+    #[argh(option, default = "0")]
+    cold_ms: u64,
+    /// age of the load figures, in milliseconds
+    #[argh(option, default = "0")]
+    lag_ms: u64,
+    /// claim to be idle
+    #[argh(switch)]
+    lies: bool,
+}
+
+/// both firms at today's sizes, under planned and unplanned changes
+#[derive(Debug)]
+#[derive(FromArgs)]
+#[argh(subcommand, name = "tryout")]
+struct TryoutOptions {
+    /// requests to send
+    #[argh(option, default = "300")]
+    requests: usize,
+    /// feeds to hold open
+    #[argh(option, default = "40")]
+    feeds: usize,
+    /// seed of the callers
+    #[argh(option, default = "1")]
+    seed: u64,
+    /// folder for logs
+    #[argh(option, default = "PathBuf::from(\"target/tryout\")")]
+    logs: PathBuf,
+    /// folder of the example manifests
+    #[argh(option, default = "PathBuf::from(\"examples\")")]
+    manifests: PathBuf,
+    /// print JSON
+    #[argh(switch)]
+    json: bool,
+}
+
+fn main() -> ExitCode {
+    let options: StandinOptions = argh::from_env();
+    let outcome = match options.command {
+        StandinCommand::Platform(options) => {
+            rocket::execute(platform::server(options.address).launch())
+                .map(|_| ())
+                .map_err(|error| error.to_string())
+        }
+        StandinCommand::Fabric(options) => {
+            fabric::run(options.packets, options.admin, options.seed)
+                .map_err(|error| error.to_string())
+        }
+        StandinCommand::Backend(options) => run_backend(options),
+        StandinCommand::Tryout(options) => run_tryout(options),
+    };
+    match outcome {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(text) => {
+            eprintln!("{text}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run_backend(options: BackendOptions) -> Result<(), String> {
+    let plan = BackendPlan {
+        name: options.name,
+        feeds: options.feeds,
+        slots: options.slots,
+        queue: options.queue,
+        speed: options.speed,
+        cold: Duration::from_millis(options.cold_ms),
+        lag: Duration::from_millis(options.lag_ms),
+        lies: options.lies,
+    };
+    backend::run(plan, options.work, options.health).map_err(|error| error.to_string())
+}
+
+fn run_tryout(options: TryoutOptions) -> Result<(), String> {
+    let plan = TryoutPlan {
+        binaries: program_folder().map_err(|error| error.to_string())?,
+        logs: options.logs,
+        manifests: options.manifests,
+        requests: options.requests,
+        feeds: options.feeds,
+        seed: options.seed,
+    };
+    let report = tryout::run(&plan).map_err(|error| error.to_string())?;
+    if options.json {
+        println!("{}", serde_json::to_string(&report).unwrap_or_default());
+    } else {
+        println!("{report}");
+    }
+    if report.holds() {
+        Ok(())
+    } else {
+        Err("something did not hold".to_owned())
+    }
+}
--- /dev/null
+++ b/crates/wire/src/manifest.rs
@@ -0,0 +1,467 @@
+//! The manifest as operators write it, and its checks.
+//!
+//! Every error names the place in the document, what was found there and what
+//! is allowed.
+
+use std::net::SocketAddrV4;
+use std::str::FromStr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use compact_str::{CompactString, ToCompactString};
+use quick_error::quick_error;
+use serde::{Deserialize, Serialize};
+
+use chestnutlb_core::manifest::{HostLimits, ServiceTiming};
+use chestnutlb_core::{
+    AddressBlock, ByteCount, DatacenterName, FirmManifest, FirmName, PercentShare, RequestClass,
+    RouteRule, ServiceId, ServiceKind, ServiceSpec,
+};
+
+/// Most services of a manifest.
+pub const MAX_SERVICES: usize = 2000;
+
+quick_error! {
+    /// What is wrong with a document.
+    #[derive(Debug, Clone, PartialEq, Eq)]
+    pub enum DocumentError {
+        /// It has the wrong form.
+        Form(path: String, text: String) {
+            display("at {}: {}", path, text)
+        }
+        /// A value is not allowed.
+        Value(path: String, found: String, allowed: String) {
+            display("at {}: found {}, allowed is {}", path, found, allowed)
+        }
+    }
+}
+
+/// Reads a JSON document; unknown fields are refused.
+pub fn parse_json<'a, T: Deserialize<'a>>(text: &'a str) -> Result<T, DocumentError> {
+    let mut reader = serde_json::Deserializer::from_str(text);
+    let value = serde_path_to_error::deserialize(&mut reader).map_err(|error| {
+        let path = error.path().to_string();
+        DocumentError::Form(path, error.into_inner().to_string())
+    })?;
+    reader
+        .end()
+        .map_err(|error| DocumentError::Form(".".to_owned(), error.to_string()))?;
+    Ok(value)
+}
+
+/// Parses the text at `path` into a checked type.
+pub fn parse_text<T: FromStr>(path: &str, text: &str, allowed: &str) -> Result<T, DocumentError> {
+    text.parse().map_err(|_| value_error(path, text, allowed))
+}
+
+fn value_error(path: &str, found: impl std::fmt::Display, allowed: &str) -> DocumentError {
+    DocumentError::Value(path.to_owned(), found.to_string(), allowed.to_owned())
+}
+
+fn check_range(path: &str, found: u64, min: u64, max: u64) -> Result<u64, DocumentError> {
+    if (min..=max).contains(&found) {
+        Ok(found)
+    } else {
+        Err(value_error(path, found, &format!("{min} to {max}")))
+    }
+}
+
+const NAME_FORM: &str = "1 to 63 of a-z, 0-9 and '-'";
+const ADDRESS_FORM: &str = "an IPv4 address and port like 10.20.0.1:7000";
+const SIZE_FORM: &str = "a size like 16KiB or 1MiB";
+
+/// A firm's manifest.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct WireManifest {
+    /// The firm.
+    pub firm: CompactString,
+    /// Its services.
+    pub services: Vec<WireService>,
+}
+
+/// The kinds of services.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum WireKind {
+    /// Bytes, handed through.
+    Stream,
+    /// HTTP/1.1 requests.
+    Request,
+}
+
+/// The classes of requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum WireClass {
+    /// Ordinary work.
+    Short,
+    /// Uploads and the like.
+    Long,
+}
+
+/// One service.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct WireService {
+    /// Its name.
+    pub name: CompactString,
+    /// What its flows carry.
+    pub kind: WireKind,
+    /// Where callers reach it.
+    pub address: CompactString,
+    /// Where its hosts stand.
+    pub datacenters: Vec<CompactString>,
+    /// Limits of each host.
+    #[serde(default)]
+    pub limits: WireLimits,
+    /// Times.
+    #[serde(default)]
+    pub timing: WireTiming,
+    /// Largest share of hosts that may be set aside, in percent.
+    #[serde(default = "default_eject_percent")]
+    pub eject_percent: u8,
+    /// Rules for requests.
+    #[serde(default)]
+    pub rules: Vec<WireRule>,
+    /// Rule for all other requests.
+    #[serde(default)]
+    pub fallback: WireRule,
+}
+
+fn default_eject_percent() -> u8 {
+    50
+}
+
+/// Limits of each host.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct WireLimits {
+    /// Requests that run at once.
+    pub slots: u64,
+    /// Requests that wait.
+    pub queue: u64,
+    /// Open flows.
+    pub flows: u64,
+    /// Largest head of a request.
+    pub head: CompactString,
+    /// Largest body of a request.
+    pub body: CompactString,
+}
+
+impl Default for WireLimits {
+    fn default() -> Self {
+        Self {
+            slots: 3,
+            queue: 64,
+            flows: 2000,
+            head: "16KiB".into(),
+            body: "1MiB".into(),
+        }
+    }
+}
+
+/// Times of a service, in milliseconds.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct WireTiming {
+    /// Time for flows of a leaving host to end.
+    pub drain_grace_ms: u64,
+    /// Time in which a cold host grows to its full rate.
+    pub warm_up_ms: u64,
+    /// Time in which a whole request must arrive.
+    pub receive_ms: u64,
+}
+
+impl Default for WireTiming {
+    fn default() -> Self {
+        Self {
+            drain_grace_ms: 600_000,
+            warm_up_ms: 5_000,
+            receive_ms: 30_000,
+        }
+    }
+}
+
+/// How requests of a route are treated.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct WireRule {
+    /// Method, or none for all.
+    pub method: Option<CompactString>,
+    /// Start of the path.
+    pub path: CompactString,
+    /// Short or long.
+    pub class: WireClass,
+    /// Whether running it twice does no harm.
+    pub repeatable: bool,
+    /// Time to its answer, in milliseconds.
+    pub deadline_ms: u64,
+}
+
+impl Default for WireRule {
+    fn default() -> Self {
+        Self {
+            method: None,
+            path: "/".into(),
+            class: WireClass::Short,
+            repeatable: false,
+            deadline_ms: 5_000,
+        }
+    }
+}
+
+impl WireRule {
+    fn check(&self, path: &str) -> Result<RouteRule, DocumentError> {
+        if !self.path.starts_with('/') {
+            let place = format!("{path}.path");
+            return Err(value_error(&place, &self.path, "a path that starts with '/'"));
+        }
+        if let Some(method) = &self.method
+            && (method.is_empty() || !method.bytes().all(|byte| byte.is_ascii_uppercase()))
+        {
+            let place = format!("{path}.method");
+            return Err(value_error(&place, method, "a method in capitals"));
+        }
+        let place = format!("{path}.deadline_ms");
+        let deadline = check_range(&place, self.deadline_ms, 10, 3_600_000)?;
+        Ok(RouteRule {
+            method: self.method.clone(),
+            path_prefix: self.path.clone(),
+            class: match self.class {
+                WireClass::Short => RequestClass::Short,
+                WireClass::Long => RequestClass::Long,
+            },
+            repeatable: self.repeatable,
+            deadline: Duration::from_millis(deadline),
+        })
+    }
+}
+
+impl From<&RouteRule> for WireRule {
+    fn from(rule: &RouteRule) -> Self {
+        Self {
+            method: rule.method.clone(),
+            path: rule.path_prefix.clone(),
+            class: match rule.class {
+                RequestClass::Short => WireClass::Short,
+                RequestClass::Long => WireClass::Long,
+            },
+            repeatable: rule.repeatable,
+            deadline_ms: rule.deadline.as_millis() as u64,
+        }
+    }
+}
+
+impl WireLimits {
+    fn check(&self, path: &str) -> Result<HostLimits, DocumentError> {
+        let size = |field: &str, text: &str, max: u64| {
+            let place = format!("{path}.{field}");
+            let bytes: ByteCount = parse_text(&place, text, SIZE_FORM)?;
+            check_range(&place, bytes.0, 256, max).map(ByteCount)
+        };
+        let count = |field: &str, found: u64, max: u64| {
+            check_range(&format!("{path}.{field}"), found, 1, max).map(|found| found as usize)
+        };
+        Ok(HostLimits {
+            slots: count("slots", self.slots, 1024)?,
+            queue: count("queue", self.queue, 65_536)?,
+            flows: count("flows", self.flows, 1_000_000)?,
+            head: size("head", &self.head, 64 << 10)?,
+            body: size("body", &self.body, 16 << 20)?,
+        })
+    }
+}
+
+impl WireTiming {
+    fn check(&self, path: &str) -> Result<ServiceTiming, DocumentError> {
+        let span = |field: &str, found: u64, max: u64| {
+            check_range(&format!("{path}.{field}"), found, 0, max).map(Duration::from_millis)
+        };
+        Ok(ServiceTiming {
+            drain_grace: span("drain_grace_ms", self.drain_grace_ms, 86_400_000)?,
+            warm_up: span("warm_up_ms", self.warm_up_ms, 3_600_000)?,
+            receive: span("receive_ms", self.receive_ms, 3_600_000)?,
+        })
+    }
+}
+
+impl WireService {
+    /// Checks one service; `path` is its place in the document.
+    pub fn check(&self, firm: &FirmName, path: &str) -> Result<ServiceSpec, DocumentError> {
+        let place = |field: &str| format!("{path}.{field}");
+        let name = parse_text(&place("name"), &self.name, NAME_FORM)?;
+        let address: SocketAddrV4 = parse_text(&place("address"), &self.address, ADDRESS_FORM)?;
+        if address.port() == 0 {
+            return Err(value_error(&place("address"), address, "a port from 1 to 65535"));
+        }
+        if self.datacenters.is_empty() {
+            return Err(value_error(&place("datacenters"), "an empty list", "at least one"));
+        }
+        let datacenters = self
+            .datacenters
+            .iter()
+            .enumerate()
+            .map(|(index, text)| {
+                parse_text(&place(&format!("datacenters[{index}]")), text, NAME_FORM)
+            })
+            .collect::<Result<Vec<DatacenterName>, _>>()?;
+        let rules = self
+            .rules
+            .iter()
+            .enumerate()
+            .map(|(index, rule)| rule.check(&place(&format!("rules[{index}]"))))
+            .collect::<Result<_, _>>()?;
+        let eject = check_range(&place("eject_percent"), self.eject_percent.into(), 0, 100)?;
+        Ok(ServiceSpec {
+            id: ServiceId {
+                firm: firm.clone(),
+                service: name,
+            },
+            kind: match self.kind {
+                WireKind::Stream => ServiceKind::Stream,
+                WireKind::Request => ServiceKind::Request,
+            },
+            address,
+            datacenters,
+            limits: self.limits.check(&place("limits"))?,
+            timing: self.timing.check(&place("timing"))?,
+            eject_limit: PercentShare::new(eject as u8)
+                .map_err(|_| value_error(&place("eject_percent"), eject, "0 to 100"))?,
+            rules,
+            fallback: self.fallback.check(&place("fallback"))?,
+        })
+    }
+}
+
+impl From<&ServiceSpec> for WireService {
+    fn from(spec: &ServiceSpec) -> Self {
+        let millis = |span: Duration| span.as_millis() as u64;
+        Self {
+            name: spec.id.service.clone().into(),
+            kind: match spec.kind {
+                ServiceKind::Stream => WireKind::Stream,
+                ServiceKind::Request => WireKind::Request,
+            },
+            address: spec.address.to_compact_string(),
+            datacenters: spec.datacenters.iter().cloned().map(Into::into).collect(),
+            limits: WireLimits {
+                slots: spec.limits.slots as u64,
+                queue: spec.limits.queue as u64,
+                flows: spec.limits.flows as u64,
+                head: spec.limits.head.to_compact_string(),
+                body: spec.limits.body.to_compact_string(),
+            },
+            timing: WireTiming {
+                drain_grace_ms: millis(spec.timing.drain_grace),
+                warm_up_ms: millis(spec.timing.warm_up),
+                receive_ms: millis(spec.timing.receive),
+            },
+            eject_percent: spec.eject_limit.of(100) as u8,
+            rules: spec.rules.iter().map(WireRule::from).collect(),
+            fallback: WireRule::from(&spec.fallback),
+        }
+    }
+}
+
+impl TryFrom<&WireManifest> for FirmManifest {
+    type Error = DocumentError;
+
+    fn try_from(wire: &WireManifest) -> Result<Self, DocumentError> {
+        let firm: FirmName = parse_text("firm", &wire.firm, NAME_FORM)?;
+        if wire.services.len() > MAX_SERVICES {
+            let allowed = format!("at most {MAX_SERVICES} services");
+            return Err(value_error("services", wire.services.len(), &allowed));
+        }
+        let mut services: Vec<ServiceSpec> = Vec::with_capacity(wire.services.len());
+        for (index, service) in wire.services.iter().enumerate() {
+            let path = format!("services[{index}]");
+            let spec = service.check(&firm, &path)?;
+            for earlier in &services {
+                if earlier.id == spec.id {
+                    let place = format!("{path}.name");
+                    return Err(value_error(&place, &service.name, "a name used once"));
+                }
+                if earlier.address == spec.address {
+                    let place = format!("{path}.address");
+                    let allowed = format!("an address other than that of {}", earlier.id);
+                    return Err(value_error(&place, spec.address, &allowed));
+                }
+            }
+            services.push(spec);
+        }
+        Ok(Self { firm, services })
+    }
+}
+
+impl From<&FirmManifest> for WireManifest {
+    fn from(manifest: &FirmManifest) -> Self {
+        Self {
+            firm: manifest.firm.clone().into(),
+            services: manifest.services.iter().map(WireService::from).collect(),
+        }
+    }
+}
+
+/// Which firm owns which block of addresses.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct WireGrant {
+    /// The block.
+    pub block: CompactString,
+    /// The firm.
+    pub firm: CompactString,
+}
+
+/// All grants, as the platform keeps them.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct WireGrants {
+    /// The grants.
+    pub grants: Vec<WireGrant>,
+}
+
+impl WireGrants {
+    /// Checks that a manifest uses only addresses that its firm was granted.
+    pub fn check_manifest(&self, manifest: &FirmManifest) -> Result<(), DocumentError> {
+        let mut blocks: Vec<(AddressBlock, &str)> = Vec::new();
+        for (index, grant) in self.grants.iter().enumerate() {
+            let path = format!("grants[{index}].block");
+            let block: AddressBlock = parse_text(&path, &grant.block, "10.20.0.0/16 or the like")?;
+            if let Some((other, _)) = blocks.iter().find(|(other, _)| other.overlaps(&block)) {
+                return Err(value_error(&path, block, &format!("no overlap with {other}")));
+            }
+            blocks.push((block, &grant.firm));
+        }
+        let own: Vec<_> = blocks
+            .iter()
+            .filter(|(_, firm)| *firm == manifest.firm.as_str())
+            .map(|(block, _)| block)
+            .collect();
+        let allowed = own.iter().map(ToString::to_string).collect::<Vec<_>>();
+        for (index, spec) in manifest.services.iter().enumerate() {
+            if !own.iter().any(|block| block.contains(*spec.address.ip())) {
+                return Err(value_error(
+                    &format!("services[{index}].address"),
+                    spec.address,
+                    &format!("an address of {}: [{}]", manifest.firm, allowed.join(", ")),
+                ));
+            }
+        }
+        Ok(())
+    }
+}
+
+/// Checks a manifest and shares its services.
+pub fn shared_services(manifest: FirmManifest) -> Vec<Arc<ServiceSpec>> {
+    manifest.services.into_iter().map(Arc::new).collect()
+}
--- /dev/null
+++ b/crates/wire/src/packet.rs
@@ -0,0 +1,288 @@
+//! Packets between entry VMs and side processes.
+//!
+//! A datagram has a fixed prefix (magic, version, kind, position, length of
+//! the header), a MessagePack header and, for data, the caller's IP packet as
+//! it came from the fabric. Only the position changes from hop to hop.
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+use etherparse::{NetSlice, SlicedPacket, TransportSlice};
+use quick_error::quick_error;
+use serde::{Deserialize, Serialize};
+
+use chestnutlb_core::{
+    FlowHash, FlowKey, HostRecord, Incarnation, ObjectVersion, SegmentFacts, ServiceTag,
+};
+
+/// Version of this form.
+pub const PACKET_VERSION: u8 = 1;
+/// Largest datagram, in bytes.
+pub const MAX_DATAGRAM_BYTES: usize = 2048;
+/// Largest header, in bytes.
+pub const MAX_HEADER_BYTES: usize = 400;
+/// Largest IP packet that callers may send, in bytes.
+pub const MAX_INNER_BYTES: usize = 1500;
+
+const MAGIC: [u8; 2] = *b"CL";
+const PREFIX_BYTES: usize = 7;
+const POSITION_OFFSET: usize = 4;
+
+quick_error! {
+    /// Why a datagram is dropped.
+    #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+    pub enum PacketError {
+        /// It ends too early.
+        Truncated {
+            display("truncated")
+        }
+        /// It is none of the system's datagrams.
+        Magic {
+            display("bad-magic")
+        }
+        /// It was sent by another version of the system.
+        Version {
+            display("wrong-version")
+        }
+        /// Its header is larger than allowed.
+        Oversized {
+            display("oversized")
+        }
+        /// Its header can't be read.
+        Header {
+            display("bad-header")
+        }
+        /// It holds no IPv4 packet with a TCP segment.
+        Segment {
+            display("bad-segment")
+        }
+    }
+}
+
+/// One hop of a plan.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct WireHop {
+    /// Address of the side process.
+    pub address: u32,
+    /// Its port.
+    pub port: u16,
+    /// The incarnation that is meant.
+    pub incarnation: u64,
+}
+
+impl WireHop {
+    /// Where to send the packet.
+    pub fn target(&self) -> SocketAddrV4 {
+        SocketAddrV4::new(Ipv4Addr::from(self.address), self.port)
+    }
+
+    /// The incarnation that is meant.
+    pub fn incarnation(&self) -> Incarnation {
+        Incarnation(self.incarnation)
+    }
+}
+
+impl From<&HostRecord> for WireHop {
+    fn from(record: &HostRecord) -> Self {
+        Self {
+            address: u32::from(*record.packets.ip()),
+            port: record.packets.port(),
+            incarnation: record.incarnation.0,
+        }
+    }
+}
+
+/// Header of a data packet.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct PacketHeader {
+    /// The service.
+    pub tag: u64,
+    /// Roster generation of the plan.
+    pub generation: u64,
+    /// Whether the plan names every possible owner.
+    pub complete: bool,
+    /// The entry VM's address for hints.
+    pub entry: (u32, u16),
+    /// The plan.
+    pub hops: Vec<WireHop>,
+}
+
+impl PacketHeader {
+    /// The service.
+    pub fn tag(&self) -> ServiceTag {
+        ServiceTag(self.tag)
+    }
+
+    /// Roster generation of the plan.
+    pub fn generation(&self) -> ObjectVersion {
+        ObjectVersion(self.generation)
+    }
+
+    /// Where hints go.
+    pub fn entry(&self) -> SocketAddrV4 {
+        SocketAddrV4::new(Ipv4Addr::from(self.entry.0), self.entry.1)
+    }
+}
+
+/// A host's word that it owns a flow.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct OwnerNote {
+    /// The flow.
+    pub flow: u64,
+    /// Address of its service.
+    pub address: u32,
+    /// Port of its service.
+    pub port: u16,
+    /// Incarnation of the owner.
+    pub incarnation: u64,
+}
+
+impl OwnerNote {
+    /// The flow.
+    pub fn flow(&self) -> FlowHash {
+        FlowHash(self.flow)
+    }
+
+    /// Address of the service.
+    pub fn service(&self) -> SocketAddrV4 {
+        SocketAddrV4::new(Ipv4Addr::from(self.address), self.port)
+    }
+}
+
+/// A datagram that was read.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum PacketFrame<'a> {
+    /// A caller's packet on its way.
+    Data {
+        /// The header.
+        header: PacketHeader,
+        /// Index of the current hop.
+        position: usize,
+        /// The caller's IP packet.
+        inner: &'a [u8],
+    },
+    /// A note about an owner.
+    Note(OwnerNote),
+}
+
+const KIND_DATA: u8 = 1;
+const KIND_NOTE: u8 = 2;
+
+fn write_frame<T: Serialize>(buffer: &mut Vec<u8>, kind: u8, header: &T) {
+    buffer.clear();
+    buffer.extend_from_slice(&MAGIC);
+    buffer.extend_from_slice(&[PACKET_VERSION, kind, 0, 0, 0]);
+    // Writing these plain types to memory can't fail.
+    let written = rmp_serde::encode::write(buffer, header);
+    debug_assert!(written.is_ok());
+    let len = (buffer.len() - PREFIX_BYTES) as u16;
+    buffer[POSITION_OFFSET + 1..PREFIX_BYTES].copy_from_slice(&len.to_be_bytes());
+}
+
+/// Writes a data packet at its first hop.
+pub fn write_data(buffer: &mut Vec<u8>, header: &PacketHeader, inner: &[u8]) {
+    write_frame(buffer, KIND_DATA, header);
+    buffer.extend_from_slice(inner);
+}
+
+/// Writes a note.
+pub fn write_note(buffer: &mut Vec<u8>, note: &OwnerNote) {
+    write_frame(buffer, KIND_NOTE, note);
+}
+
+/// Moves a data packet to its next hop.
+pub fn advance(datagram: &mut [u8]) {
+    if let Some(position) = datagram.get_mut(POSITION_OFFSET) {
+        *position = position.saturating_add(1);
+    }
+}
+
+/// Reads a datagram.
+pub fn scan_frame(datagram: &[u8]) -> Result<PacketFrame<'_>, PacketError> {
+    let prefix = datagram.get(..PREFIX_BYTES).ok_or(PacketError::Truncated)?;
+    if prefix[..2] != MAGIC {
+        return Err(PacketError::Magic);
+    }
+    if prefix[2] != PACKET_VERSION {
+        return Err(PacketError::Version);
+    }
+    let len = usize::from(u16::from_be_bytes([prefix[5], prefix[6]]));
+    if len > MAX_HEADER_BYTES || datagram.len() > MAX_DATAGRAM_BYTES {
+        return Err(PacketError::Oversized);
+    }
+    let rest = &datagram[PREFIX_BYTES..];
+    let header = rest.get(..len).ok_or(PacketError::Truncated)?;
+    let inner = &rest[len..];
+    match prefix[3] {
+        KIND_DATA => {
+            let header: PacketHeader =
+                rmp_serde::from_slice(header).map_err(|_| PacketError::Header)?;
+            let position = usize::from(prefix[POSITION_OFFSET]);
+            if position >= header.hops.len() {
+                return Err(PacketError::Header);
+            }
+            Ok(PacketFrame::Data {
+                header,
+                position,
+                inner,
+            })
+        }
+        KIND_NOTE => rmp_serde::from_slice(header)
+            .map(PacketFrame::Note)
+            .map_err(|_| PacketError::Header),
+        _ => Err(PacketError::Header),
+    }
+}
+
+/// Reads the facts of a caller's IP packet.
+pub fn scan_segment(packet: &[u8]) -> Result<SegmentFacts, PacketError> {
+    if packet.len() > MAX_INNER_BYTES {
+        return Err(PacketError::Oversized);
+    }
+    let sliced = SlicedPacket::from_ip(packet).map_err(|_| PacketError::Segment)?;
+    let (Some(NetSlice::Ipv4(ip)), Some(TransportSlice::Tcp(tcp))) = (sliced.net, sliced.transport)
+    else {
+        return Err(PacketError::Segment);
+    };
+    let header = ip.header();
+    Ok(SegmentFacts {
+        key: FlowKey {
+            caller: SocketAddrV4::new(header.source_addr(), tcp.source_port()),
+            service: SocketAddrV4::new(header.destination_addr(), tcp.destination_port()),
+        },
+        opens: tcp.syn() && !tcp.ack(),
+        resets: tcp.rst(),
+        sequence: tcp.sequence_number(),
+        acknowledgement: tcp.ack().then(|| tcp.acknowledgment_number()),
+        payload: tcp.payload().len() as u16,
+    })
+}
+
+/// A reset that answers a segment, as RFC 9293 section 3.10.7.1 asks for.
+pub fn write_reset(segment: &SegmentFacts) -> Vec<u8> {
+    const TIME_TO_LIVE: u8 = 64;
+    let key = segment.key;
+    let builder = etherparse::PacketBuilder::ipv4(
+        key.service.ip().octets(),
+        key.caller.ip().octets(),
+        TIME_TO_LIVE,
+    );
+    let (source, target) = (key.service.port(), key.caller.port());
+    let builder = match segment.acknowledgement {
+        Some(number) => builder.tcp(source, target, number, 0).rst(),
+        None => {
+            let length = u32::from(segment.payload) + u32::from(segment.opens);
+            builder
+                .tcp(source, target, 0, 0)
+                .rst()
+                .ack(segment.sequence.wrapping_add(length))
+        }
+    };
+    let mut packet = Vec::with_capacity(builder.size(0));
+    // Writing an empty payload to memory can't fail.
+    let written = builder.write(&mut packet, &[]);
+    debug_assert!(written.is_ok());
+    packet
+}
--- /dev/null
+++ b/crates/wire/src/records.rs
@@ -0,0 +1,292 @@
+//! Hosts, entry VMs and documents on the wire.
+
+use std::sync::Arc;
+
+use compact_str::{CompactString, ToCompactString};
+use serde::{Deserialize, Serialize};
+
+use chestnutlb_core::document::VersionedItem;
+use chestnutlb_core::flow::{BUCKET_COUNT, BucketIndex};
+use chestnutlb_core::{
+    DocumentId, DocumentItem, DocumentKind, DocumentPatch, EntryRecord, FirmName, HostRecord,
+    HostWeight, Incarnation, ObjectVersion, ServiceId,
+};
+
+use crate::manifest::{DocumentError, WireGrant, WireService, parse_text};
+
+const NAME_FORM: &str = "1 to 63 of a-z, 0-9 and '-'";
+const ADDRESS_FORM: &str = "an IPv4 address and port";
+
+/// A host.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct WireHost {
+    /// Its name.
+    pub name: CompactString,
+    /// Firm and service.
+    pub service: CompactString,
+    /// Its data centre.
+    pub datacenter: CompactString,
+    /// Address for packets.
+    pub packets: CompactString,
+    /// Address for relays.
+    pub relays: CompactString,
+    /// Start of its side process.
+    pub incarnation: u64,
+    /// Relative speed.
+    pub weight: u16,
+    /// State of its life.
+    pub state: CompactString,
+    /// Buckets it holds without being a candidate.
+    pub held: Vec<u16>,
+}
+
+impl TryFrom<&WireHost> for HostRecord {
+    type Error = DocumentError;
+
+    fn try_from(wire: &WireHost) -> Result<Self, DocumentError> {
+        let weight = HostWeight::new(wire.weight).map_err(|error| {
+            DocumentError::Form("weight".to_owned(), error.to_string())
+        })?;
+        if let Some(bucket) = wire.held.iter().find(|b| usize::from(**b) >= BUCKET_COUNT) {
+            let text = format!("bucket {bucket} does not exist");
+            return Err(DocumentError::Form("held".to_owned(), text));
+        }
+        Ok(Self {
+            name: parse_text("name", &wire.name, NAME_FORM)?,
+            service: parse_text("service", &wire.service, "firm/service")?,
+            datacenter: parse_text("datacenter", &wire.datacenter, NAME_FORM)?,
+            packets: parse_text("packets", &wire.packets, ADDRESS_FORM)?,
+            relays: parse_text("relays", &wire.relays, ADDRESS_FORM)?,
+            incarnation: Incarnation(wire.incarnation),
+            weight,
+            state: parse_text("state", &wire.state, "a state of a host")?,
+            held: wire.held.iter().copied().map(BucketIndex).collect(),
+        })
+    }
+}
+
+impl From<&HostRecord> for WireHost {
+    fn from(record: &HostRecord) -> Self {
+        Self {
+            name: record.name.clone().into(),
+            service: record.service.to_compact_string(),
+            datacenter: record.datacenter.clone().into(),
+            packets: record.packets.to_compact_string(),
+            relays: record.relays.to_compact_string(),
+            incarnation: record.incarnation.0,
+            weight: record.weight.get(),
+            state: record.state.to_compact_string(),
+            held: record.held.iter().map(|bucket| bucket.0).collect(),
+        }
+    }
+}
+
+/// An entry VM.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct WireEntry {
+    /// Its name.
+    pub name: CompactString,
+    /// Its data centre.
+    pub datacenter: CompactString,
+    /// Address for heartbeats and announcements.
+    pub peers: CompactString,
+    /// Address for HTTP.
+    pub status: CompactString,
+    /// Start of its process.
+    pub incarnation: u64,
+}
+
+impl TryFrom<&WireEntry> for EntryRecord {
+    type Error = DocumentError;
+
+    fn try_from(wire: &WireEntry) -> Result<Self, DocumentError> {
+        Ok(Self {
+            name: parse_text("name", &wire.name, NAME_FORM)?,
+            datacenter: parse_text("datacenter", &wire.datacenter, NAME_FORM)?,
+            peers: parse_text("peers", &wire.peers, ADDRESS_FORM)?,
+            status: parse_text("status", &wire.status, ADDRESS_FORM)?,
+            incarnation: Incarnation(wire.incarnation),
+        })
+    }
+}
+
+impl From<&EntryRecord> for WireEntry {
+    fn from(record: &EntryRecord) -> Self {
+        Self {
+            name: record.name.clone().into(),
+            datacenter: record.datacenter.clone().into(),
+            peers: record.peers.to_compact_string(),
+            status: record.status.to_compact_string(),
+            incarnation: record.incarnation.0,
+        }
+    }
+}
+
+/// The roster of a data centre, as the platform keeps it.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct WireRoster {
+    /// The hosts.
+    pub hosts: Vec<WireHost>,
+}
+
+/// The entry VMs of a data centre, as the platform keeps them.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct WireMembers {
+    /// The entry VMs.
+    pub entries: Vec<WireEntry>,
+}
+
+/// An item of a document.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub enum WireItem {
+    /// A grant of addresses.
+    Grant(WireGrant),
+    /// A service and its firm.
+    Service(CompactString, Box<WireService>),
+    /// A host.
+    Host(WireHost),
+    /// An entry VM.
+    Entry(WireEntry),
+}
+
+impl TryFrom<&WireItem> for DocumentItem {
+    type Error = DocumentError;
+
+    fn try_from(wire: &WireItem) -> Result<Self, DocumentError> {
+        Ok(match wire {
+            WireItem::Grant(grant) => Self::Grant(
+                parse_text("block", &grant.block, "an address block")?,
+                grant.firm.clone(),
+            ),
+            WireItem::Service(firm, service) => {
+                let firm: FirmName = parse_text("firm", firm, NAME_FORM)?;
+                Self::Service(Arc::new(service.check(&firm, "service")?))
+            }
+            WireItem::Host(host) => Self::Host(host.try_into()?),
+            WireItem::Entry(entry) => Self::Entry(entry.try_into()?),
+        })
+    }
+}
+
+impl From<&DocumentItem> for WireItem {
+    fn from(item: &DocumentItem) -> Self {
+        match item {
+            DocumentItem::Grant(block, firm) => Self::Grant(WireGrant {
+                block: block.to_compact_string(),
+                firm: firm.clone(),
+            }),
+            DocumentItem::Service(spec) => {
+                let ServiceId { firm, .. } = &spec.id;
+                Self::Service(firm.clone().into(), Box::new(spec.as_ref().into()))
+            }
+            DocumentItem::Host(record) => Self::Host(record.into()),
+            DocumentItem::Entry(record) => Self::Entry(record.into()),
+        }
+    }
+}
+
+/// Names a document and a version of it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct WireVersion {
+    /// Kind.
+    pub kind: CompactString,
+    /// Name.
+    pub name: CompactString,
+    /// Version.
+    pub version: u64,
+}
+
+impl From<(&DocumentId, ObjectVersion)> for WireVersion {
+    fn from((id, version): (&DocumentId, ObjectVersion)) -> Self {
+        Self {
+            kind: id.kind.as_str().into(),
+            name: id.name.clone(),
+            version: version.0,
+        }
+    }
+}
+
+impl TryFrom<&WireVersion> for DocumentId {
+    type Error = DocumentError;
+
+    fn try_from(wire: &WireVersion) -> Result<Self, DocumentError> {
+        let kind = DocumentKind::ALL
+            .into_iter()
+            .find(|kind| kind.as_str() == wire.kind)
+            .ok_or_else(|| {
+                DocumentError::Form("kind".to_owned(), format!("{:?} is unknown", wire.kind))
+            })?;
+        Ok(Self::new(kind, &wire.name))
+    }
+}
+
+/// What a node lacks of a document.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct WirePatch {
+    /// The document and its version after the patch.
+    pub document: WireVersion,
+    /// The version that the receiver must have.
+    pub since: Option<u64>,
+    /// New and changed items.
+    pub items: Vec<(u64, WireItem)>,
+    /// Removed items.
+    pub removed: Vec<(CompactString, u64)>,
+}
+
+impl From<&DocumentPatch> for WirePatch {
+    fn from(patch: &DocumentPatch) -> Self {
+        Self {
+            document: (&patch.id, patch.version).into(),
+            since: patch.since.map(|version| version.0),
+            items: patch
+                .items
+                .iter()
+                .map(|versioned| (versioned.changed_in.0, (&versioned.item).into()))
+                .collect(),
+            removed: patch
+                .removed
+                .iter()
+                .map(|(key, version)| (key.clone(), version.0))
+                .collect(),
+        }
+    }
+}
+
+impl TryFrom<&WirePatch> for DocumentPatch {
+    type Error = DocumentError;
+
+    fn try_from(wire: &WirePatch) -> Result<Self, DocumentError> {
+        let items = wire
+            .items
+            .iter()
+            .map(|(version, item)| {
+                Ok(VersionedItem {
+                    changed_in: ObjectVersion(*version),
+                    item: item.try_into()?,
+                })
+            })
+            .collect::<Result<_, DocumentError>>()?;
+        Ok(Self {
+            id: (&wire.document).try_into()?,
+            since: wire.since.map(ObjectVersion),
+            version: ObjectVersion(wire.document.version),
+            items,
+            removed: wire
+                .removed
+                .iter()
+                .map(|(key, version)| (key.clone(), ObjectVersion(*version)))
+                .collect(),
+        })
+    }
+}
