Walk past silent hosts, and stay until the leaving is known

Cause: requests were lost in time-outs while a host drained. Traces of two of them showed (a) the leaving host ended 500 ms after it said so, while entry VMs still sent it SYNs for seconds, and (b) packets of flows owned further down the chain were sent to the dead process first. Both followed from the only keeper of that data centre being the entry VM that was killed just before. Ruled out: lost packets of the fabric (none configured), the caller's TCP. Change: a leaving host stays for 5 s after the roster shows its state; silent hosts come last in a walk; a data centre with too few entry VMs gets keepers of other data centres; heartbeats every 500 ms, silence after 2.5 s. Conclusion: resolved for this order of events; to be provoked by tests.

--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -18,7 +18,7 @@
 
 use crate::chart::{HostEvent, HostState};
 use crate::document::{DocumentId, DocumentItem, DocumentKind, DocumentPatch, DocumentStore};
-use crate::ids::{EntryName, HostName, ObjectVersion, ServiceId};
+use crate::ids::{DatacenterName, EntryName, HostName, ObjectVersion, ServiceId};
 use crate::keeper::{HostKeeper, RosterEdit, SUSPECT_AFTER};
 use crate::members::{EntryRecord, EntryWatch, KEEPERS_PER_HOST, MemberRing, RANK_DELAY};
 use crate::roster::HostRecord;
@@ -33,7 +33,7 @@
 pub const RECENT_LIMIT: usize = 8;
 
 /// Time between heartbeats.
-pub const HEARTBEAT_PERIOD: Duration = Duration::from_millis(1000);
+pub const HEARTBEAT_PERIOD: Duration = Duration::from_millis(500);
 
 /// Time between looks at what to write.
 pub const BATCH_PERIOD: Duration = Duration::from_millis(200);
@@ -172,7 +172,7 @@
     suspects: Vec<HostName>,
     view: Arc<RoutingView>,
     all: MemberRing,
-    local: MemberRing,
+    rings: BTreeMap<DatacenterName, MemberRing>,
     adopt_due: bool,
     confirmed: Option<TimePoint>,
     watching: bool,
@@ -202,7 +202,7 @@
             suspects: Vec::new(),
             view: Arc::default(),
             all: MemberRing::default(),
-            local: MemberRing::default(),
+            rings: BTreeMap::new(),
             adopt_due: false,
             confirmed: None,
             watching: false,
@@ -270,10 +270,6 @@
         record
     }
 
-    fn roster_id(&self) -> DocumentId {
-        DocumentId::new(DocumentKind::Roster, self.me.datacenter.as_str())
-    }
-
     fn members_id(&self) -> DocumentId {
         DocumentId::new(DocumentKind::Members, self.me.datacenter.as_str())
     }
@@ -285,9 +281,17 @@
 
     fn rebuild_rings(&mut self) {
         let entries = scan_entries(self.documents.items(DocumentKind::Members));
-        let here = &self.me.datacenter;
-        let local = entries.iter().filter(|entry| entry.datacenter == *here);
-        self.local = MemberRing::new(local.cloned());
+        let mut groups: BTreeMap<DatacenterName, Vec<EntryRecord>> = BTreeMap::new();
+        for entry in &entries {
+            groups
+                .entry(entry.datacenter.clone())
+                .or_default()
+                .push(entry.clone());
+        }
+        self.rings = groups
+            .into_iter()
+            .map(|(datacenter, entries)| (datacenter, MemberRing::new(entries)))
+            .collect();
         self.all = MemberRing::new(entries);
     }
 
@@ -362,26 +366,19 @@
         } else {
             self.progress.insert(record.name.clone(), progress);
         }
-        if record.datacenter == self.me.datacenter {
-            self.keeper.hear(record, rank, now);
-        }
+        self.keeper.hear(record, rank, now);
     }
 
-    // The entry VMs of the host's data centre that look after it; none if no
-    // entry VM is known there.
+    // The entry VMs that look after a host; this one if none is known.
     fn keepers_of(&self, record: &HostRecord) -> Vec<EntryRecord> {
-        let here = record.datacenter == self.me.datacenter;
-        if here && self.local.is_empty() {
+        let keepers = match self.rings.get(&record.datacenter) {
+            Some(ring) => ring.keepers(&record.name, &self.all),
+            None => self.all.keepers(&record.name, &self.all),
+        };
+        if keepers.is_empty() {
             vec![self.me.clone()]
-        } else if here {
-            self.local.keepers(&record.name).into_iter().cloned().collect()
         } else {
-            let there = self
-                .all
-                .entries()
-                .filter(|entry| entry.datacenter == record.datacenter);
-            let ring = MemberRing::new(there.cloned());
-            ring.keepers(&record.name).into_iter().cloned().collect()
+            keepers.into_iter().cloned().collect()
         }
     }
 
@@ -551,35 +548,38 @@
     }
 
     fn write_roster(&mut self, now: TimePoint, actions: &mut Vec<ControlAction>) {
-        let id = self.roster_id();
         let documents = &self.documents;
-        let current = |name: &HostName| find_host(documents, &id, name);
+        let current = |record: &HostRecord| find_host(documents, record);
         let edits = self.keeper.edits(current, now);
-        let suspects: Vec<_> = edits
-            .iter()
-            .filter_map(|edit| match edit {
-                RosterEdit::Put(record) if record.state == HostState::Suspect => {
-                    Some(record.name.clone())
-                }
-                RosterEdit::Put(_) => None,
-                RosterEdit::Remove(name) => Some(name.clone()),
-            })
-            .collect();
+        let mut suspects = Vec::new();
+        let mut rosters: BTreeMap<DatacenterName, Vec<RosterEdit>> = BTreeMap::new();
+        for edit in edits {
+            let record = edit.record();
+            let goes = matches!(edit, RosterEdit::Remove(_));
+            if goes || record.state == HostState::Suspect {
+                suspects.push(record.name.clone());
+            }
+            let datacenter = record.datacenter.clone();
+            rosters.entry(datacenter).or_default().push(edit);
+        }
+        suspects.sort_unstable();
         if suspects != self.suspects {
             self.suspects = suspects;
             self.view = Arc::new(self.build_view());
             actions.push(ControlAction::Publish);
         }
-        if !edits.is_empty() && !self.stopping && self.claim_job(&id, now) {
-            actions.push(ControlAction::WriteRoster(id, edits));
+        for (datacenter, edits) in rosters {
+            let id = DocumentId::new(DocumentKind::Roster, datacenter.as_str());
+            if !self.stopping && self.claim_job(&id, now) {
+                actions.push(ControlAction::WriteRoster(id, edits));
+            }
         }
     }
 
     fn check_liveness(&mut self, now: TimePoint, actions: &mut Vec<ControlAction>) {
         self.progress
             .retain(|_, progress| now.since(progress.heard) < SUSPECT_AFTER * 5);
-        let watching =
-            !self.stopping && self.local.is_watcher(&self.me.name, &self.me.datacenter);
+        let watching = !self.stopping && self.is_watcher();
         if watching != self.watching {
             self.watching = watching;
             actions.push(ControlAction::Watch(watching));
@@ -606,6 +606,13 @@
         }
     }
 
+    fn is_watcher(&self) -> bool {
+        let here = &self.me.datacenter;
+        self.rings
+            .get(here)
+            .is_none_or(|ring| ring.is_watcher(&self.me.name, here))
+    }
+
     fn repair(&mut self, now: TimePoint, actions: &mut Vec<ControlAction>) {
         if self.stopping {
             return;
@@ -621,19 +628,32 @@
         }
     }
 
-    // Takes on the hosts of this data centre that fall to this entry VM, also
-    // those that were never heard since this process started.
+    // Takes on the hosts that fall to this entry VM, also those that were never
+    // heard since this process started.
     fn adopt_hosts(&mut self, now: TimePoint) {
-        let Some(document) = self.documents.get(&self.roster_id()) else {
-            return;
-        };
-        for item in document.items() {
-            let DocumentItem::Host(record) = item else {
+        let rosters = self
+            .documents
+            .iter()
+            .filter(|(id, _)| id.kind == DocumentKind::Roster);
+        for (id, document) in rosters {
+            let ring = self
+                .rings
+                .iter()
+                .find(|(datacenter, _)| datacenter.as_str() == id.name)
+                .map(|(_, ring)| ring.clone())
+                .unwrap_or_default();
+            if ring.is_self_sufficient() && self.me.datacenter.as_str() != id.name {
                 continue;
-            };
-            let keepers = self.local.keepers(&record.name);
-            if let Some(rank) = keepers.iter().position(|keeper| keeper.name == self.me.name) {
-                self.keeper.adopt(record, rank as u32, now);
+            }
+            for item in document.items() {
+                let DocumentItem::Host(record) = item else {
+                    continue;
+                };
+                let keepers = ring.keepers(&record.name, &self.all);
+                if let Some(rank) = keepers.iter().position(|keeper| keeper.name == self.me.name)
+                {
+                    self.keeper.adopt(record, rank as u32, now);
+                }
             }
         }
     }
@@ -652,9 +672,10 @@
         .collect()
 }
 
-fn find_host(documents: &DocumentStore, id: &DocumentId, name: &HostName) -> Option<HostRecord> {
-    match documents.get(id)?.item(name.as_str())? {
-        DocumentItem::Host(record) => Some(record.clone()),
+fn find_host(documents: &DocumentStore, record: &HostRecord) -> Option<HostRecord> {
+    let id = DocumentId::new(DocumentKind::Roster, record.datacenter.as_str());
+    match documents.get(&id)?.item(record.name.as_str())? {
+        DocumentItem::Host(found) => Some(found.clone()),
         _ => None,
     }
 }
--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -11,6 +11,7 @@
 
 use lru::LruCache;
 
+use crate::chart::HostState;
 use crate::flow::{FlowHash, SegmentFacts};
 use crate::ids::Incarnation;
 use crate::placement::CHAIN_HOPS;
@@ -167,7 +168,7 @@
                 plan.push(host);
                 plan.source = PlanSource::Hint;
             }
-            plan_walk(service, flow, &mut plan);
+            plan_walk(&self.view, service, flow, &mut plan);
         }
         if plan.len == 0 {
             RouteDecision::Drop(RouteDrop::NoHost)
@@ -187,14 +188,17 @@
 }
 
 // A packet of an open flow visits the candidates, also those that take nothing
-// new, and then the hosts that fell out of the ranking with flows left.
-fn plan_walk(service: &ServiceView, flow: FlowHash, plan: &mut HopPlan) {
+// new, and then the hosts that fell out of the ranking with flows left. Hosts
+// that are silent come last, where they can't swallow what is not theirs.
+fn plan_walk(view: &RoutingView, service: &ServiceView, flow: FlowHash, plan: &mut HopPlan) {
     let bucket = flow.bucket();
-    for host in service.chain(bucket).as_slice() {
-        plan.push(*host);
-    }
-    for host in service.held(bucket) {
-        plan.push(*host);
+    let chain = service.chain(bucket);
+    for suspects in [false, true] {
+        for host in chain.as_slice().iter().chain(service.held(bucket)) {
+            if (view.host(*host).state == HostState::Suspect) == suspects {
+                plan.push(*host);
+            }
+        }
     }
     plan.complete = plan.hops().len() == service.holders;
 }
--- a/crates/core/src/keeper.rs
+++ b/crates/core/src/keeper.rs
@@ -32,8 +32,17 @@
 pub enum RosterEdit {
     /// Add or replace a host.
     Put(HostRecord),
-    /// Take a host off, if it still has the state that was seen.
-    Remove(HostName),
+    /// Take a host off, unless it has started again since.
+    Remove(HostRecord),
+}
+
+impl RosterEdit {
+    /// The host as the keeper knows it.
+    pub fn record(&self) -> &HostRecord {
+        match self {
+            Self::Put(record) | Self::Remove(record) => record,
+        }
+    }
 }
 
 #[derive(Debug)]
@@ -98,7 +107,7 @@
     /// Edits that the roster needs. `current` finds a host in the roster.
     pub fn edits(
         &mut self,
-        current: impl Fn(&HostName) -> Option<HostRecord>,
+        current: impl Fn(&HostRecord) -> Option<HostRecord>,
         now: TimePoint,
     ) -> Vec<RosterEdit> {
         self.forgive_pause(now);
@@ -106,7 +115,7 @@
         let mut edits = Vec::new();
         let mut ended = Vec::new();
         for (name, sighting) in &mut self.sightings {
-            let in_roster = current(name);
+            let in_roster = current(&sighting.record);
             if let Some(record) = &in_roster
                 && record.incarnation > sighting.record.incarnation
             {
@@ -132,7 +141,7 @@
             if now.since(since) >= RANK_DELAY * sighting.rank {
                 edits.push(match wanted {
                     Some(record) => RosterEdit::Put(record),
-                    None => RosterEdit::Remove(name.clone()),
+                    None => RosterEdit::Remove(sighting.record.clone()),
                 });
             }
         }
--- a/crates/core/src/members.rs
+++ b/crates/core/src/members.rs
@@ -26,7 +26,7 @@
 pub const RANK_DELAY: Duration = Duration::from_secs(1);
 
 /// An entry VM that is silent for this time is taken off the members.
-pub const ENTRY_SILENCE: Duration = Duration::from_secs(4);
+pub const ENTRY_SILENCE: Duration = Duration::from_millis(2500);
 
 /// One entry VM.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -120,9 +120,25 @@
         best.into_iter().map(|(_, entry)| entry).collect()
     }
 
-    /// The entry VMs of this ring that look after a host, best rank first.
-    pub fn keepers(&self, host: &HostName) -> Vec<&EntryRecord> {
-        self.ranked(HostSeed::of(host.as_str()), KEEPERS_PER_HOST)
+    /// The entry VMs that look after a host, best rank first: those of this
+    /// ring, which is its data centre's, and others of `all` if it has too few.
+    pub fn keepers<'a>(&'a self, host: &HostName, all: &'a MemberRing) -> Vec<&'a EntryRecord> {
+        let subject = HostSeed::of(host.as_str());
+        let mut keepers = self.ranked(subject, KEEPERS_PER_HOST);
+        if keepers.len() < KEEPERS_PER_HOST {
+            // One more than needed for each that may be there already.
+            for entry in all.ranked(subject, 2 * KEEPERS_PER_HOST) {
+                if keepers.len() < KEEPERS_PER_HOST && !keepers.contains(&entry) {
+                    keepers.push(entry);
+                }
+            }
+        }
+        keepers
+    }
+
+    /// Whether the ring has enough entry VMs to look after its own hosts.
+    pub fn is_self_sufficient(&self) -> bool {
+        self.ring.len() >= KEEPERS_PER_HOST
     }
 
     /// Whether `me` watches the platform for its data centre, whose entry VMs
--- a/crates/daemon/src/entry_control.rs
+++ b/crates/daemon/src/entry_control.rs
@@ -190,7 +190,9 @@
                 "put"
             );
         }
-        RosterEdit::Remove(name) => log::info!(target: "placement", host:% = name; "remove"),
+        RosterEdit::Remove(record) => {
+            log::info!(target: "placement", host:% = record.name; "remove");
+        }
     }
 }
 
--- a/crates/daemon/src/side_control.rs
+++ b/crates/daemon/src/side_control.rs
@@ -33,6 +33,9 @@
 const SLICE_TIMEOUT: Duration = Duration::from_secs(2);
 /// A keeper that is silent for this time is asked for another.
 const KEEPER_SILENCE: Duration = Duration::from_secs(3);
+/// A leaving host stays for this time after the roster shows that it leaves,
+/// so that every entry VM hears of it before the process ends.
+const LEAVE_LINGER: Duration = Duration::from_secs(5);
 /// Announcements of the end, since each may be lost.
 const GONE_REPEATS: usize = 3;
 
@@ -56,6 +59,8 @@
     state: HostState,
     since: TimePoint,
     warm_up: Duration,
+    drain_grace: Duration,
+    leave_shown: Option<TimePoint>,
     keepers: Vec<EntryRecord>,
     heard: Option<TimePoint>,
     slice: Option<u64>,
@@ -86,6 +91,8 @@
             state: HostState::Joining,
             since: now,
             warm_up: Duration::ZERO,
+            drain_grace: Duration::ZERO,
+            leave_shown: None,
             keepers: Vec::new(),
             heard: None,
             slice: None,
@@ -116,8 +123,7 @@
     fn follow_life(&mut self, now: TimePoint) {
         if self.shared.is_stopping() {
             self.apply(HostEvent::Leave, now);
-            if !self.shared.busy.load(Ordering::Relaxed) && now.since(self.since) >= ANNOUNCE_PERIOD
-            {
+            if !self.shared.busy.load(Ordering::Relaxed) && self.leave_is_known(now) {
                 self.apply(HostEvent::End, now);
             }
         }
@@ -126,6 +132,23 @@
         }
     }
 
+    // Without the platform the roster can't show it; then the host stays for
+    // as long as it grants its flows.
+    fn leave_is_known(&self, now: TimePoint) -> bool {
+        let shown = self
+            .leave_shown
+            .is_some_and(|shown| now.since(shown) >= LEAVE_LINGER);
+        shown || now.since(self.since) >= self.drain_grace
+    }
+
+    fn note_leave(&mut self, hosts: &[HostRecord], now: TimePoint) {
+        let me = hosts.iter().find(|host| host.incarnation == self.incarnation);
+        let shown = me.is_none_or(|host| host.state == HostState::Leaving);
+        if self.state == HostState::Leaving && shown && self.leave_shown.is_none() {
+            self.leave_shown = Some(now);
+        }
+    }
+
     fn apply(&mut self, event: HostEvent, now: TimePoint) {
         if let Some(state) = self.state.after(event) {
             log::info!(
@@ -259,8 +282,10 @@
             Some(news) => {
                 if let Some(spec) = &news.spec {
                     self.warm_up = spec.timing.warm_up;
+                    self.drain_grace = spec.timing.drain_grace;
                 }
                 self.slice = Some(slice.slice);
+                self.note_leave(&news.hosts, clock::now());
                 self.events.push(SideEvent::News(news));
                 self.shared.manifest.store(slice.manifest, Ordering::Relaxed);
                 log::info!(
--- a/crates/platform/src/objects.rs
+++ b/crates/platform/src/objects.rs
@@ -98,9 +98,9 @@
         for edit in edits {
             match edit {
                 RosterEdit::Put(record) => put_host(&mut roster.hosts, record.into()),
-                RosterEdit::Remove(name) => {
-                    roster.hosts.retain(|host| host.name != name.as_str());
-                }
+                RosterEdit::Remove(record) => roster.hosts.retain(|host| {
+                    host.name != record.name.as_str() || host.incarnation > record.incarnation.0
+                }),
             }
         }
         roster.hosts.sort_by(|host, other| host.name.cmp(&other.name));
