--- a/crates/client/src/main.rs
+++ b/crates/client/src/main.rs
@@ -2,25 +2,24 @@
 
 use std::process::ExitCode;
 
-use argh::FromArgs;
+use argh::{EarlyExit, FromArgs};
 
 mod manifests;
 mod output;
 mod running;
 
 use manifests::{CommitOptions, PlanOptions, ValidateOptions};
+use output::CommandEnd;
 use running::{ExplainOptions, StatusOptions, WaitOptions};
 
 /// Commits manifests and shows what is in force.
-#[derive(Debug)]
-#[derive(FromArgs)]
+#[derive(Debug, FromArgs)]
 struct ClientOptions {
     #[argh(subcommand)]
     command: ClientCommand,
 }
 
-#[derive(Debug)]
-#[derive(FromArgs)]
+#[derive(Debug, FromArgs)]
 #[argh(subcommand)]
 enum ClientCommand {
     Validate(ValidateOptions),
@@ -32,7 +31,12 @@
 }
 
 fn main() -> ExitCode {
-    let options: ClientOptions = argh::from_env();
+    let words: Vec<String> = std::env::args().collect();
+    let arguments: Vec<&str> = words.iter().skip(1).map(String::as_str).collect();
+    let options = match ClientOptions::from_args(&["chestnutlb"], &arguments) {
+        Ok(options) => options,
+        Err(exit) => return end_early(&exit),
+    };
     let end = match &options.command {
         ClientCommand::Validate(options) => options.run(),
         ClientCommand::Plan(options) => options.run(),
@@ -43,3 +47,17 @@
     };
     end.into()
 }
+
+// Help is no failure; words that can't be read are refused like other input.
+fn end_early(exit: &EarlyExit) -> ExitCode {
+    match exit.status {
+        Ok(()) => {
+            println!("{}", exit.output);
+            CommandEnd::Done.into()
+        }
+        Err(()) => {
+            eprintln!("{}", exit.output);
+            CommandEnd::Refused.into()
+        }
+    }
+}
--- a/crates/client/src/manifests.rs
+++ b/crates/client/src/manifests.rs
@@ -14,8 +14,7 @@
 use crate::output::{CommandEnd, complain, print};
 
 /// check a manifest without the platform
-#[derive(Debug)]
-#[derive(FromArgs)]
+#[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "validate", example = "{command_name} dalbit.json")]
 pub struct ValidateOptions {
     /// file with the manifest
@@ -27,8 +26,7 @@
 }
 
 /// show what committing a manifest would change
-#[derive(Debug)]
-#[derive(FromArgs)]
+#[derive(Debug, FromArgs)]
 #[argh(
     subcommand,
     name = "plan",
@@ -47,8 +45,7 @@
 }
 
 /// commit a manifest
-#[derive(Debug)]
-#[derive(FromArgs)]
+#[derive(Debug, FromArgs)]
 #[argh(
     subcommand,
     name = "commit",
@@ -74,8 +71,7 @@
     json: bool,
 }
 
-#[derive(Debug)]
-#[derive(Serialize)]
+#[derive(Debug, Serialize)]
 struct ValidResult {
     firm: String,
     services: usize,
@@ -87,8 +83,7 @@
     }
 }
 
-#[derive(Debug)]
-#[derive(Serialize)]
+#[derive(Debug, Serialize)]
 struct PlanResult {
     base: u64,
     changes: Vec<String>,
@@ -106,8 +101,7 @@
     }
 }
 
-#[derive(Debug)]
-#[derive(Serialize)]
+#[derive(Debug, Serialize)]
 struct CommitResult {
     version: u64,
     id: String,
@@ -120,8 +114,8 @@
 }
 
 fn read_manifest(path: &PathBuf) -> Result<(WireManifest, FirmManifest), String> {
-    let text = std::fs::read_to_string(path)
-        .map_err(|error| format!("{}: {error}", path.display()))?;
+    let text =
+        std::fs::read_to_string(path).map_err(|error| format!("{}: {error}", path.display()))?;
     let parsed = parse_json::<WireManifest>(&text).and_then(|wire| {
         let manifest = FirmManifest::try_from(&wire)?;
         Ok((wire, manifest))
--- a/crates/client/src/running.rs
+++ b/crates/client/src/running.rs
@@ -17,9 +17,12 @@
 const WAIT_PAUSE: Duration = Duration::from_millis(100);
 
 /// show the entry VMs, and which versions they have in force
-#[derive(Debug)]
-#[derive(FromArgs)]
-#[argh(subcommand, name = "status", example = "{command_name} --entry 10.0.0.2:7003")]
+#[derive(Debug, FromArgs)]
+#[argh(
+    subcommand,
+    name = "status",
+    example = "{command_name} --entry 10.0.0.2:7003"
+)]
 pub struct StatusOptions {
     /// status address of any entry VM
     #[argh(option)]
@@ -30,8 +33,7 @@
 }
 
 /// wait until a manifest is in force on every entry VM and host
-#[derive(Debug)]
-#[derive(FromArgs)]
+#[derive(Debug, FromArgs)]
 #[argh(
     subcommand,
     name = "wait",
@@ -57,8 +59,7 @@
 }
 
 /// show where a flow goes, and why
-#[derive(Debug)]
-#[derive(FromArgs)]
+#[derive(Debug, FromArgs)]
 #[argh(
     subcommand,
     name = "explain",
@@ -83,15 +84,14 @@
     let url = format!("http://{address}{path}");
     match ureq::get(&url).timeout(CALL_TIMEOUT).call() {
         Ok(answer) => answer.into_json().map_err(|error| error.to_string()),
-        Err(ureq::Error::Status(_, answer)) => {
-            Err(answer.into_string().unwrap_or_else(|error| error.to_string()))
-        }
+        Err(ureq::Error::Status(_, answer)) => Err(answer
+            .into_string()
+            .unwrap_or_else(|error| error.to_string())),
         Err(error) => Err(error.to_string()),
     }
 }
 
-#[derive(Debug)]
-#[derive(Serialize)]
+#[derive(Debug, Serialize)]
 struct EntryLine {
     name: String,
     datacenter: String,
@@ -100,8 +100,7 @@
     versions: BTreeMap<String, u64>,
 }
 
-#[derive(Debug)]
-#[derive(Serialize)]
+#[derive(Debug, Serialize)]
 struct FleetStatus {
     entries: Vec<EntryLine>,
     hosts: BTreeMap<String, u64>,
@@ -109,7 +108,11 @@
 
 impl fmt::Display for FleetStatus {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{:<16} {:<12} {:>8}  versions", "entry", "datacentre", "age")?;
+        write!(
+            f,
+            "{:<16} {:<12} {:>8}  versions",
+            "entry", "datacentre", "age"
+        )?;
         for entry in &self.entries {
             let age = match (entry.answers, entry.age_ms) {
                 (false, _) => "silent".to_owned(),
@@ -185,8 +188,7 @@
     }
 }
 
-#[derive(Debug)]
-#[derive(Serialize)]
+#[derive(Debug, Serialize)]
 struct WaitResult {
     in_force: bool,
     after_ms: u64,
@@ -264,19 +266,24 @@
                 behind.push(name.clone());
             }
             let firm = format!("{}/", self.firm);
-            for host in status.hosts.iter().filter(|host| host.service.starts_with(&firm)) {
+            for host in status
+                .hosts
+                .iter()
+                .filter(|host| host.service.starts_with(&firm))
+            {
                 let version = hosts.entry(host.name.to_string()).or_insert(host.manifest);
                 *version = (*version).max(host.manifest);
             }
         }
-        let late = hosts.into_iter().filter(|(_, version)| *version < self.manifest.0);
+        let late = hosts
+            .into_iter()
+            .filter(|(_, version)| *version < self.manifest.0);
         behind.extend(late.map(|(name, _)| name));
         behind
     }
 }
 
-#[derive(Debug)]
-#[derive(Serialize)]
+#[derive(Debug, Serialize)]
 struct ExplainResult(FlowExplanation);
 
 fn write_hops(f: &mut fmt::Formatter<'_>, hops: &[HopExplanation]) -> fmt::Result {
@@ -312,7 +319,10 @@
 impl ExplainOptions {
     /// Runs the command.
     pub fn run(&self) -> CommandEnd {
-        let path = format!("/v1/explain?caller={}&service={}", self.caller, self.service);
+        let path = format!(
+            "/v1/explain?caller={}&service={}",
+            self.caller, self.service
+        );
         match ask::<FlowExplanation>(self.entry, &path) {
             Ok(explanation) => {
                 print(self.json, &ExplainResult(explanation));
--- a/crates/core/src/chart.rs
+++ b/crates/core/src/chart.rs
@@ -39,16 +39,14 @@
     use super::*;
     use serde::Deserialize;
 
-    #[derive(Debug)]
-    #[derive(Deserialize)]
+    #[derive(Debug, Deserialize)]
     #[serde(deny_unknown_fields)]
     pub struct ChartFile {
         pub initial: CompactString,
         pub states: BTreeMap<CompactString, StateFile>,
     }
 
-    #[derive(Debug)]
-    #[derive(Deserialize)]
+    #[derive(Debug, Deserialize)]
     #[serde(deny_unknown_fields)]
     pub struct StateFile {
         #[serde(default)]
--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -265,7 +265,10 @@
     fn suspected(&self, record: &HostRecord) -> HostRecord {
         let mut record = record.clone();
         if self.suspects.contains(&record.name) {
-            record.state = record.state.after(HostEvent::Silent).unwrap_or(record.state);
+            record.state = record
+                .state
+                .after(HostEvent::Silent)
+                .unwrap_or(record.state);
         }
         record
     }
@@ -382,12 +385,7 @@
         }
     }
 
-    fn on_heard(
-        &mut self,
-        news: HeartbeatNews,
-        now: TimePoint,
-        actions: &mut Vec<ControlAction>,
-    ) {
+    fn on_heard(&mut self, news: HeartbeatNews, now: TimePoint, actions: &mut Vec<ControlAction>) {
         if news.entry.name == self.me.name {
             return;
         }
@@ -650,7 +648,9 @@
                     continue;
                 };
                 let keepers = ring.keepers(&record.name, &self.all);
-                if let Some(rank) = keepers.iter().position(|keeper| keeper.name == self.me.name)
+                if let Some(rank) = keepers
+                    .iter()
+                    .position(|keeper| keeper.name == self.me.name)
                 {
                     self.keeper.adopt(record, rank as u32, now);
                 }
--- a/crates/core/src/document.rs
+++ b/crates/core/src/document.rs
@@ -34,12 +34,7 @@
 
 impl DocumentKind {
     /// Every kind.
-    pub const ALL: [DocumentKind; 4] = [
-        Self::Grants,
-        Self::Manifest,
-        Self::Roster,
-        Self::Members,
-    ];
+    pub const ALL: [DocumentKind; 4] = [Self::Grants, Self::Manifest, Self::Roster, Self::Members];
 
     /// Its name among the platform's objects.
     pub fn as_str(self) -> &'static str {
@@ -270,7 +265,8 @@
 
     /// The version of a document, zero if it is not known.
     pub fn version(&self, id: &DocumentId) -> ObjectVersion {
-        self.get(id).map_or(ObjectVersion(0), |document| document.version)
+        self.get(id)
+            .map_or(ObjectVersion(0), |document| document.version)
     }
 
     /// Items of all documents of a kind.
@@ -324,10 +320,15 @@
                 .iter()
                 .filter(|(block, _)| block.contains(*spec.address.ip()));
             owners.clone().count() == 1
-                && owners.clone().all(|(_, firm)| *firm == spec.id.firm.as_str())
+                && owners
+                    .clone()
+                    .all(|(_, firm)| *firm == spec.id.firm.as_str())
         };
         let mut services = Vec::new();
-        for (id, document) in self.iter().filter(|(id, _)| id.kind == DocumentKind::Manifest) {
+        for (id, document) in self
+            .iter()
+            .filter(|(id, _)| id.kind == DocumentKind::Manifest)
+        {
             for item in document.items() {
                 if let DocumentItem::Service(spec) = item
                     && spec.id.firm.as_str() == id.name
--- a/crates/core/src/keeper.rs
+++ b/crates/core/src/keeper.rs
@@ -167,8 +167,7 @@
             .values()
             .filter(|sighting| now.since(sighting.heard) >= SUSPECT_AFTER)
             .count();
-        self.sightings.len() >= CUT_OFF_MIN_HOSTS
-            && silent > self.sightings.len() / CUT_OFF_DIVISOR
+        self.sightings.len() >= CUT_OFF_MIN_HOSTS && silent > self.sightings.len() / CUT_OFF_DIVISOR
     }
 }
 
@@ -189,7 +188,10 @@
         return None;
     }
     if silence >= SUSPECT_AFTER {
-        record.state = record.state.after(HostEvent::Silent).unwrap_or(record.state);
+        record.state = record
+            .state
+            .after(HostEvent::Silent)
+            .unwrap_or(record.state);
     }
     match record.state {
         HostState::Gone | HostState::Joining => None,
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -39,7 +39,9 @@
 pub use chart::{
     FlowEvent, FlowState, HostEvent, HostState, RequestEvent, RequestState, check_charts,
 };
-pub use control::{ControlAction, ControlEvent, EntryControl, HeartbeatNews, MemberEdit, WelcomeNews};
+pub use control::{
+    ControlAction, ControlEvent, EntryControl, HeartbeatNews, MemberEdit, WelcomeNews,
+};
 pub use document::{DocumentId, DocumentItem, DocumentKind, DocumentPatch, DocumentStore};
 pub use entry::{EntryRouter, HopPlan, PlanSource, RouteDecision, RouteDrop};
 pub use flow::{BucketIndex, FlowHash, FlowKey, SegmentFacts};
--- a/crates/core/src/manifest.rs
+++ b/crates/core/src/manifest.rs
@@ -207,7 +207,11 @@
     /// What changes when `next` follows this manifest.
     pub fn changes(&self, next: &FirmManifest) -> Vec<ManifestChange> {
         let find = |manifest: &FirmManifest, id: &ServiceId| {
-            manifest.services.iter().find(|spec| spec.id == *id).cloned()
+            manifest
+                .services
+                .iter()
+                .find(|spec| spec.id == *id)
+                .cloned()
         };
         let mut changes = Vec::new();
         for spec in &next.services {
--- a/crates/core/src/ownership.rs
+++ b/crates/core/src/ownership.rs
@@ -190,13 +190,9 @@
         };
         let acknowledged = match (record.state, segment.acknowledgement) {
             (FlowState::Opening, None) => true,
-            (FlowState::Opening, Some(number)) => {
-                number == record.initial_sequence.wrapping_add(1)
-            }
+            (FlowState::Opening, Some(number)) => number == record.initial_sequence.wrapping_add(1),
             (_, None) => true,
-            (_, Some(number)) => {
-                record.sent_sequence.wrapping_sub(number) <= ACK_WINDOW_BYTES
-            }
+            (_, Some(number)) => record.sent_sequence.wrapping_sub(number) <= ACK_WINDOW_BYTES,
         };
         if acknowledged {
             record.last_seen = now;
@@ -242,8 +238,7 @@
         self.flows
             .iter()
             .filter(|(_, record)| {
-                record.state == FlowState::Opening
-                    && now.since(record.last_seen) >= OPENING_TIMEOUT
+                record.state == FlowState::Opening && now.since(record.last_seen) >= OPENING_TIMEOUT
             })
             .map(|(key, _)| *key)
             .collect()
--- /dev/null
+++ b/crates/core/tests/common/mod.rs
@@ -0,0 +1,71 @@
+//! What the tests of the core share.
+
+#![allow(dead_code)]
+
+use chestnutlb_core::{
+    EntryRecord, FlowKey, HostRecord, HostState, HostWeight, Incarnation, SegmentFacts,
+};
+use quickcheck::{Gen, QuickCheck};
+
+/// Seed of every random test; a failure is repeated with it.
+pub const SEED: u64 = 20_261_204;
+const GEN_SIZE: usize = 60;
+const TESTS: u64 = 300;
+
+pub fn quickcheck() -> QuickCheck {
+    println!("quickcheck seed {SEED}");
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(GEN_SIZE, SEED))
+        .tests(TESTS)
+}
+
+pub fn host(number: usize, state: HostState) -> HostRecord {
+    HostRecord {
+        name: format!("host-{number}").parse().unwrap(),
+        service: "dalbit/catalogue".parse().unwrap(),
+        datacenter: "honam-1".parse().unwrap(),
+        packets: format!("10.1.0.{}:9000", number % 250 + 1).parse().unwrap(),
+        relays: format!("10.1.0.{}:9001", number % 250 + 1).parse().unwrap(),
+        incarnation: Incarnation(1000 + number as u64),
+        weight: HostWeight::ORDINARY,
+        state,
+        held: Vec::new(),
+    }
+}
+
+pub fn entry(number: usize, datacenter: &str) -> EntryRecord {
+    EntryRecord {
+        name: format!("entry-{number}").parse().unwrap(),
+        datacenter: datacenter.parse().unwrap(),
+        peers: format!("10.2.0.{}:9002", number % 250 + 1).parse().unwrap(),
+        status: format!("10.2.0.{}:9003", number % 250 + 1).parse().unwrap(),
+        incarnation: Incarnation(5000 + number as u64),
+    }
+}
+
+pub fn key(port: u16) -> FlowKey {
+    FlowKey {
+        caller: format!("10.9.0.1:{port}").parse().unwrap(),
+        service: "10.20.0.1:7000".parse().unwrap(),
+    }
+}
+
+pub fn syn(port: u16) -> SegmentFacts {
+    SegmentFacts {
+        key: key(port),
+        opens: true,
+        resets: false,
+        sequence: 1,
+        acknowledgement: None,
+        payload: 0,
+    }
+}
+
+pub fn data(port: u16, acknowledgement: u32) -> SegmentFacts {
+    SegmentFacts {
+        opens: false,
+        acknowledgement: Some(acknowledgement),
+        payload: 10,
+        ..syn(port)
+    }
+}
--- /dev/null
+++ b/crates/core/tests/keeping.rs
@@ -0,0 +1,111 @@
+//! Keepers: what they write into the roster, and what they must not.
+
+mod common;
+
+use chestnutlb_core::keeper::{GONE_AFTER, SUSPECT_AFTER};
+use chestnutlb_core::{HostKeeper, HostRecord, HostState, RosterEdit, TimePoint};
+use common::host;
+
+fn describe(edits: &[RosterEdit]) -> Vec<String> {
+    edits
+        .iter()
+        .map(|edit| match edit {
+            RosterEdit::Put(record) => format!("put {} {}", record.name, record.state),
+            RosterEdit::Remove(record) => format!("remove {}", record.name),
+        })
+        .collect()
+}
+
+// Ticks every 200 ms without hearing anything.
+fn silence(keeper: &mut HostKeeper, roster: &[HostRecord], from: u64, to: u64) -> Vec<RosterEdit> {
+    let mut edits = Vec::new();
+    for at in (from..=to).step_by(200) {
+        let current = |record: &HostRecord| {
+            roster
+                .iter()
+                .find(|known| known.name == record.name)
+                .cloned()
+        };
+        edits = keeper.edits(current, TimePoint(at));
+    }
+    edits
+}
+
+#[test]
+fn a_host_is_put_suspected_and_removed() {
+    let mut keeper = HostKeeper::default();
+    let serving = host(1, HostState::Serving);
+    keeper.edits(|_| None, TimePoint(0));
+    keeper.hear(serving.clone(), 0, TimePoint(100));
+    let put = silence(&mut keeper, &[], 200, 400);
+    assert_eq!(describe(&put), ["put host-1 serving"]);
+    let roster = [serving];
+    assert!(silence(&mut keeper, &roster, 600, 1_800).is_empty());
+    let after = 100 + SUSPECT_AFTER.as_millis() as u64;
+    let suspected = silence(&mut keeper, &roster, 2_000, after + 200);
+    assert_eq!(describe(&suspected), ["put host-1 suspect"]);
+    let after = 100 + GONE_AFTER.as_millis() as u64;
+    let removed = silence(&mut keeper, &roster, 2_400, after + 200);
+    assert_eq!(describe(&removed), ["remove host-1"]);
+}
+
+#[test]
+fn the_second_rank_waits_for_the_first() {
+    let mut keeper = HostKeeper::default();
+    keeper.edits(|_| None, TimePoint(0));
+    keeper.hear(host(1, HostState::Serving), 1, TimePoint(0));
+    assert!(silence(&mut keeper, &[], 200, 1_000).is_empty());
+    let late = silence(&mut keeper, &[], 1_200, 1_400);
+    assert_eq!(describe(&late), ["put host-1 serving"]);
+}
+
+#[test]
+fn a_paused_keeper_blames_itself() {
+    let mut keeper = HostKeeper::default();
+    let roster = [host(1, HostState::Serving)];
+    keeper.edits(|_| None, TimePoint(0));
+    keeper.hear(roster[0].clone(), 0, TimePoint(0));
+    // It sleeps for an hour and wakes up.
+    let woken = 3_600_000;
+    let edits = silence(&mut keeper, &roster, woken, woken + 1_000);
+    assert!(edits.is_empty(), "{edits:?}");
+}
+
+#[test]
+fn a_keeper_that_hears_nobody_takes_itself_for_cut_off() {
+    let mut keeper = HostKeeper::default();
+    let roster: Vec<_> = (0..6).map(|n| host(n, HostState::Serving)).collect();
+    keeper.edits(|_| None, TimePoint(0));
+    for record in &roster {
+        keeper.hear(record.clone(), 0, TimePoint(0));
+    }
+    let edits = silence(&mut keeper, &roster, 200, 60_000);
+    assert!(edits.is_empty(), "{edits:?}");
+}
+
+#[test]
+fn a_later_start_in_the_roster_is_not_undone() {
+    let mut keeper = HostKeeper::default();
+    keeper.edits(|_| None, TimePoint(0));
+    let old = host(1, HostState::Serving);
+    keeper.hear(old.clone(), 0, TimePoint(0));
+    let mut newer = old.clone();
+    newer.incarnation.0 += 1;
+    let edits = silence(&mut keeper, &[newer.clone()], 200, 1_000);
+    assert!(edits.is_empty(), "{edits:?}");
+    // The old one's late announcement does not bring it back either.
+    keeper.hear(old, 0, TimePoint(1_000));
+    assert!(silence(&mut keeper, &[newer], 1_200, 1_400).is_empty());
+}
+
+#[test]
+fn a_host_that_ended_is_removed_at_once() {
+    let mut keeper = HostKeeper::default();
+    let roster = [host(1, HostState::Leaving)];
+    keeper.edits(|_| None, TimePoint(0));
+    keeper.hear(host(1, HostState::Gone), 0, TimePoint(0));
+    assert_eq!(
+        describe(&silence(&mut keeper, &roster, 200, 200)),
+        ["remove host-1"]
+    );
+}
--- /dev/null
+++ b/crates/core/tests/routing.rs
@@ -0,0 +1,214 @@
+//! Placement and plans: what every entry VM computes alike.
+
+mod common;
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use chestnutlb_core::manifest::{HostLimits, ServiceTiming};
+use chestnutlb_core::placement::{CHAIN_HOPS, ChainSource, HostSeed, RankedHost, rank};
+use chestnutlb_core::{
+    BucketIndex, ByteCount, EntryRouter, HostIndex, HostRecord, HostState, HostWeight,
+    ObjectVersion, PercentShare, PlanSource, RequestClass, RouteDecision, RouteDrop, RouteRule,
+    RoutingView, ServiceKind, ServiceSpec,
+};
+use common::{data, host, key, quickcheck, syn};
+
+fn spec() -> Arc<ServiceSpec> {
+    Arc::new(ServiceSpec {
+        id: "dalbit/catalogue".parse().unwrap(),
+        kind: ServiceKind::Stream,
+        address: key(1).service,
+        datacenters: vec!["honam-1".parse().unwrap()],
+        limits: HostLimits {
+            slots: 3,
+            queue: 10,
+            flows: 100,
+            head: ByteCount(1024),
+            body: ByteCount(1024),
+        },
+        timing: ServiceTiming {
+            drain_grace: Duration::from_secs(1),
+            warm_up: Duration::from_secs(1),
+            receive: Duration::from_secs(1),
+        },
+        eject_limit: PercentShare::new(50).unwrap(),
+        rules: Vec::new(),
+        fallback: RouteRule {
+            method: None,
+            path_prefix: "/".into(),
+            class: RequestClass::Short,
+            repeatable: false,
+            deadline: Duration::from_secs(1),
+        },
+    })
+}
+
+fn router(hosts: Vec<HostRecord>) -> EntryRouter {
+    let version = ObjectVersion(1);
+    let view = RoutingView::build(version, [(spec(), version)], hosts);
+    let mut router = EntryRouter::new(16);
+    router.replace_view(Arc::new(view));
+    router
+}
+
+fn names(router: &EntryRouter, decision: RouteDecision) -> Vec<String> {
+    match decision {
+        RouteDecision::Forward(plan) => plan
+            .hops()
+            .iter()
+            .map(|hop| router.view().host(*hop).name.to_string())
+            .collect(),
+        RouteDecision::Drop(cause) => vec![cause.as_str().to_owned()],
+    }
+}
+
+fn ranked(count: usize, weight: impl Fn(usize) -> u16) -> Vec<RankedHost> {
+    (0..count)
+        .map(|number| RankedHost {
+            host: HostIndex(number as u32),
+            seed: HostSeed::of(&format!("host-{number}")),
+            weight: HostWeight::new(weight(number)).unwrap(),
+        })
+        .collect()
+}
+
+#[test]
+fn a_new_host_moves_others_down_by_one_rank_at_most() {
+    fn property(count: u8, bucket: u16) -> bool {
+        let hosts = ranked(usize::from(count) + 2, |_| 100);
+        let bucket = BucketIndex(bucket % 4096);
+        let before = rank(bucket, &hosts[..hosts.len() - 1]);
+        let after = rank(bucket, &hosts);
+        before.as_slice().iter().enumerate().all(|(place, host)| {
+            match after.as_slice().iter().position(|h| h == host) {
+                Some(now) => now == place || now == place + 1,
+                None => place == CHAIN_HOPS - 1,
+            }
+        })
+    }
+    quickcheck().quickcheck(property as fn(u8, u16) -> bool);
+}
+
+#[test]
+fn the_table_says_what_direct_ranking_says() {
+    let hosts = ranked(40, |number| 50 + number as u16);
+    let (direct, table) = (
+        ChainSource::Direct(hosts.clone()),
+        ChainSource::table(&hosts),
+    );
+    for bucket in (0..4096).map(BucketIndex) {
+        assert_eq!(direct.chain(bucket), table.chain(bucket));
+    }
+}
+
+#[test]
+fn buckets_are_shared_by_weight() {
+    let hosts = ranked(8, |number| if number < 4 { 100 } else { 400 });
+    let mut won: HashMap<HostIndex, usize> = HashMap::new();
+    for bucket in (0..4096).map(BucketIndex) {
+        let first = rank(bucket, &hosts).as_slice()[0];
+        *won.entry(first).or_default() += 1;
+    }
+    let mut shares: Vec<_> = won.into_iter().collect();
+    shares.sort_unstable();
+    insta::assert_debug_snapshot!(shares);
+}
+
+#[test]
+fn a_packet_for_no_service_or_without_hosts_is_dropped() {
+    let mut router = router(Vec::new());
+    assert_eq!(
+        router.route(&syn(1)),
+        RouteDecision::Drop(RouteDrop::NoHost)
+    );
+    let mut other = syn(1);
+    other.key.service = "10.30.0.1:7000".parse().unwrap();
+    assert_eq!(
+        router.route(&other),
+        RouteDecision::Drop(RouteDrop::NoService)
+    );
+}
+
+#[test]
+fn leaving_hosts_get_no_syn_and_silent_ones_are_walked_last() {
+    let mut hosts: Vec<_> = (0..6).map(|n| host(n, HostState::Serving)).collect();
+    hosts[1].state = HostState::Leaving;
+    hosts[2].state = HostState::Suspect;
+    let mut router = router(hosts);
+    for port in 1..200 {
+        let opening = router.route(&syn(port));
+        let opening = names(&router, opening);
+        assert_eq!(opening.len(), 4);
+        assert!(!opening.contains(&"host-1".to_owned()));
+        let walk = router.route(&data(port, 1));
+        let walk = names(&router, walk);
+        assert_eq!(walk.len(), 6);
+        assert_eq!(walk[5], "host-2");
+    }
+}
+
+#[test]
+fn so_many_suspects_are_not_believed() {
+    let hosts = (0..4)
+        .map(|n| {
+            let state = if n < 3 {
+                HostState::Suspect
+            } else {
+                HostState::Serving
+            };
+            host(n, state)
+        })
+        .collect();
+    let mut router = router(hosts);
+    let opening = router.route(&syn(1));
+    assert_eq!(names(&router, opening).len(), 4);
+}
+
+#[test]
+fn a_hint_comes_first_until_its_host_has_started_anew() {
+    let hosts: Vec<_> = (0..5).map(|n| host(n, HostState::Serving)).collect();
+    let mut router = router(hosts.clone());
+    let last = |router: &mut EntryRouter| {
+        let walk = router.route(&data(1, 1));
+        names(router, walk)[4].clone()
+    };
+    let owner = last(&mut router);
+    let record = hosts.iter().find(|h| h.name.as_str() == owner).unwrap();
+    router.learn(key(1).hash(), key(1).service, record.incarnation);
+    let RouteDecision::Forward(plan) = router.route(&data(1, 1)) else {
+        panic!("dropped");
+    };
+    assert_eq!(plan.source, PlanSource::Hint);
+    assert!(plan.complete);
+    assert_eq!(names(&router, RouteDecision::Forward(plan))[0], owner);
+
+    let mut restarted = hosts;
+    for host in &mut restarted {
+        host.incarnation.0 += 100;
+    }
+    let view = RoutingView::build(ObjectVersion(2), [(spec(), ObjectVersion(1))], restarted);
+    router.replace_view(Arc::new(view));
+    let RouteDecision::Forward(plan) = router.route(&data(1, 1)) else {
+        panic!("dropped");
+    };
+    assert_eq!(plan.source, PlanSource::Chain);
+}
+
+#[test]
+fn a_host_that_fell_out_of_the_ranking_with_flows_is_still_walked_to() {
+    let mut hosts: Vec<_> = (0..40).map(|n| host(n, HostState::Serving)).collect();
+    let mut bare = router(hosts.clone());
+    let walk = bare.route(&data(1, 1));
+    let walk = names(&bare, walk);
+    let outside = hosts
+        .iter()
+        .position(|host| !walk.contains(&host.name.to_string()))
+        .unwrap();
+    hosts[outside].held = vec![key(1).hash().bucket()];
+    let name = hosts[outside].name.to_string();
+    let mut router = router(hosts);
+    let walk = router.route(&data(1, 1));
+    assert!(names(&router, walk).contains(&name));
+}
--- /dev/null
+++ b/crates/core/tests/serving.rs
@@ -0,0 +1,214 @@
+//! Slots, relays and retries of a host.
+
+mod common;
+
+use std::collections::BTreeMap;
+
+use chestnutlb_core::budget::RetryBudget;
+use chestnutlb_core::{
+    CancelWord, PercentShare, RelayLedger, RelayWord, RequestClass, RequestEvent, RequestId,
+    RequestLedger, RequestOutcome, SlotEvent, SlotOffer, SlotPolicy, SlotRefusal, SlotScheduler,
+    TimePoint,
+};
+use common::quickcheck;
+
+const FAR: TimePoint = TimePoint(1_000_000);
+
+fn offer(slots: &mut SlotScheduler, id: u64, class: RequestClass, now: u64) -> SlotOffer {
+    slots.offer(RequestId(id), class, FAR, TimePoint(now))
+}
+
+#[test]
+fn long_work_leaves_a_slot_for_short_work() {
+    let mut slots = SlotScheduler::new(SlotPolicy::Classes, 3, 10);
+    for id in 0..2 {
+        assert_eq!(
+            offer(&mut slots, id, RequestClass::Long, 0),
+            SlotOffer::Start
+        );
+    }
+    assert!(matches!(
+        offer(&mut slots, 2, RequestClass::Long, 0),
+        SlotOffer::Queued(_)
+    ));
+    assert_eq!(
+        offer(&mut slots, 3, RequestClass::Short, 0),
+        SlotOffer::Start
+    );
+    // The baseline gives the slot to whoever comes first.
+    let mut fifo = SlotScheduler::new(SlotPolicy::Fifo, 3, 10);
+    for id in 0..3 {
+        assert_eq!(
+            offer(&mut fifo, id, RequestClass::Long, 0),
+            SlotOffer::Start
+        );
+    }
+    assert!(matches!(
+        offer(&mut fifo, 3, RequestClass::Short, 0),
+        SlotOffer::Queued(_)
+    ));
+}
+
+#[test]
+fn work_that_would_be_late_is_refused_before_it_takes_a_slot() {
+    let mut slots = SlotScheduler::new(SlotPolicy::Classes, 1, 10);
+    assert_eq!(
+        offer(&mut slots, 1, RequestClass::Short, 0),
+        SlotOffer::Start
+    );
+    let short = RequestClass::Short;
+    let hopeless = slots.offer(RequestId(2), short, TimePoint(0), TimePoint(0));
+    assert_eq!(hopeless, SlotOffer::Refused(SlotRefusal::WaitTooLong));
+    let waiting = slots.offer(RequestId(3), short, TimePoint(50), TimePoint(0));
+    assert!(matches!(waiting, SlotOffer::Queued(_)));
+    assert_eq!(
+        slots.next(TimePoint(60)),
+        Some(SlotEvent::Refuse(RequestId(3), SlotRefusal::Expired))
+    );
+}
+
+#[test]
+fn an_overloaded_queue_is_served_newest_first() {
+    let mut slots = SlotScheduler::new(SlotPolicy::Classes, 1, 10);
+    offer(&mut slots, 1, RequestClass::Short, 0);
+    offer(&mut slots, 2, RequestClass::Short, 0);
+    offer(&mut slots, 3, RequestClass::Short, 10);
+    slots.finish(RequestId(1), TimePoint(20));
+    assert_eq!(
+        slots.next(TimePoint(20)),
+        Some(SlotEvent::Start(RequestId(2)))
+    );
+    offer(&mut slots, 4, RequestClass::Short, 30);
+    slots.finish(RequestId(2), TimePoint(200));
+    assert_eq!(
+        slots.next(TimePoint(200)),
+        Some(SlotEvent::Start(RequestId(4)))
+    );
+}
+
+#[test]
+fn random_work_never_exceeds_slots_and_none_is_forgotten() {
+    fn property(steps: Vec<(u8, bool)>) -> bool {
+        let mut slots = SlotScheduler::new(SlotPolicy::Classes, 3, 5);
+        let mut running: Vec<RequestId> = Vec::new();
+        let mut open: BTreeMap<RequestId, bool> = BTreeMap::new();
+        for (step, (choice, long)) in steps.iter().enumerate() {
+            let now = TimePoint(step as u64 * 7);
+            let id = RequestId(step as u64);
+            let class = if *long {
+                RequestClass::Long
+            } else {
+                RequestClass::Short
+            };
+            if choice % 3 == 0 && !running.is_empty() {
+                let done = running.remove(usize::from(*choice) % running.len());
+                slots.finish(done, now);
+                open.remove(&done);
+            } else {
+                match slots.offer(id, class, now + std::time::Duration::from_millis(60), now) {
+                    SlotOffer::Start => {
+                        running.push(id);
+                        open.insert(id, true);
+                    }
+                    SlotOffer::Queued(_) => {
+                        open.insert(id, false);
+                    }
+                    SlotOffer::Refused(_) => {}
+                }
+            }
+            while let Some(event) = slots.next(now) {
+                match event {
+                    SlotEvent::Start(id) => {
+                        running.push(id);
+                        open.insert(id, true);
+                    }
+                    SlotEvent::Refuse(id, _) => {
+                        open.remove(&id);
+                    }
+                }
+            }
+            let waits = open.values().filter(|started| !**started).count();
+            if running.len() > 3 || slots.running() != running.len() || slots.waiting() != waits {
+                return false;
+            }
+        }
+        true
+    }
+    quickcheck().quickcheck(property as fn(Vec<(u8, bool)>) -> bool);
+}
+
+#[test]
+fn a_relay_after_its_cancellation_is_refused() {
+    let mut relays = RelayLedger::default();
+    let id = RequestId(1);
+    assert_eq!(relays.cancel(id, TimePoint(0)), CancelWord::NotRun);
+    assert_eq!(relays.accept(id), RelayWord::Cancelled);
+    assert!(!relays.start(id));
+}
+
+#[test]
+fn not_run_is_never_said_of_what_started() {
+    fn property(steps: Vec<(u8, u8)>) -> bool {
+        let mut relays = RelayLedger::default();
+        let mut started = BTreeMap::new();
+        let mut told_not_run = BTreeMap::new();
+        for (step, (action, id)) in steps.into_iter().enumerate() {
+            let now = TimePoint(step as u64 * 100);
+            let id = RequestId(u64::from(id % 4));
+            match action % 4 {
+                0 => {
+                    relays.accept(id);
+                }
+                1 => {
+                    if relays.start(id) {
+                        if told_not_run.contains_key(&id) || started.contains_key(&id) {
+                            return false;
+                        }
+                        started.insert(id, ());
+                    }
+                }
+                2 => relays.end(id, now),
+                _ => {
+                    if relays.cancel(id, now) == CancelWord::NotRun {
+                        if started.contains_key(&id) {
+                            return false;
+                        }
+                        told_not_run.insert(id, ());
+                    }
+                }
+            }
+        }
+        true
+    }
+    quickcheck().quickcheck(property as fn(Vec<(u8, u8)>) -> bool);
+}
+
+#[test]
+fn a_late_answer_finds_its_request_closed() {
+    let mut ledger = RequestLedger::default();
+    let id = RequestId(1);
+    ledger.open(id);
+    ledger.apply(id, RequestEvent::Relay);
+    assert_eq!(
+        ledger.apply(id, RequestEvent::Expire),
+        None,
+        "it is asked first"
+    );
+    assert_eq!(
+        ledger.apply(id, RequestEvent::Lose),
+        Some(RequestOutcome::Unknown)
+    );
+    assert_eq!(ledger.apply(id, RequestEvent::Answer), None);
+    assert!(ledger.is_empty());
+}
+
+#[test]
+fn retries_are_a_tenth_of_first_tries() {
+    let mut budget = RetryBudget::new(PercentShare::new(10).unwrap());
+    let mut granted = 0;
+    for _ in 0..1_000 {
+        budget.first_try();
+        granted += u32::from(budget.spend());
+    }
+    assert_eq!(granted, 100);
+}
--- /dev/null
+++ b/crates/core/tests/spreading.rs
@@ -0,0 +1,163 @@
+//! Documents and the control part of an entry VM under random events.
+
+mod common;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use chestnutlb_core::document::VersionedDocument;
+use chestnutlb_core::{
+    ControlAction, ControlEvent, DocumentId, DocumentItem, DocumentKind, EntryControl,
+    HeartbeatNews, HostState, ObjectVersion, TimePoint,
+};
+use common::{entry, host, quickcheck};
+
+fn roster_id() -> DocumentId {
+    DocumentId::new(DocumentKind::Roster, "honam-1")
+}
+
+fn items(numbers: &[u8]) -> Vec<DocumentItem> {
+    numbers
+        .iter()
+        .map(|number| {
+            // The state changes with the list, so that items change too.
+            let state = if numbers.len() % 2 == 0 {
+                HostState::Serving
+            } else {
+                HostState::Leaving
+            };
+            (usize::from(*number % 16), state)
+        })
+        .collect::<BTreeMap<_, _>>()
+        .into_iter()
+        .map(|(number, state)| DocumentItem::Host(host(number, state)))
+        .collect()
+}
+
+#[test]
+fn a_patch_brings_a_node_to_the_version_of_its_peer() {
+    fn property(history: Vec<Vec<u8>>, behind: usize) -> bool {
+        let mut ahead = VersionedDocument::default();
+        let mut late = VersionedDocument::default();
+        let stop = behind % (history.len() + 1);
+        for (index, numbers) in history.iter().enumerate() {
+            let version = ObjectVersion(index as u64 + 1);
+            ahead.replace(version, items(numbers));
+            if index < stop {
+                late.replace(version, items(numbers));
+            }
+        }
+        if let Some(patch) = ahead.patch(&roster_id(), late.version()) {
+            late.apply(patch);
+        }
+        late.version() == ahead.version() && late.items().eq(ahead.items())
+    }
+    quickcheck().quickcheck(property as fn(Vec<Vec<u8>>, usize) -> bool);
+}
+
+fn control() -> EntryControl {
+    EntryControl::new(entry(1, "honam-1"), Vec::new(), 1, TimePoint(0))
+}
+
+#[test]
+fn whatever_arrives_in_whatever_order_no_document_reverts() {
+    fn property(events: Vec<(u8, u8, Vec<u8>)>) -> bool {
+        let mut control = control();
+        let mut seen = 0;
+        for (step, (kind, version, numbers)) in events.iter().enumerate() {
+            let now = TimePoint(step as u64 * 50);
+            let version = ObjectVersion(u64::from(*version));
+            let event = if kind % 2 == 0 {
+                ControlEvent::Loaded {
+                    id: roster_id(),
+                    version,
+                    items: items(numbers),
+                }
+            } else {
+                let mut peer = VersionedDocument::default();
+                peer.replace(version, items(numbers));
+                let since = ObjectVersion(u64::from(kind / 2) % 3);
+                let patch = peer.patch(&roster_id(), since);
+                ControlEvent::Pulled(patch.into_iter().collect())
+            };
+            let actions = control.handle(event, now);
+            let now_in_force = control.documents().version(&roster_id()).0;
+            let told = actions.iter().any(|action| {
+                matches!(action, ControlAction::InForce(_, told) if told.0 == now_in_force)
+            });
+            if now_in_force < seen || told != (now_in_force > seen) {
+                return false;
+            }
+            seen = now_in_force;
+        }
+        true
+    }
+    quickcheck().quickcheck(property as fn(Vec<(u8, u8, Vec<u8>)>) -> bool);
+}
+
+fn heartbeat(control: &EntryControl, recent: Vec<(DocumentId, ObjectVersion)>) -> HeartbeatNews {
+    HeartbeatNews {
+        entry: entry(2, "honam-1"),
+        summary: control.documents().summary() ^ 1,
+        age: Duration::ZERO,
+        recent,
+    }
+}
+
+#[test]
+fn a_heartbeat_that_names_something_newer_is_followed_by_one_pull() {
+    let mut control = control();
+    let news = heartbeat(&control, vec![(roster_id(), ObjectVersion(4))]);
+    let pulls = |actions: Vec<ControlAction>| {
+        actions
+            .into_iter()
+            .filter(|action| matches!(action, ControlAction::Pull(..)))
+            .count()
+    };
+    let first = control.handle(ControlEvent::Heard(news.clone()), TimePoint(0));
+    let again = control.handle(ControlEvent::Heard(news.clone()), TimePoint(100));
+    let later = control.handle(ControlEvent::Heard(news), TimePoint(5_000));
+    assert_eq!((pulls(first), pulls(again), pulls(later)), (1, 0, 1));
+}
+
+#[test]
+fn knowledge_is_fresh_only_by_the_platform_or_an_equal_peer() {
+    let mut control = control();
+    let mut news = heartbeat(&control, Vec::new());
+    control.handle(ControlEvent::Heard(news.clone()), TimePoint(10_000));
+    assert_eq!(control.age(TimePoint(10_000)), None, "the peer differs");
+    news.summary = control.documents().summary();
+    news.age = Duration::from_secs(2);
+    control.handle(ControlEvent::Heard(news), TimePoint(10_000));
+    assert_eq!(control.age(TimePoint(10_000)), Some(Duration::from_secs(2)));
+    let stale = ControlEvent::Listed {
+        list: Vec::new(),
+        stale: true,
+    };
+    control.handle(stale, TimePoint(12_000));
+    assert_eq!(control.age(TimePoint(12_000)), Some(Duration::from_secs(4)));
+    let list = ControlEvent::Listed {
+        list: Vec::new(),
+        stale: false,
+    };
+    control.handle(list, TimePoint(12_000));
+    assert_eq!(control.age(TimePoint(12_000)), Some(Duration::ZERO));
+}
+
+#[test]
+fn an_entry_that_is_not_listed_puts_itself_on_the_list() {
+    let mut control = control();
+    let mut written = Vec::new();
+    for at in (0..3_000).step_by(50) {
+        let now = TimePoint(at);
+        while let Some(part) = control.poll_timer(now) {
+            written.extend(
+                control
+                    .handle(ControlEvent::Tick(part), now)
+                    .into_iter()
+                    .filter(|action| matches!(action, ControlAction::WriteMembers(..))),
+            );
+        }
+    }
+    assert_eq!(written.len(), 1, "{written:?}");
+}
--- a/crates/daemon/src/entry_control.rs
+++ b/crates/daemon/src/entry_control.rs
@@ -11,9 +11,7 @@
     ControlAction, ControlEvent, DocumentId, EntryControl, HostRecord, MemberEdit, ObjectVersion,
     RosterEdit, RoutingView,
 };
-use chestnutlb_wire::peer::{
-    MAX_PEER_DATAGRAM_BYTES, PeerMessage, scan_message, write_message,
-};
+use chestnutlb_wire::peer::{MAX_PEER_DATAGRAM_BYTES, PeerMessage, scan_message, write_message};
 
 use crate::clock;
 use crate::entry_http::EntryShared;
@@ -132,7 +130,11 @@
                 for edit in &edits {
                     log_edit(edit);
                 }
-                offer(&self.rings.store, StoreJob::WriteRoster(id, edits), counters);
+                offer(
+                    &self.rings.store,
+                    StoreJob::WriteRoster(id, edits),
+                    counters,
+                );
             }
             ControlAction::WriteMembers(id, edits) => {
                 for edit in &edits {
@@ -145,7 +147,11 @@
                         }
                     }
                 }
-                offer(&self.rings.store, StoreJob::WriteMembers(id, edits), counters);
+                offer(
+                    &self.rings.store,
+                    StoreJob::WriteMembers(id, edits),
+                    counters,
+                );
             }
             ControlAction::Watch(on) => self.watching.store(on, Ordering::Relaxed),
             ControlAction::Publish => {
--- a/crates/daemon/src/entry_http.rs
+++ b/crates/daemon/src/entry_http.rs
@@ -160,7 +160,10 @@
         };
         match router.route(&segment) {
             RouteDecision::Forward(plan) => (
-                plan.hops().iter().map(|host| explain_hop(view, *host)).collect(),
+                plan.hops()
+                    .iter()
+                    .map(|host| explain_hop(view, *host))
+                    .collect(),
                 plan.complete,
             ),
             RouteDecision::Drop(_) => (Vec::new(), false),
@@ -226,11 +229,7 @@
 }
 
 #[get("/peer/slice/<firm>/<service>")]
-fn slice(
-    shared: &State<Arc<EntryShared>>,
-    firm: &str,
-    service: &str,
-) -> Result<Vec<u8>, Status> {
+fn slice(shared: &State<Arc<EntryShared>>, firm: &str, service: &str) -> Result<Vec<u8>, Status> {
     let id: ServiceId = format!("{firm}/{service}")
         .parse()
         .map_err(|_| Status::BadRequest)?;
@@ -255,4 +254,3 @@
         .manage(shared)
         .mount("/", routes![health, status, explain, pull, slice])
 }
-
--- a/crates/daemon/src/http1.rs
+++ b/crates/daemon/src/http1.rs
@@ -175,7 +175,11 @@
     );
     let mut message = format!("{method} {path} HTTP/1.1\r\n").into_bytes();
     let own = ["chestnut-request-id", "chestnut-deadline-ms"];
-    push_headers(&mut message, request.headers, &[&HOP_HEADERS[..], &own].concat());
+    push_headers(
+        &mut message,
+        request.headers,
+        &[&HOP_HEADERS[..], &own].concat(),
+    );
     let added = format!(
         "Connection: close\r\nChestnut-Request-Id: {id}\r\nChestnut-Deadline-Ms: {left_ms}\r\n\r\n"
     );
@@ -260,7 +264,10 @@
         RequestOutcome::NotRun => "503 Service Unavailable",
         RequestOutcome::Unknown | RequestOutcome::Answered => "504 Gateway Timeout",
     };
-    let body = format!("{{\"outcome\":\"{}\",\"cause\":\"{cause}\"}}", outcome.as_str());
+    let body = format!(
+        "{{\"outcome\":\"{}\",\"cause\":\"{cause}\"}}",
+        outcome.as_str()
+    );
     format!(
         "HTTP/1.1 {line}\r\nChestnut-Outcome: {}\r\nContent-Type: application/json\r\n\
          Content-Length: {}\r\n\r\n{body}",
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -46,8 +46,7 @@
 pub struct StopSignal;
 
 /// Forwards packets of callers to backend servers.
-#[derive(Debug)]
-#[derive(FromArgs)]
+#[derive(Debug, FromArgs)]
 struct DaemonOptions {
     /// file with the settings, in JSON
     #[argh(option)]
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -8,17 +8,14 @@
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 
-use chestnutlb_core::{
-    DatacenterName, EntryName, HostName, HostWeight, ServiceId,
-};
+use chestnutlb_core::{DatacenterName, EntryName, HostName, HostWeight, ServiceId};
 use chestnutlb_wire::{DocumentError, parse_json, parse_text};
 
 const NAME_FORM: &str = "1 to 63 of a-z, 0-9 and '-'";
 const ADDRESS_FORM: &str = "an IPv4 address and port";
 
 /// Log settings.
-#[derive(Debug, Clone, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct LogSettings {
     /// `error`, `warn`, `info`, `debug` or `trace`.
@@ -37,8 +34,7 @@
 }
 
 /// What every role has.
-#[derive(Debug, Clone, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 struct WireEntrySettings {
     role: CompactString,
@@ -68,8 +64,7 @@
     2_000
 }
 
-#[derive(Debug, Clone, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 struct WireSideSettings {
     role: CompactString,
--- a/crates/daemon/src/side_control.rs
+++ b/crates/daemon/src/side_control.rs
@@ -142,7 +142,9 @@
     }
 
     fn note_leave(&mut self, hosts: &[HostRecord], now: TimePoint) {
-        let me = hosts.iter().find(|host| host.incarnation == self.incarnation);
+        let me = hosts
+            .iter()
+            .find(|host| host.incarnation == self.incarnation);
         let shown = me.is_none_or(|host| host.state == HostState::Leaving);
         if self.state == HostState::Leaving && shown && self.leave_shown.is_none() {
             self.leave_shown = Some(now);
@@ -167,10 +169,12 @@
     fn probe(&mut self) {
         let health = match self.settings.health {
             Some(address) => ask_health(address),
-            None => match TcpStream::connect_timeout(&self.settings.backend.into(), PROBE_TIMEOUT) {
-                Ok(_) => BackendHealth::Ready,
-                Err(_) => BackendHealth::Down,
-            },
+            None => {
+                match TcpStream::connect_timeout(&self.settings.backend.into(), PROBE_TIMEOUT) {
+                    Ok(_) => BackendHealth::Ready,
+                    Err(_) => BackendHealth::Down,
+                }
+            }
         };
         let now = clock::now();
         match health {
@@ -257,7 +261,10 @@
     // A keeper that is behind may still answer with what is known already.
     fn fetch_slice(&mut self, keeper: SocketAddrV4, wanted: u64) -> bool {
         let service = &self.settings.service;
-        let url = format!("http://{keeper}/peer/slice/{}/{}", service.firm, service.service);
+        let url = format!(
+            "http://{keeper}/peer/slice/{}/{}",
+            service.firm, service.service
+        );
         let fetched = self
             .agent
             .get(&url)
@@ -287,7 +294,9 @@
                 self.slice = Some(slice.slice);
                 self.note_leave(&news.hosts, clock::now());
                 self.events.push(SideEvent::News(news));
-                self.shared.manifest.store(slice.manifest, Ordering::Relaxed);
+                self.shared
+                    .manifest
+                    .store(slice.manifest, Ordering::Relaxed);
                 log::info!(
                     target: "document",
                     service:% = self.settings.service, version = slice.manifest;
--- a/crates/daemon/src/side_flows.rs
+++ b/crates/daemon/src/side_flows.rs
@@ -16,8 +16,9 @@
 use chestnutlb_core::manifest::ServiceKind;
 use chestnutlb_core::placement::{CHAIN_HOPS, ChainSource, HostSeed, RankedHost};
 use chestnutlb_core::{
-    BucketIndex, FlowEvent, FlowKey, FlowState, FlowTable, HostAdmission, HostIndex, HostRecord, HostState,
-    PacketArrival, PacketDrop, PacketVerdict, SegmentFacts, ServiceSpec, ServiceTag, TimePoint,
+    BucketIndex, FlowEvent, FlowKey, FlowState, FlowTable, HostAdmission, HostIndex, HostRecord,
+    HostState, PacketArrival, PacketDrop, PacketVerdict, SegmentFacts, ServiceSpec, ServiceTag,
+    TimePoint,
 };
 use chestnutlb_stack::{FlowStack, flow_seed, scan_sent};
 use chestnutlb_wire::packet::{
@@ -174,9 +175,10 @@
         let mut events = Events::with_capacity(POLL_EVENTS);
         loop {
             let now = clock::now();
-            let wait = self.due.peek().map_or(MAX_WAIT, |Reverse((due, _))| {
-                due.since(now).min(MAX_WAIT)
-            });
+            let wait = self
+                .due
+                .peek()
+                .map_or(MAX_WAIT, |Reverse((due, _))| due.since(now).min(MAX_WAIT));
             if let Err(error) = self.poll.poll(&mut events, Some(wait))
                 && error.kind() != std::io::ErrorKind::Interrupted
             {
@@ -357,12 +359,16 @@
             .is_some_and(|heard| now.since(heard) < FRESH_TIME);
         fresh
             && header.complete
-            && self.hosts.iter().filter(|host| host.holds_flows()).all(|host| {
-                header
-                    .hops
-                    .iter()
-                    .any(|hop| hop.incarnation() == host.incarnation)
-            })
+            && self
+                .hosts
+                .iter()
+                .filter(|host| host.holds_flows())
+                .all(|host| {
+                    header
+                        .hops
+                        .iter()
+                        .any(|hop| hop.incarnation() == host.incarnation)
+                })
     }
 
     fn send_packet(&self, packet: &[u8], target: SocketAddrV4) {
@@ -377,7 +383,10 @@
         let Some(flow) = self.flows.get_mut(&key) else {
             return;
         };
-        if flow.noted.is_some_and(|noted| now.since(noted) < NOTE_PERIOD) {
+        if flow
+            .noted
+            .is_some_and(|noted| now.since(noted) < NOTE_PERIOD)
+        {
             return;
         }
         flow.noted = Some(now);
@@ -700,9 +709,7 @@
             .map(|index| HostIndex(index as u32));
         let chains = ChainSource::Direct(ranked);
         let mut held = self.table.buckets();
-        held.retain(|bucket| {
-            me.is_none_or(|me| !chains.chain(*bucket).as_slice().contains(&me))
-        });
+        held.retain(|bucket| me.is_none_or(|me| !chains.chain(*bucket).as_slice().contains(&me)));
         held
     }
 
--- a/crates/daemon/src/side_requests.rs
+++ b/crates/daemon/src/side_requests.rs
@@ -311,7 +311,9 @@
     }
 
     fn place(&mut self, id: RequestId, now: TimePoint) {
-        let Some(job) = self.jobs.get(&id) else { return };
+        let Some(job) = self.jobs.get(&id) else {
+            return;
+        };
         if self.state == HostState::Leaving {
             return self.place_elsewhere(id, SlotRefusal::Leaving, now);
         }
@@ -382,7 +384,9 @@
     }
 
     fn keep_or_refuse(&mut self, id: RequestId, refusal: SlotRefusal, now: TimePoint) {
-        let Some(job) = self.jobs.get(&id) else { return };
+        let Some(job) = self.jobs.get(&id) else {
+            return;
+        };
         let offer = match refusal {
             SlotRefusal::Leaving | SlotRefusal::Expired => SlotOffer::Refused(refusal),
             SlotRefusal::QueueFull | SlotRefusal::WaitTooLong => {
@@ -659,7 +663,11 @@
         self.counters.add(counter);
         // A relayed request is lost in two steps: cancelling, then unknown.
         while self.ledger.state(id).is_some() && self.ledger.apply(id, event).is_none() {
-            if self.ledger.state(id).is_none_or(|state| state.after(event).is_none()) {
+            if self
+                .ledger
+                .state(id)
+                .is_none_or(|state| state.after(event).is_none())
+            {
                 break;
             }
         }
--- /dev/null
+++ b/crates/daemon/tests/settings.rs
@@ -0,0 +1,59 @@
+//! Settings: refused before anything starts, or printed with all defaults.
+
+use std::path::PathBuf;
+use std::process::Command;
+
+const ENTRY: &str = r#"{
+  "role": "entry", "name": "entry-1", "datacenter": "honam-1",
+  "packets": "127.0.0.1:9001", "peers": "127.0.0.1:9002", "status": "127.0.0.1:9003",
+  "platform": "http://127.0.0.1:7100"
+}"#;
+
+const SIDE: &str = r#"{
+  "role": "side", "name": "catalogue-1", "datacenter": "honam-1", "service": "dalbit/catalogue",
+  "packets": "127.0.0.1:9101", "announce": "127.0.0.1:9102", "status": "127.0.0.1:9103",
+  "fabric": "127.0.0.1:9000", "seeds": ["127.0.0.1:9002"], "backend": "127.0.0.1:8000"
+}"#;
+
+fn check(name: &str, text: &str) -> String {
+    let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
+    let path = folder.join(format!("{}.json", name.replace(' ', "-")));
+    std::fs::write(&path, text).unwrap();
+    let output = Command::new(env!("CARGO_BIN_EXE_chestnutlbd"))
+        .args(["--check", "--settings"])
+        .arg(&path)
+        .output()
+        .unwrap();
+    let folder = format!("{}/", folder.display());
+    let text = [output.stdout, output.stderr].concat();
+    let text = String::from_utf8_lossy(&text).replace(&folder, "");
+    format!(
+        "{name}: exit {}\n{text}",
+        output.status.code().unwrap_or(-1)
+    )
+}
+
+#[test]
+fn settings_are_checked_before_anything_starts() {
+    let cases = [
+        ("entry", ENTRY.to_owned()),
+        ("side", SIDE.to_owned()),
+        ("unknown role", ENTRY.replace("\"entry\"", "\"relay\"")),
+        ("unknown field", ENTRY.replace("\"peers\"", "\"pears\"")),
+        ("bad address", ENTRY.replace("127.0.0.1:9001", "localhost")),
+        ("bad platform", ENTRY.replace("http://", "ftp://")),
+        (
+            "bad weight",
+            SIDE.replace("\"seeds\"", "\"weight\": 0, \"seeds\""),
+        ),
+        ("no seeds", SIDE.replace("\"127.0.0.1:9002\"", "")),
+        ("bad service", SIDE.replace("dalbit/catalogue", "catalogue")),
+        (
+            "bad log level",
+            SIDE.replace("\"seeds\"", "\"log\": {\"level\": \"loud\"}, \"seeds\""),
+        ),
+        ("no JSON", "role = entry".to_owned()),
+    ];
+    let texts: Vec<_> = cases.iter().map(|(name, text)| check(name, text)).collect();
+    insta::assert_snapshot!(texts.join("\n"));
+}
--- a/crates/platform/src/commit.rs
+++ b/crates/platform/src/commit.rs
@@ -160,7 +160,9 @@
     };
     match client.write(&manifest_id(manifest), expected, &value) {
         WriteOutcome::Written(version) => CommitOutcome::Committed(version),
-        WriteOutcome::Conflict(found) => after_conflict(client, manifest, expected, found, commit_id),
+        WriteOutcome::Conflict(found) => {
+            after_conflict(client, manifest, expected, found, commit_id)
+        }
         WriteOutcome::Unsure(error) => CommitOutcome::Unsure(error),
     }
 }
--- a/crates/platform/src/objects.rs
+++ b/crates/platform/src/objects.rs
@@ -8,8 +8,7 @@
 };
 use chestnutlb_wire::manifest::shared_services;
 use chestnutlb_wire::{
-    ManifestObject, ObjectReply, WireEntry, WireGrants, WireHost, WireItem, WireMembers,
-    WireRoster,
+    ManifestObject, ObjectReply, WireEntry, WireGrants, WireHost, WireItem, WireMembers, WireRoster,
 };
 
 use crate::client::{PlatformClient, PlatformError, WriteOutcome};
@@ -103,7 +102,9 @@
                 }),
             }
         }
-        roster.hosts.sort_by(|host, other| host.name.cmp(&other.name));
+        roster
+            .hosts
+            .sort_by(|host, other| host.name.cmp(&other.name));
         serde_json::to_value(roster).map_err(form)
     })
 }
@@ -136,7 +137,9 @@
                 }
             }
         }
-        members.entries.sort_by(|entry, other| entry.name.cmp(&other.name));
+        members
+            .entries
+            .sort_by(|entry, other| entry.name.cmp(&other.name));
         serde_json::to_value(members).map_err(form)
     })
 }
--- a/crates/standin/src/caller.rs
+++ b/crates/standin/src/caller.rs
@@ -194,9 +194,10 @@
 
     fn wait(&self) -> Duration {
         const MIN_WAIT: Duration = Duration::from_micros(200);
-        let timer = self.due.peek().map_or(MAX_WAIT, |Reverse((due, _))| {
-            due.since(self.now())
-        });
+        let timer = self
+            .due
+            .peek()
+            .map_or(MAX_WAIT, |Reverse((due, _))| due.since(self.now()));
         let task = self.waiting.peek().map_or(MAX_WAIT, |Reverse((start, _))| {
             start.saturating_sub(self.elapsed())
         });
@@ -310,7 +311,10 @@
         }
         let timer = flow.stack.next_due(now).unwrap_or(now + MAX_WAIT * 10);
         let limit = now + Duration::from_millis(50);
-        self.due.push(Reverse((timer.min(limit).max(now + Duration::from_millis(1)), port)));
+        self.due.push(Reverse((
+            timer.min(limit).max(now + Duration::from_millis(1)),
+            port,
+        )));
         self.flows.insert(port, flow);
     }
 }
@@ -376,7 +380,10 @@
                 return Some(CallerEnd::Broken(format!("line {line:?}")));
             };
             if number.parse() != Ok(self.lines) || (self.lines > 0 && server != self.server) {
-                return Some(CallerEnd::Broken(format!("line {line:?} after {}", self.lines)));
+                return Some(CallerEnd::Broken(format!(
+                    "line {line:?} after {}",
+                    self.lines
+                )));
             }
             self.server = server.to_owned();
             self.lines += 1;
--- a/crates/standin/src/fabric.rs
+++ b/crates/standin/src/fabric.rs
@@ -22,8 +22,7 @@
 const HEALTH_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// An entry VM as the fabric knows it.
-#[derive(Debug, Clone, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct FabricEntry {
     /// Where it takes packets.
     pub packets: SocketAddrV4,
@@ -32,8 +31,7 @@
 }
 
 /// What the fabric does to packets, in percent of them.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default)]
 pub struct FabricFaults {
     /// Lost.
@@ -43,8 +41,7 @@
 }
 
 /// What can be changed while the fabric runs.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct FabricPlan {
     /// The entry VMs.
     pub entries: Vec<FabricEntry>,
@@ -143,7 +140,11 @@
         };
         // The key reads from the sender's end.
         let (source, target) = (*segment.key.caller.ip(), *segment.key.service.ip());
-        let faults = state.plan.read().map(|plan| plan.faults).unwrap_or_default();
+        let faults = state
+            .plan
+            .read()
+            .map(|plan| plan.faults)
+            .unwrap_or_default();
         if random.random_range(0..100) < faults.loss {
             continue;
         }
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -157,7 +157,11 @@
             fabric_admin: free_address()?,
         };
         let address = fleet.platform.to_string();
-        fleet.spawn("platform", "chestnutlb-standin", &["platform", "--address", &address])?;
+        fleet.spawn(
+            "platform",
+            "chestnutlb-standin",
+            &["platform", "--address", &address],
+        )?;
         let (packets, admin) = (fleet.fabric.to_string(), fleet.fabric_admin.to_string());
         let arguments = ["fabric", "--packets", &packets, "--admin", &admin];
         fleet.spawn("fabric", "chestnutlb-standin", &arguments)?;
@@ -255,7 +259,14 @@
             .ok_or(FleetError::Wrong("no entry VM".to_owned()))?;
         let (entry, version) = (entry.status.to_string(), version.to_string());
         let output = self.operate(&[
-            "wait", "--json", "--entry", &entry, "--firm", firm, "--manifest", &version,
+            "wait",
+            "--json",
+            "--entry",
+            &entry,
+            "--firm",
+            firm,
+            "--manifest",
+            &version,
         ])?;
         let text = String::from_utf8_lossy(&output.stdout).into_owned();
         serde_json::from_str::<serde_json::Value>(&text)
@@ -330,7 +341,11 @@
             "backend", "--name", &plan.name, "--work", &work, "--health", &health,
         ];
         arguments.extend(plan.backend.iter().map(String::as_str));
-        self.spawn(&format!("{}-backend", plan.name), "chestnutlb-standin", &arguments)?;
+        self.spawn(
+            &format!("{}-backend", plan.name),
+            "chestnutlb-standin",
+            &arguments,
+        )?;
         let status = free_address()?;
         let seeds: Vec<_> = self.entries.values().map(|entry| entry.peers).collect();
         let settings = json!({
@@ -451,7 +466,9 @@
             .ok_or(FleetError::Wrong(format!("no process {name}")))?;
         let id = child.id().to_string();
         let flag = format!("-{signal}");
-        let status = Command::new("kill").args([flag.as_str(), id.as_str()]).status()?;
+        let status = Command::new("kill")
+            .args([flag.as_str(), id.as_str()])
+            .status()?;
         if status.success() {
             Ok(())
         } else {
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -12,15 +12,13 @@
 use chestnutlb_standin::{backend, fabric, platform, tryout};
 
 /// Stand-ins of the systems around chestnutlb.
-#[derive(Debug)]
-#[derive(FromArgs)]
+#[derive(Debug, FromArgs)]
 struct StandinOptions {
     #[argh(subcommand)]
     command: StandinCommand,
 }
 
-#[derive(Debug)]
-#[derive(FromArgs)]
+#[derive(Debug, FromArgs)]
 #[argh(subcommand)]
 enum StandinCommand {
     Platform(PlatformOptions),
@@ -30,8 +28,7 @@
 }
 
 /// the platform's object API
-#[derive(Debug)]
-#[derive(FromArgs)]
+#[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "platform")]
 struct PlatformOptions {
     /// address to serve at
@@ -40,8 +37,7 @@
 }
 
 /// the packet fabric
-#[derive(Debug)]
-#[derive(FromArgs)]
+#[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "fabric")]
 struct FabricOptions {
     /// address for packets
@@ -56,8 +52,7 @@
 }
 
 /// a backend server
-#[derive(Debug)]
-#[derive(FromArgs)]
+#[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "backend")]
 struct BackendOptions {
     /// name, told in each answer
@@ -93,8 +88,7 @@
 }
 
 /// both firms at today's sizes, under planned and unplanned changes
-#[derive(Debug)]
-#[derive(FromArgs)]
+#[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "tryout")]
 struct TryoutOptions {
     /// requests to send
--- a/crates/standin/src/tryout.rs
+++ b/crates/standin/src/tryout.rs
@@ -31,8 +31,7 @@
 }
 
 /// What came out.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-#[derive(Serialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize)]
 pub struct TryoutReport {
     /// Requests sent.
     pub requests: usize,
@@ -194,7 +193,9 @@
     let fabric = fleet.fabric;
     let feeds = CallerLoop::new(Ipv4Addr::new(10, 9, 0, 1), fabric, plan.seed)?;
     let mut feeds = open_feeds(plan, feeds)?;
-    report.steps.push(format!("{} feeds open", feeds.live_feeds()));
+    report
+        .steps
+        .push(format!("{} feeds open", feeds.live_feeds()));
     let (stop_feeds, stopped) = crossbeam_channel::bounded::<()>(1);
     let feeding = std::thread::spawn(move || {
         feeds.run(|_| stopped.try_recv().is_ok());
@@ -241,7 +242,10 @@
     let start = Instant::now();
     feeds.run(|feeds| feeds.live_feeds() == wanted || start.elapsed() > WAIT_LIMIT);
     if feeds.live_feeds() < wanted {
-        return Err(FleetError::Late(format!("{wanted} feeds: {:?}", feeds.results())));
+        return Err(FleetError::Late(format!(
+            "{wanted} feeds: {:?}",
+            feeds.results()
+        )));
     }
     Ok(feeds)
 }
@@ -298,14 +302,16 @@
     std::fs::write(&second, text.replace("\"queue\": 64", "\"queue\": 128"))?;
     let version = fleet.commit(&second)?;
     report.in_force_ms = fleet.wait_in_force("dalbit", version)?;
-    report
-        .steps
-        .push(format!("manifest of dalbit in force with version {version}"));
+    report.steps.push(format!(
+        "manifest of dalbit in force with version {version}"
+    ));
 
     std::thread::sleep(PAUSE);
     let stopped = "entry-luzon-2";
     let code = fleet.stop(stopped)?;
-    report.steps.push(format!("stopped {stopped}, exit code {code:?}"));
+    report
+        .steps
+        .push(format!("stopped {stopped}, exit code {code:?}"));
     // A host that has left took nothing more.
     let after = opened_flows(fleet, drained);
     report.flows_after_leave = match (before, after) {
@@ -313,7 +319,9 @@
         _ => 0,
     };
     let code = fleet.wait_end(drained)?;
-    report.steps.push(format!("{drained} ended, exit code {code:?}"));
+    report
+        .steps
+        .push(format!("{drained} ended, exit code {code:?}"));
     Ok(())
 }
 
@@ -337,7 +345,9 @@
     for result in results {
         let order = format!("o{}", result.id);
         match &result.end {
-            CallerEnd::Answered { status: 200, body, .. } => {
+            CallerEnd::Answered {
+                status: 200, body, ..
+            } => {
                 if body.contains(&format!("\"nonce\":\"n-{order}\"")) {
                     report.answered += 1;
                 } else {
--- /dev/null
+++ b/crates/standin/tests/host_faults.rs
@@ -0,0 +1,242 @@
+//! Hosts that leave, die, freeze and are reused, with requests under way.
+
+mod common;
+
+use std::net::UdpSocket;
+
+use chestnutlb_standin::fabric::FabricFaults;
+use chestnutlb_wire::packet::write_data;
+use chestnutlb_wire::{PacketHeader, WireHop};
+use common::{caller, feed, order, runner, start, starts, word};
+
+const TERM: i32 = signal_hook::consts::SIGTERM;
+const STOP: i32 = signal_hook::consts::SIGSTOP;
+const CONTINUE: i32 = signal_hook::consts::SIGCONT;
+
+#[test]
+fn a_host_that_stops_finishes_uploads_and_keeps_feeds() {
+    let mut fleet = start("graceful");
+    let mut feeds = caller(&fleet, 1);
+    for id in 0..12 {
+        feeds.add(feed(id));
+    }
+    feeds.run(|feeds| feeds.live_feeds() == 12);
+    let mut callers = caller(&fleet, 2);
+    for id in 0..9 {
+        callers.add(order(id, 0, 2_000, 40_000));
+    }
+    // All are running when the hosts are asked to stop.
+    callers.run(|_| (0..9).all(|id| starts(&fleet, &format!("o{id}")) > 0));
+    fleet.signal("order-1", TERM).unwrap();
+    fleet.signal("feed-1", TERM).unwrap();
+    for id in 9..30 {
+        callers.add(order(
+            id,
+            callers.elapsed().as_millis() as u64 + id as u64 * 20,
+            5,
+            10,
+        ));
+    }
+    callers.run(|_| false);
+    for result in callers.results() {
+        assert_eq!(word(&result.end), "answered", "{result:?}");
+        assert_eq!(starts(&fleet, &format!("o{}", result.id)), 1);
+    }
+    assert_eq!(fleet.wait_end("order-1").unwrap(), Some(0));
+    feeds.end_feeds();
+    for result in feeds.results() {
+        assert_eq!(word(&result.end), "held", "{result:?}");
+    }
+    assert_eq!(fleet.wait_end("feed-1").unwrap(), Some(0));
+}
+
+#[test]
+fn an_entry_that_never_heard_of_it_brings_a_leaving_host_nothing() {
+    let mut fleet = start("unheard");
+    // This entry VM sleeps while the host leaves, and alone carries the
+    // packets right after it woke up.
+    fleet.signal("entry-1", STOP).unwrap();
+    fleet.signal("order-2", TERM).unwrap();
+    fleet
+        .wait_for("order-2 to leave", || {
+            fleet
+                .side_status("order-2")
+                .is_some_and(|status| status.state == "leaving")
+        })
+        .unwrap();
+    let before = fleet.side_status("order-2").unwrap();
+    fleet.kill("entry-2").unwrap();
+    fleet.signal("entry-1", CONTINUE).unwrap();
+    let mut callers = caller(&fleet, 1);
+    for id in 0..30 {
+        callers.add(order(id, id as u64 * 10, 5, 10));
+    }
+    callers.run(|_| false);
+    for result in callers.results() {
+        assert_eq!(word(&result.end), "answered", "{result:?}");
+    }
+    if let Some(after) = fleet.side_status("order-2") {
+        let opened = |status: &chestnutlb_wire::status::SideStatus| {
+            status.counters.get("flows.opened").copied().unwrap_or(0)
+        };
+        assert_eq!(opened(&before), opened(&after));
+    }
+}
+
+#[test]
+fn when_a_backend_server_dies_its_order_is_unknown_and_ran_once_at_most() {
+    let mut fleet = start("backend-dies");
+    let mut callers = caller(&fleet, 1);
+    callers.add(order(1, 0, 3_000, 10));
+    callers.run(|_| starts(&fleet, "o1") > 0);
+    let host = runner(&fleet, "o1").unwrap();
+    fleet.kill(&format!("{host}-backend")).unwrap();
+    callers.run(|_| false);
+    assert_eq!(word(&callers.results()[0].end), "unknown");
+    assert_eq!(starts(&fleet, "o1"), 0, "nobody else ran it");
+}
+
+#[test]
+fn when_a_side_process_dies_only_its_own_flows_break() {
+    let mut fleet = start("side-dies");
+    let mut feeds = caller(&fleet, 1);
+    for id in 0..12 {
+        feeds.add(feed(id));
+    }
+    feeds.run(|feeds| feeds.live_feeds() == 12);
+    let flows = |host: &str| fleet.side_status(host).map_or(0, |status| status.flows);
+    fleet
+        .wait_for("the hosts to count their feeds", || {
+            flows("feed-1") + flows("feed-2") + flows("feed-3") == 12
+        })
+        .unwrap();
+    let own = flows("feed-1") as usize;
+    fleet.kill("feed-1").unwrap();
+    fleet
+        .wait_for("the roster to lose feed-1", || {
+            fleet.rosters().iter().all(|host| host.name != "feed-1")
+        })
+        .unwrap();
+    let end = feeds.elapsed() + std::time::Duration::from_secs(2);
+    feeds.run(|feeds| feeds.elapsed() > end);
+    feeds.end_feeds();
+    // The flows of the dead host never got another line, or were reset.
+    let lines: Vec<u64> = feeds
+        .results()
+        .iter()
+        .map(|result| match &result.end {
+            chestnutlb_standin::caller::CallerEnd::FeedHeld { lines, .. } => *lines,
+            _ => 0,
+        })
+        .collect();
+    let most = lines.iter().max().copied().unwrap_or(0);
+    let stuck = lines.iter().filter(|count| **count * 2 < most).count();
+    assert_eq!(stuck, own, "{lines:?}");
+}
+
+#[test]
+fn a_frozen_host_that_wakes_up_has_doubled_nothing() {
+    let fleet = start("frozen-host");
+    let mut callers = caller(&fleet, 1);
+    for id in 0..6 {
+        callers.add(order(id, 0, 500, 10));
+    }
+    callers.run(|_| (0..6).all(|id| starts(&fleet, &format!("o{id}")) > 0));
+    fleet.signal("order-3", STOP).unwrap();
+    for id in 6..24 {
+        callers.add(order(
+            id,
+            callers.elapsed().as_millis() as u64 + id as u64 * 50,
+            5,
+            10,
+        ));
+    }
+    let wake = callers.elapsed() + std::time::Duration::from_secs(4);
+    callers.run(|callers| callers.elapsed() > wake);
+    fleet.signal("order-3", CONTINUE).unwrap();
+    callers.run(|_| false);
+    for result in callers.results() {
+        let ran = starts(&fleet, &format!("o{}", result.id));
+        match word(&result.end) {
+            "answered" => assert_eq!(ran, 1, "{result:?}"),
+            "not-run" => assert_eq!(ran, 0, "{result:?}"),
+            "unknown" => assert!(ran <= 1, "{result:?}"),
+            other => panic!("{other}: {result:?}"),
+        }
+    }
+}
+
+#[test]
+fn lost_and_repeated_packets_cost_nothing_but_time() {
+    let mut fleet = start("bad-fabric");
+    fleet
+        .set_faults(FabricFaults { loss: 3, repeat: 5 })
+        .unwrap();
+    let mut callers = caller(&fleet, 1);
+    for id in 0..60 {
+        callers.add(order(id, id as u64 * 20, 5, 3_000));
+    }
+    callers.run(|_| false);
+    for result in callers.results() {
+        assert_eq!(word(&result.end), "answered", "{result:?}");
+        assert_eq!(starts(&fleet, &format!("o{}", result.id)), 1);
+    }
+}
+
+#[test]
+fn a_packet_for_another_service_or_an_earlier_start_is_dropped() {
+    let fleet = start("misdirected");
+    let feed = fleet
+        .rosters()
+        .into_iter()
+        .find(|host| host.name == "feed-1")
+        .unwrap();
+    let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+    let own = chestnutlb_core::ServiceId {
+        firm: "dalbit".parse().unwrap(),
+        service: "catalogue".parse().unwrap(),
+    };
+    let other = chestnutlb_core::ServiceId {
+        firm: "calinawan".parse().unwrap(),
+        service: "order-desk".parse().unwrap(),
+    };
+    let address: std::net::SocketAddrV4 = feed.packets.parse().unwrap();
+    for (id, incarnation) in [(&own, feed.incarnation - 1), (&other, feed.incarnation)] {
+        let header = PacketHeader {
+            tag: id.tag().0,
+            generation: 1,
+            complete: true,
+            entry: (0x7f00_0001, 1),
+            hops: vec![WireHop {
+                address: u32::from(*address.ip()),
+                port: address.port(),
+                incarnation,
+            }],
+        };
+        let segment = chestnutlb_core::SegmentFacts {
+            key: chestnutlb_core::FlowKey {
+                caller: common::FEEDS.parse().unwrap(),
+                service: "10.9.1.200:4000".parse().unwrap(),
+            },
+            opens: false,
+            resets: false,
+            sequence: 1,
+            acknowledgement: None,
+            payload: 0,
+        };
+        let mut bytes = Vec::new();
+        write_data(
+            &mut bytes,
+            &header,
+            &chestnutlb_wire::packet::write_reset(&segment),
+        );
+        socket.send_to(&bytes, address).unwrap();
+    }
+    fleet
+        .wait_for("both packets to be dropped", || {
+            fleet
+                .side_status("feed-1")
+                .is_some_and(|status| status.counters.get("packets.misdirected") == Some(&2))
+        })
+        .unwrap();
+}
--- a/crates/wire/src/manifest.rs
+++ b/crates/wire/src/manifest.rs
@@ -71,8 +71,7 @@
 const SIZE_FORM: &str = "a size like 16KiB or 1MiB";
 
 /// A firm's manifest.
-#[derive(Debug, Clone, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct WireManifest {
     /// The firm.
@@ -82,8 +81,7 @@
 }
 
 /// The kinds of services.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum WireKind {
     /// Bytes, handed through.
@@ -93,8 +91,7 @@
 }
 
 /// The classes of requests.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum WireClass {
     /// Ordinary work.
@@ -104,8 +101,7 @@
 }
 
 /// One service.
-#[derive(Debug, Clone, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct WireService {
     /// Its name.
@@ -138,8 +134,7 @@
 }
 
 /// Limits of each host.
-#[derive(Debug, Clone, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct WireLimits {
     /// Requests that run at once.
@@ -167,8 +162,7 @@
 }
 
 /// Times of a service, in milliseconds.
-#[derive(Debug, Clone, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct WireTiming {
     /// Time for flows of a leaving host to end.
@@ -190,8 +184,7 @@
 }
 
 /// How requests of a route are treated.
-#[derive(Debug, Clone, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct WireRule {
     /// Method, or none for all.
@@ -222,7 +215,11 @@
     fn check(&self, path: &str) -> Result<RouteRule, DocumentError> {
         if !self.path.starts_with('/') {
             let place = format!("{path}.path");
-            return Err(value_error(&place, &self.path, "a path that starts with '/'"));
+            return Err(value_error(
+                &place,
+                &self.path,
+                "a path that starts with '/'",
+            ));
         }
         if let Some(method) = &self.method
             && (method.is_empty() || !method.bytes().all(|byte| byte.is_ascii_uppercase()))
@@ -300,10 +297,18 @@
         let name = parse_text(&place("name"), &self.name, NAME_FORM)?;
         let address: SocketAddrV4 = parse_text(&place("address"), &self.address, ADDRESS_FORM)?;
         if address.port() == 0 {
-            return Err(value_error(&place("address"), address, "a port from 1 to 65535"));
+            return Err(value_error(
+                &place("address"),
+                address,
+                "a port from 1 to 65535",
+            ));
         }
         if self.datacenters.is_empty() {
-            return Err(value_error(&place("datacenters"), "an empty list", "at least one"));
+            return Err(value_error(
+                &place("datacenters"),
+                "an empty list",
+                "at least one",
+            ));
         }
         let datacenters = self
             .datacenters
@@ -411,8 +416,7 @@
 }
 
 /// Which firm owns which block of addresses.
-#[derive(Debug, Clone, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct WireGrant {
     /// The block.
@@ -422,8 +426,7 @@
 }
 
 /// All grants, as the platform keeps them.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct WireGrants {
     /// The grants.
@@ -438,7 +441,11 @@
             let path = format!("grants[{index}].block");
             let block: AddressBlock = parse_text(&path, &grant.block, "10.20.0.0/16 or the like")?;
             if let Some((other, _)) = blocks.iter().find(|(other, _)| other.overlaps(&block)) {
-                return Err(value_error(&path, block, &format!("no overlap with {other}")));
+                return Err(value_error(
+                    &path,
+                    block,
+                    &format!("no overlap with {other}"),
+                ));
             }
             blocks.push((block, &grant.firm));
         }
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -40,8 +40,7 @@
 }
 
 /// Datagrams.
-#[derive(Debug, Clone, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum PeerMessage {
     /// A host says that it is there.
     Announce(Announcement),
@@ -52,8 +51,7 @@
 }
 
 /// A host's announcement.
-#[derive(Debug, Clone, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Announcement {
     /// The host.
     pub host: WireHost,
@@ -62,8 +60,7 @@
 }
 
 /// A keeper's answer to an announcement.
-#[derive(Debug, Clone, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct KeeperReply {
     /// The keepers of this host, best first.
     pub keepers: Vec<WireEntry>,
@@ -100,8 +97,7 @@
 }
 
 /// A heartbeat among entry VMs.
-#[derive(Debug, Clone, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PeerHeartbeat {
     /// The sender.
     pub entry: WireEntry,
@@ -156,8 +152,7 @@
 }
 
 /// Asks for what is newer than these versions.
-#[derive(Debug, Clone, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PullQuery {
     /// What it wants and the versions that it has.
     pub have: Vec<WireVersion>,
@@ -166,16 +161,14 @@
 }
 
 /// What the asker lacks.
-#[derive(Debug, Clone, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PullAnswer {
     /// Patches.
     pub patches: Vec<WirePatch>,
 }
 
 /// What a side process needs to know of its service.
-#[derive(Debug, Clone, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServiceSlice {
     /// Version of the firm's manifest.
     pub manifest: u64,
@@ -188,8 +181,7 @@
 }
 
 /// A request that another host should run.
-#[derive(Debug, Clone, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RelayQuery {
     /// The request.
     pub id: u64,
@@ -208,8 +200,7 @@
 }
 
 /// What became of a relayed request.
-#[derive(Debug, Clone, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RelayAnswer {
     /// The backend server's whole answer.
     Answered(Vec<u8>),
@@ -220,8 +211,7 @@
 }
 
 /// Cancels a relayed request.
-#[derive(Debug, Clone, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CancelQuery {
     /// The request.
     pub id: u64,
@@ -230,8 +220,7 @@
 }
 
 /// The target's word on a cancellation.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum CancelAnswer {
     /// It has not run and will not.
     NotRun,
--- a/crates/wire/src/records.rs
+++ b/crates/wire/src/records.rs
@@ -18,8 +18,7 @@
 const ADDRESS_FORM: &str = "an IPv4 address and port";
 
 /// A host.
-#[derive(Debug, Clone, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct WireHost {
     /// Its name.
@@ -46,9 +45,8 @@
     type Error = DocumentError;
 
     fn try_from(wire: &WireHost) -> Result<Self, DocumentError> {
-        let weight = HostWeight::new(wire.weight).map_err(|error| {
-            DocumentError::Form("weight".to_owned(), error.to_string())
-        })?;
+        let weight = HostWeight::new(wire.weight)
+            .map_err(|error| DocumentError::Form("weight".to_owned(), error.to_string()))?;
         if let Some(bucket) = wire.held.iter().find(|b| usize::from(**b) >= BUCKET_COUNT) {
             let text = format!("bucket {bucket} does not exist");
             return Err(DocumentError::Form("held".to_owned(), text));
@@ -84,8 +82,7 @@
 }
 
 /// An entry VM.
-#[derive(Debug, Clone, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct WireEntry {
     /// Its name.
@@ -127,8 +124,7 @@
 }
 
 /// The roster of a data centre, as the platform keeps it.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct WireRoster {
     /// The hosts.
@@ -136,8 +132,7 @@
 }
 
 /// The entry VMs of a data centre, as the platform keeps them.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct WireMembers {
     /// The entry VMs.
@@ -145,8 +140,7 @@
 }
 
 /// An item of a document.
-#[derive(Debug, Clone, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum WireItem {
     /// A grant of addresses.
     Grant(WireGrant),
@@ -195,8 +189,7 @@
 }
 
 /// Names a document and a version of it.
-#[derive(Debug, Clone, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WireVersion {
     /// Kind.
     pub kind: CompactString,
@@ -231,8 +224,7 @@
 }
 
 /// What a node lacks of a document.
-#[derive(Debug, Clone, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WirePatch {
     /// The document and its version after the patch.
     pub document: WireVersion,
--- /dev/null
+++ b/crates/wire/tests/datagrams.rs
@@ -0,0 +1,154 @@
+//! Datagrams: whatever arrives, the scanners say what it is and never panic.
+
+use std::net::SocketAddrV4;
+
+use chestnutlb_core::{FlowKey, SegmentFacts};
+use chestnutlb_wire::packet::{MAX_DATAGRAM_BYTES, advance, write_data, write_reset};
+use chestnutlb_wire::peer::{PeerHeartbeat, PullQuery};
+use chestnutlb_wire::{
+    PacketError, PacketFrame, PacketHeader, PeerError, PeerMessage, WireEntry, WireHop, scan_frame,
+    scan_message, scan_segment, write_message,
+};
+use quickcheck::{Gen, QuickCheck};
+
+const SEED: u64 = 20_261_204;
+
+fn quickcheck() -> QuickCheck {
+    println!("quickcheck seed {SEED}");
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(400, SEED))
+        .tests(2_000)
+}
+
+fn header() -> PacketHeader {
+    PacketHeader {
+        tag: 7,
+        generation: 3,
+        complete: true,
+        entry: (0x7f00_0001, 9001),
+        hops: vec![
+            WireHop {
+                address: 0x7f00_0001,
+                port: 9000,
+                incarnation: 1_700_000_000_000,
+            };
+            3
+        ],
+    }
+}
+
+fn segment() -> SegmentFacts {
+    let address = |text: &str| text.parse::<SocketAddrV4>().unwrap();
+    SegmentFacts {
+        key: FlowKey {
+            caller: address("10.9.0.1:4000"),
+            service: address("10.20.0.1:7000"),
+        },
+        opens: true,
+        resets: false,
+        sequence: 41,
+        acknowledgement: None,
+        payload: 0,
+    }
+}
+
+fn datagram() -> Vec<u8> {
+    let mut buffer = Vec::new();
+    write_data(&mut buffer, &header(), &write_reset(&segment()));
+    buffer
+}
+
+#[test]
+fn a_data_packet_comes_back_and_moves_on() {
+    let mut bytes = datagram();
+    advance(&mut bytes);
+    let Ok(PacketFrame::Data {
+        header: read,
+        position,
+        inner,
+    }) = scan_frame(&bytes)
+    else {
+        panic!("unreadable");
+    };
+    assert_eq!((read, position), (header(), 1));
+    let reset = scan_segment(inner).unwrap();
+    assert!(reset.resets);
+    assert_eq!(reset.acknowledgement, Some(42));
+    assert_eq!(reset.key.caller, segment().key.service);
+}
+
+#[test]
+fn damaged_datagrams_are_told_apart() {
+    let whole = datagram();
+    let with = |place: usize, byte: u8| {
+        let mut bytes = whole.clone();
+        bytes[place] = byte;
+        bytes
+    };
+    let cases: Vec<(&str, Vec<u8>)> = vec![
+        ("empty", Vec::new()),
+        ("prefix cut", whole[..5].to_vec()),
+        ("header cut", whole[..20].to_vec()),
+        ("other magic", with(0, b'X')),
+        ("other version", with(2, 9)),
+        ("unknown kind", with(3, 77)),
+        ("position past the plan", with(4, 3)),
+        ("header too large", with(5, 0xff)),
+        ("header no MessagePack", with(7, 0xc1)),
+        ("datagram too large", vec![b'C'; MAX_DATAGRAM_BYTES + 1]),
+    ];
+    let lines: Vec<_> = cases
+        .iter()
+        .map(|(name, bytes)| match scan_frame(bytes) {
+            Ok(_) => format!("{name}: accepted"),
+            Err(error) => format!("{name}: {error}"),
+        })
+        .collect();
+    insta::assert_snapshot!(lines.join("\n"));
+}
+
+#[test]
+fn random_bytes_never_panic() {
+    fn property(bytes: Vec<u8>, place: usize, byte: u8) -> bool {
+        let _ = scan_frame(&bytes);
+        let _ = scan_segment(&bytes);
+        let _ = scan_message::<PeerMessage>(&bytes);
+        let _ = scan_message::<PullQuery>(&bytes);
+        let mut damaged = datagram();
+        let place = place % damaged.len();
+        damaged[place] = byte;
+        if let Ok(PacketFrame::Data { inner, .. }) = scan_frame(&damaged) {
+            let _ = scan_segment(inner);
+        }
+        damaged.truncate(place);
+        scan_frame(&damaged).is_err() || place >= damaged.len()
+    }
+    quickcheck().quickcheck(property as fn(Vec<u8>, usize, u8) -> bool);
+}
+
+#[test]
+fn messages_of_other_versions_are_refused() {
+    let entry = WireEntry {
+        name: "entry-1".into(),
+        datacenter: "honam-1".into(),
+        peers: "10.2.0.1:9002".into(),
+        status: "10.2.0.1:9003".into(),
+        incarnation: 5,
+    };
+    let message = PeerMessage::Heartbeat(PeerHeartbeat {
+        entry,
+        summary: 1,
+        age_ms: 2,
+        recent: Vec::new(),
+    });
+    let mut bytes = write_message(&message);
+    assert_eq!(scan_message(&bytes), Ok(message));
+    bytes[0] += 1;
+    assert_eq!(scan_message::<PeerMessage>(&bytes), Err(PeerError::Version));
+    assert_eq!(scan_message::<PeerMessage>(&[]), Err(PeerError::Empty));
+    assert_eq!(
+        scan_message::<PeerMessage>(&[1, 0xc1]),
+        Err(PeerError::Malformed)
+    );
+    assert_eq!(scan_segment(&[0x45; 2000]), Err(PacketError::Oversized));
+}
--- /dev/null
+++ b/crates/wire/tests/documents.rs
@@ -0,0 +1,112 @@
+//! Manifests that must be refused, and that checked ones come back unchanged.
+
+use chestnutlb_core::FirmManifest;
+use chestnutlb_wire::manifest::{WireGrant, WireGrants};
+use chestnutlb_wire::{WireManifest, parse_json};
+
+const DALBIT: &str = include_str!("../../../examples/dalbit.json");
+const CALINAWAN: &str = include_str!("../../../examples/calinawan.json");
+
+fn check(text: &str) -> String {
+    let checked = parse_json::<WireManifest>(text).and_then(|wire| FirmManifest::try_from(&wire));
+    match checked {
+        Ok(manifest) => format!("accepted, {} services", manifest.services.len()),
+        Err(error) => error.to_string(),
+    }
+}
+
+#[test]
+fn bad_manifests_are_refused_with_place_finding_and_allowance() {
+    let cases = [
+        ("as it is", "", ""),
+        (
+            "unknown field",
+            "\"kind\": \"stream\",",
+            "\"kind\": \"stream\", \"color\": 1,",
+        ),
+        ("unknown kind", "\"stream\"", "\"datagram\""),
+        ("bad name", "\"catalogue\"", "\"Catalogue\""),
+        ("twice the name", "\"patterns\"", "\"catalogue\""),
+        ("twice the address", "10.20.0.2:7000", "10.20.0.1:7000"),
+        ("no port", "10.20.0.1:7000", "10.20.0.1"),
+        ("port zero", "10.20.0.1:7000", "10.20.0.1:0"),
+        (
+            "slots out of range",
+            "\"slots\": 3, \"flows\"",
+            "\"slots\": 0, \"flows\"",
+        ),
+        ("size without sense", "\"1MiB\"", "\"1 elephant\""),
+        ("size out of range", "\"1MiB\"", "\"1024MiB\""),
+        (
+            "deadline out of range",
+            "\"deadline_ms\": 60000",
+            "\"deadline_ms\": 1",
+        ),
+        ("negative number", "\"queue\": 64", "\"queue\": -1"),
+        (
+            "bad method",
+            "\"POST\", \"path\": \"/sheets\"",
+            "\"post\", \"path\": \"/sheets\"",
+        ),
+        ("bad path", "\"/sheets\"", "\"sheets\""),
+        (
+            "no data centre",
+            "[\"honam-1\", \"honam-2\", \"honam-3\"]",
+            "[]",
+        ),
+        ("missing field", "\"firm\": \"dalbit\",", ""),
+        ("cut off", "\"fallback\"", "\""),
+    ];
+    let lines: Vec<_> = cases
+        .iter()
+        .map(|(name, from, to)| {
+            let text = if from.is_empty() {
+                DALBIT.to_owned()
+            } else {
+                DALBIT.replacen(from, to, 1)
+            };
+            format!("{name}: {}", check(&text))
+        })
+        .collect();
+    insta::assert_snapshot!(lines.join("\n"));
+}
+
+fn grants(list: &[(&str, &str)]) -> WireGrants {
+    WireGrants {
+        grants: list
+            .iter()
+            .map(|(block, firm)| WireGrant {
+                block: (*block).into(),
+                firm: (*firm).into(),
+            })
+            .collect(),
+    }
+}
+
+#[test]
+fn a_firm_can_use_only_its_own_addresses() {
+    let wire: WireManifest = parse_json(DALBIT).unwrap();
+    let manifest = FirmManifest::try_from(&wire).unwrap();
+    let both = [("10.20.0.0/16", "dalbit"), ("10.30.0.0/16", "calinawan")];
+    let swapped = [("10.20.0.0/16", "calinawan"), ("10.30.0.0/16", "dalbit")];
+    let overlap = [("10.0.0.0/8", "calinawan"), ("10.20.0.0/16", "dalbit")];
+    let bits = [("10.20.0.1/16", "dalbit")];
+    let lines: Vec<_> = [&both[..], &swapped, &overlap, &bits, &[]]
+        .iter()
+        .map(|list| match grants(list).check_manifest(&manifest) {
+            Ok(()) => "accepted".to_owned(),
+            Err(error) => error.to_string(),
+        })
+        .collect();
+    insta::assert_snapshot!(lines.join("\n"));
+}
+
+#[test]
+fn the_examples_come_back_unchanged() {
+    for text in [DALBIT, CALINAWAN] {
+        let wire: WireManifest = parse_json(text).unwrap();
+        let manifest = FirmManifest::try_from(&wire).unwrap();
+        let again = FirmManifest::try_from(&WireManifest::from(&manifest)).unwrap();
+        assert_eq!(manifest, again);
+    }
+}
