--- a/crates/core/src/ownership.rs
+++ b/crates/core/src/ownership.rs
@@ -108,6 +108,54 @@
     pub flow_limit: usize,
 }
 
+/// What a verdict depends on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct JudgedFacts {
+    /// The flow is this host's.
+    pub owned: bool,
+    /// The packet asks to open a flow.
+    pub opens: bool,
+    /// The packet is a reset.
+    pub resets: bool,
+    /// The host takes a new flow.
+    pub takes: bool,
+    /// The plan has another hop.
+    pub more_hops: bool,
+    /// It is certain that the flow has no owner.
+    pub may_reset: bool,
+}
+
+/// The verdict on a packet of this host's service.
+pub fn judge_facts(facts: JudgedFacts) -> PacketVerdict {
+    match facts {
+        JudgedFacts { owned: true, .. } => PacketVerdict::Deliver,
+        JudgedFacts {
+            opens: true,
+            takes: true,
+            ..
+        } => PacketVerdict::Open,
+        JudgedFacts {
+            more_hops: true, ..
+        } => PacketVerdict::PassOn,
+        JudgedFacts { resets: true, .. } => PacketVerdict::Drop(PacketDrop::StrayReset),
+        JudgedFacts { opens: true, .. } => PacketVerdict::Reset,
+        JudgedFacts {
+            may_reset: true, ..
+        } => PacketVerdict::Reset,
+        _ => PacketVerdict::Drop(PacketDrop::NoOwner),
+    }
+}
+
+/// Whether a flow in this state takes a segment with this acknowledgement: one
+/// whose handshake is not complete only that of its own first number.
+pub fn is_acknowledged(state: FlowState, initial: u32, sent: u32, number: Option<u32>) -> bool {
+    match (state, number) {
+        (_, None) => true,
+        (FlowState::Opening, Some(number)) => number == initial.wrapping_add(1),
+        (_, Some(number)) => sent.wrapping_sub(number) <= ACK_WINDOW_BYTES,
+    }
+}
+
 /// The flows of one host.
 #[derive(Debug)]
 pub struct FlowTable {
@@ -154,25 +202,27 @@
         if arrival.tag != self.tag || arrival.incarnation != self.incarnation {
             return PacketVerdict::Drop(PacketDrop::Misdirected);
         }
-        if self.owns(segment, now) {
-            return PacketVerdict::Deliver;
-        }
-        if segment.opens && gate.open && self.flows.len() < gate.flow_limit {
+        let facts = JudgedFacts {
+            owned: self.owns(segment, now),
+            opens: segment.opens,
+            resets: segment.resets,
+            takes: gate.open && self.flows.len() < gate.flow_limit,
+            more_hops: arrival.more_hops,
+            may_reset: false,
+        };
+        let verdict = match judge_facts(facts) {
+            // Only here it matters whether there is no owner at all.
+            PacketVerdict::Drop(PacketDrop::NoOwner) => judge_facts(JudgedFacts {
+                may_reset: arrival.proved && self.doubted_long(segment.key, now),
+                ..facts
+            }),
+            verdict => verdict,
+        };
+        if verdict == PacketVerdict::Open {
             // A flow that the caller gave up leaves its key to the new one.
             self.flows.remove(&segment.key);
-            return PacketVerdict::Open;
-        }
-        if arrival.more_hops {
-            return PacketVerdict::PassOn;
-        }
-        if segment.resets {
-            return PacketVerdict::Drop(PacketDrop::StrayReset);
-        }
-        if segment.opens || (arrival.proved && self.doubted_long(segment.key, now)) {
-            PacketVerdict::Reset
-        } else {
-            PacketVerdict::Drop(PacketDrop::NoOwner)
         }
+        verdict
     }
 
     fn doubted_long(&mut self, key: FlowKey, now: TimePoint) -> bool {
@@ -188,16 +238,16 @@
         let Some(record) = self.flows.get_mut(&segment.key) else {
             return false;
         };
-        let acknowledged = match (record.state, segment.acknowledgement) {
-            (FlowState::Opening, None) => true,
-            (FlowState::Opening, Some(number)) => number == record.initial_sequence.wrapping_add(1),
-            (_, None) => true,
-            (_, Some(number)) => record.sent_sequence.wrapping_sub(number) <= ACK_WINDOW_BYTES,
-        };
-        if acknowledged {
+        let owned = is_acknowledged(
+            record.state,
+            record.initial_sequence,
+            record.sent_sequence,
+            segment.acknowledgement,
+        );
+        if owned {
             record.last_seen = now;
         }
-        acknowledged
+        owned
     }
 
     /// Adds a flow that answers with this initial sequence number.
--- a/crates/core/src/requests.rs
+++ b/crates/core/src/requests.rs
@@ -5,7 +5,7 @@
 //! that takes relayed requests keeps tombstones, so that a relay which arrives
 //! after its cancellation is refused.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use crate::chart::{RequestEvent, RequestState};
@@ -17,7 +17,7 @@
 pub const RELAY_MEMORY: Duration = Duration::from_secs(120);
 
 /// What a caller is told.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum RequestOutcome {
     /// The backend server's whole answer.
     Answered,
@@ -53,7 +53,7 @@
 /// Requests that this host took from callers and has not answered.
 #[derive(Debug, Default)]
 pub struct RequestLedger {
-    requests: HashMap<RequestId, RequestState>,
+    requests: BTreeMap<RequestId, RequestState>,
 }
 
 impl RequestLedger {
@@ -108,7 +108,7 @@
     Started,
 }
 
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 enum RelayState {
     Waiting,
     Started,
@@ -116,9 +116,9 @@
 }
 
 /// Relayed requests that this host was sent.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct RelayLedger {
-    relays: HashMap<RequestId, RelayState>,
+    relays: BTreeMap<RequestId, RelayState>,
 }
 
 impl RelayLedger {
--- a/crates/core/tests/spreading.rs
+++ b/crates/core/tests/spreading.rs
@@ -21,7 +21,7 @@
         .iter()
         .map(|number| {
             // The state changes with the list, so that items change too.
-            let state = if numbers.len() % 2 == 0 {
+            let state = if numbers.len().is_multiple_of(2) {
                 HostState::Serving
             } else {
                 HostState::Leaving
