Capacity tool: slopes at one node, and the target worked out from them

Change: the load tool measures decisions, control events, messages and memory at four sizes and prints the tables.

--- a/crates/client/src/main.rs
+++ b/crates/client/src/main.rs
@@ -13,13 +13,15 @@
 use running::{ExplainOptions, StatusOptions, WaitOptions};
 
 /// Commits manifests and shows what is in force.
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 struct ClientOptions {
     #[argh(subcommand)]
     command: ClientCommand,
 }
 
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 #[argh(subcommand)]
 enum ClientCommand {
     Validate(ValidateOptions),
--- a/crates/client/src/manifests.rs
+++ b/crates/client/src/manifests.rs
@@ -14,7 +14,8 @@
 use crate::output::{CommandEnd, complain, print};
 
 /// check a manifest without the platform
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 #[argh(subcommand, name = "validate", example = "{command_name} dalbit.json")]
 pub struct ValidateOptions {
     /// file with the manifest
@@ -26,7 +27,8 @@
 }
 
 /// show what committing a manifest would change
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 #[argh(
     subcommand,
     name = "plan",
@@ -45,7 +47,8 @@
 }
 
 /// commit a manifest
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 #[argh(
     subcommand,
     name = "commit",
@@ -71,7 +74,8 @@
     json: bool,
 }
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct ValidResult {
     firm: String,
     services: usize,
@@ -83,7 +87,8 @@
     }
 }
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct PlanResult {
     base: u64,
     changes: Vec<String>,
@@ -101,7 +106,8 @@
     }
 }
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct CommitResult {
     version: u64,
     id: String,
--- a/crates/client/src/running.rs
+++ b/crates/client/src/running.rs
@@ -17,7 +17,8 @@
 const WAIT_PAUSE: Duration = Duration::from_millis(100);
 
 /// show the entry VMs, and which versions they have in force
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 #[argh(
     subcommand,
     name = "status",
@@ -33,7 +34,8 @@
 }
 
 /// wait until a manifest is in force on every entry VM and host
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 #[argh(
     subcommand,
     name = "wait",
@@ -59,7 +61,8 @@
 }
 
 /// show where a flow goes, and why
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 #[argh(
     subcommand,
     name = "explain",
@@ -91,7 +94,8 @@
     }
 }
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct EntryLine {
     name: String,
     datacenter: String,
@@ -100,7 +104,8 @@
     versions: BTreeMap<String, u64>,
 }
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct FleetStatus {
     entries: Vec<EntryLine>,
     hosts: BTreeMap<String, u64>,
@@ -188,7 +193,8 @@
     }
 }
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct WaitResult {
     in_force: bool,
     after_ms: u64,
@@ -283,7 +289,8 @@
     }
 }
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct ExplainResult(FlowExplanation);
 
 fn write_hops(f: &mut fmt::Formatter<'_>, hops: &[HopExplanation]) -> fmt::Result {
--- a/crates/core/src/chart.rs
+++ b/crates/core/src/chart.rs
@@ -39,14 +39,16 @@
     use super::*;
     use serde::Deserialize;
 
-    #[derive(Debug, Deserialize)]
+    #[derive(Debug)]
+    #[derive(Deserialize)]
     #[serde(deny_unknown_fields)]
     pub struct ChartFile {
         pub initial: CompactString,
         pub states: BTreeMap<CompactString, StateFile>,
     }
 
-    #[derive(Debug, Deserialize)]
+    #[derive(Debug)]
+    #[derive(Deserialize)]
     #[serde(deny_unknown_fields)]
     pub struct StateFile {
         #[serde(default)]
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -46,7 +46,8 @@
 pub struct StopSignal;
 
 /// Forwards packets of callers to backend servers.
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 struct DaemonOptions {
     /// file with the settings, in JSON
     #[argh(option)]
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -15,7 +15,8 @@
 const ADDRESS_FORM: &str = "an IPv4 address and port";
 
 /// Log settings.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct LogSettings {
     /// `error`, `warn`, `info`, `debug` or `trace`.
@@ -34,7 +35,8 @@
 }
 
 /// What every role has.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 struct WireEntrySettings {
     role: CompactString,
@@ -64,7 +66,8 @@
     2_000
 }
 
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 struct WireSideSettings {
     role: CompactString,
--- a/crates/standin/src/backend.rs
+++ b/crates/standin/src/backend.rs
@@ -39,7 +39,8 @@
 }
 
 /// What a backend server reports.
-#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct BackendReport {
     /// Requests that run, as of some time ago.
     pub load: usize,
--- a/crates/standin/src/fabric.rs
+++ b/crates/standin/src/fabric.rs
@@ -22,7 +22,8 @@
 const HEALTH_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// An entry VM as the fabric knows it.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct FabricEntry {
     /// Where it takes packets.
     pub packets: SocketAddrV4,
@@ -31,7 +32,8 @@
 }
 
 /// What the fabric does to packets, in percent of them.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(default)]
 pub struct FabricFaults {
     /// Lost.
@@ -41,7 +43,8 @@
 }
 
 /// What can be changed while the fabric runs.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct FabricPlan {
     /// The entry VMs.
     pub entries: Vec<FabricEntry>,
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod backend;
 pub mod caller;
+pub mod capacity;
 pub mod fabric;
 pub mod fleet;
 pub mod platform;
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -9,26 +9,30 @@
 
 use chestnutlb_standin::backend::BackendPlan;
 use chestnutlb_standin::tryout::{TryoutPlan, program_folder};
-use chestnutlb_standin::{backend, fabric, platform, tryout};
+use chestnutlb_standin::{backend, capacity, fabric, platform, tryout};
 
 /// Stand-ins of the systems around chestnutlb.
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 struct StandinOptions {
     #[argh(subcommand)]
     command: StandinCommand,
 }
 
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 #[argh(subcommand)]
 enum StandinCommand {
     Platform(PlatformOptions),
     Fabric(FabricOptions),
     Backend(BackendOptions),
     Tryout(TryoutOptions),
+    Capacity(CapacityOptions),
 }
 
 /// the platform's object API
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 #[argh(subcommand, name = "platform")]
 struct PlatformOptions {
     /// address to serve at
@@ -37,7 +41,8 @@
 }
 
 /// the packet fabric
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 #[argh(subcommand, name = "fabric")]
 struct FabricOptions {
     /// address for packets
@@ -52,7 +57,8 @@
 }
 
 /// a backend server
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 #[argh(subcommand, name = "backend")]
 struct BackendOptions {
     /// name, told in each answer
@@ -88,7 +94,8 @@
 }
 
 /// both firms at today's sizes, under planned and unplanned changes
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 #[argh(subcommand, name = "tryout")]
 struct TryoutOptions {
     /// requests to send
@@ -111,6 +118,16 @@
     json: bool,
 }
 
+/// slopes at one node and what they come to at the target size
+#[derive(Debug)]
+#[derive(FromArgs)]
+#[argh(subcommand, name = "capacity")]
+struct CapacityOptions {
+    /// print the points as JSON lines instead of tables
+    #[argh(switch)]
+    json: bool,
+}
+
 fn main() -> ExitCode {
     let options: StandinOptions = argh::from_env();
     let outcome = match options.command {
@@ -125,6 +142,7 @@
         }
         StandinCommand::Backend(options) => run_backend(options),
         StandinCommand::Tryout(options) => run_tryout(options),
+        StandinCommand::Capacity(options) => run_capacity(&options),
     };
     match outcome {
         Ok(()) => ExitCode::SUCCESS,
@@ -149,6 +167,19 @@
     backend::run(plan, options.work, options.health).map_err(|error| error.to_string())
 }
 
+fn run_capacity(options: &CapacityOptions) -> Result<(), String> {
+    let report = capacity::measure();
+    if options.json {
+        for point in &report.points {
+            let line = serde_json::to_string(point).map_err(|error| error.to_string())?;
+            println!("{line}");
+        }
+    } else {
+        print!("{}", capacity::write_tables(&report));
+    }
+    Ok(())
+}
+
 fn run_tryout(options: TryoutOptions) -> Result<(), String> {
     let plan = TryoutPlan {
         binaries: program_folder().map_err(|error| error.to_string())?,
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -19,7 +19,8 @@
 type ObjectKey = (CompactString, CompactString);
 
 /// Failures that can be switched on.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct PlatformSwitch {
     /// Every call fails.
@@ -33,7 +34,8 @@
 }
 
 /// What the stand-in counted.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct PlatformCounts {
     /// Reads and lists.
     pub reads: u64,
--- a/crates/standin/src/tryout.rs
+++ b/crates/standin/src/tryout.rs
@@ -31,7 +31,8 @@
 }
 
 /// What came out.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Serialize)]
 pub struct TryoutReport {
     /// Requests sent.
     pub requests: usize,
--- a/crates/wire/src/manifest.rs
+++ b/crates/wire/src/manifest.rs
@@ -71,7 +71,8 @@
 const SIZE_FORM: &str = "a size like 16KiB or 1MiB";
 
 /// A firm's manifest.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct WireManifest {
     /// The firm.
@@ -81,7 +82,8 @@
 }
 
 /// The kinds of services.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum WireKind {
     /// Bytes, handed through.
@@ -91,7 +93,8 @@
 }
 
 /// The classes of requests.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum WireClass {
     /// Ordinary work.
@@ -101,7 +104,8 @@
 }
 
 /// One service.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct WireService {
     /// Its name.
@@ -134,7 +138,8 @@
 }
 
 /// Limits of each host.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct WireLimits {
     /// Requests that run at once.
@@ -162,7 +167,8 @@
 }
 
 /// Times of a service, in milliseconds.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct WireTiming {
     /// Time for flows of a leaving host to end.
@@ -184,7 +190,8 @@
 }
 
 /// How requests of a route are treated.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct WireRule {
     /// Method, or none for all.
@@ -416,7 +423,8 @@
 }
 
 /// Which firm owns which block of addresses.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct WireGrant {
     /// The block.
@@ -426,7 +434,8 @@
 }
 
 /// All grants, as the platform keeps them.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct WireGrants {
     /// The grants.
--- a/crates/wire/src/object.rs
+++ b/crates/wire/src/object.rs
@@ -15,7 +15,8 @@
 use crate::manifest::WireManifest;
 
 /// An object that was read.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct ObjectReply {
     /// Its version.
     pub version: u64,
@@ -24,14 +25,16 @@
 }
 
 /// The outcome of a write: the new version, or the one that stood in the way.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct WriteReply {
     /// The version.
     pub version: u64,
 }
 
 /// An object with its version.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ObjectStamp {
     /// Kind.
     pub kind: CompactString,
@@ -42,7 +45,8 @@
 }
 
 /// The answer of a list or a watch.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct StampList {
     /// The highest version of the platform.
     pub revision: u64,
@@ -51,7 +55,8 @@
 }
 
 /// A manifest as the platform keeps it.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct ManifestObject {
     /// The commit that wrote it.
--- a/crates/wire/src/packet.rs
+++ b/crates/wire/src/packet.rs
@@ -59,7 +59,8 @@
 }
 
 /// One hop of a plan.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct WireHop {
     /// Address of the side process.
     pub address: u32,
@@ -92,7 +93,8 @@
 }
 
 /// Header of a data packet.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct PacketHeader {
     /// The service.
     pub tag: u64,
@@ -124,7 +126,8 @@
 }
 
 /// A host's word that it owns a flow.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct OwnerNote {
     /// The flow.
     pub flow: u64,
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -40,7 +40,8 @@
 }
 
 /// Datagrams.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum PeerMessage {
     /// A host says that it is there.
     Announce(Announcement),
@@ -51,7 +52,8 @@
 }
 
 /// A host's announcement.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Announcement {
     /// The host.
     pub host: WireHost,
@@ -60,7 +62,8 @@
 }
 
 /// A keeper's answer to an announcement.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct KeeperReply {
     /// The keepers of this host, best first.
     pub keepers: Vec<WireEntry>,
@@ -97,7 +100,8 @@
 }
 
 /// A heartbeat among entry VMs.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct PeerHeartbeat {
     /// The sender.
     pub entry: WireEntry,
@@ -152,7 +156,8 @@
 }
 
 /// Asks for what is newer than these versions.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct PullQuery {
     /// What it wants and the versions that it has.
     pub have: Vec<WireVersion>,
@@ -161,14 +166,16 @@
 }
 
 /// What the asker lacks.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct PullAnswer {
     /// Patches.
     pub patches: Vec<WirePatch>,
 }
 
 /// What a side process needs to know of its service.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ServiceSlice {
     /// Version of the firm's manifest.
     pub manifest: u64,
@@ -181,7 +188,8 @@
 }
 
 /// A request that another host should run.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct RelayQuery {
     /// The request.
     pub id: u64,
@@ -200,7 +208,8 @@
 }
 
 /// What became of a relayed request.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum RelayAnswer {
     /// The backend server's whole answer.
     Answered(Vec<u8>),
@@ -211,7 +220,8 @@
 }
 
 /// Cancels a relayed request.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct CancelQuery {
     /// The request.
     pub id: u64,
@@ -220,7 +230,8 @@
 }
 
 /// The target's word on a cancellation.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum CancelAnswer {
     /// It has not run and will not.
     NotRun,
--- a/crates/wire/src/records.rs
+++ b/crates/wire/src/records.rs
@@ -18,7 +18,8 @@
 const ADDRESS_FORM: &str = "an IPv4 address and port";
 
 /// A host.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct WireHost {
     /// Its name.
@@ -82,7 +83,8 @@
 }
 
 /// An entry VM.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct WireEntry {
     /// Its name.
@@ -124,7 +126,8 @@
 }
 
 /// The roster of a data centre, as the platform keeps it.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct WireRoster {
     /// The hosts.
@@ -132,7 +135,8 @@
 }
 
 /// The entry VMs of a data centre, as the platform keeps them.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct WireMembers {
     /// The entry VMs.
@@ -140,7 +144,8 @@
 }
 
 /// An item of a document.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum WireItem {
     /// A grant of addresses.
     Grant(WireGrant),
@@ -189,7 +194,8 @@
 }
 
 /// Names a document and a version of it.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct WireVersion {
     /// Kind.
     pub kind: CompactString,
@@ -224,7 +230,8 @@
 }
 
 /// What a node lacks of a document.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct WirePatch {
     /// The document and its version after the patch.
     pub document: WireVersion,
--- a/crates/wire/src/status.rs
+++ b/crates/wire/src/status.rs
@@ -8,7 +8,8 @@
 use crate::records::{WireEntry, WireVersion};
 
 /// Status of an entry VM.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct EntryStatus {
     /// Its name.
     pub name: CompactString,
@@ -31,7 +32,8 @@
 }
 
 /// What an entry VM knows of a host.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct HostStatus {
     /// Its name.
     pub name: CompactString,
@@ -42,7 +44,8 @@
 }
 
 /// Status of a side process.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct SideStatus {
     /// Its host.
     pub name: CompactString,
@@ -63,7 +66,8 @@
 }
 
 /// Where an entry VM would send a flow, and why.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct FlowExplanation {
     /// Firm and service.
     pub service: CompactString,
@@ -80,7 +84,8 @@
 }
 
 /// One hop.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct HopExplanation {
     /// The host.
     pub host: CompactString,
