--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -20,8 +20,8 @@
 use crate::document::{
     DocumentId, DocumentItem, DocumentKind, DocumentPatch, DocumentStore, GrantIndex, ItemChange,
 };
-use crate::ids::{DatacenterName, EntryName, HostName, ObjectVersion, ServiceId};
-use crate::keeper::{HostKeeper, RosterEdit, SUSPECT_AFTER};
+use crate::ids::{DatacenterName, EntryName, HostName, Incarnation, ObjectVersion, ServiceId};
+use crate::keeper::{HostKeeper, HostRevision, RosterEdit, SUSPECT_AFTER};
 use crate::members::{EntryRecord, EntryWatch, KEEPERS_PER_HOST, MemberRing, RANK_DELAY};
 use crate::roster::HostRecord;
 use crate::timer::{TimerPart, TimerService};
@@ -75,12 +75,14 @@
 /// What the keepers tell a host.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct WelcomeNews {
-    /// The keepers of the host, best first.
+    /// The keepers of the host, best first; empty if they were told before.
     pub keepers: Vec<EntryRecord>,
     /// Hash of what the host should know of its service.
     pub slice: u64,
     /// Whether the platform confirmed that lately.
     pub fresh: bool,
+    /// Whether the host should announce itself in full.
+    pub resend: bool,
 }
 
 /// What happens to an entry VM.
@@ -90,6 +92,21 @@
     Announced {
         /// The host.
         record: HostRecord,
+        /// Its count of changes.
+        revision: HostRevision,
+        /// Version of its firm's manifest that it has in force.
+        manifest: ObjectVersion,
+        /// Where the answer goes.
+        from: SocketAddrV4,
+    },
+    /// A host said that it is as it announced itself before.
+    Alive {
+        /// The host.
+        name: HostName,
+        /// Start of its side process.
+        incarnation: Incarnation,
+        /// Its count of changes.
+        revision: HostRevision,
         /// Version of its firm's manifest that it has in force.
         manifest: ObjectVersion,
         /// Where the answer goes.
@@ -363,9 +380,27 @@
         match event {
             ControlEvent::Announced {
                 record,
+                revision,
                 manifest,
                 from,
-            } => self.on_announced(record, manifest, from, now, &mut actions),
+            } => {
+                let news = self.on_announced(record, revision, manifest, now);
+                actions.push(ControlAction::Welcome(from, news));
+            }
+            ControlEvent::Alive {
+                name,
+                incarnation,
+                revision,
+                manifest,
+                from,
+            } => {
+                let known = self
+                    .keeper
+                    .hear_again(&name, incarnation, revision, now)
+                    .map(|record| record.service.clone());
+                let news = self.on_alive(name, known, manifest, now);
+                actions.push(ControlAction::Welcome(from, news));
+            }
             ControlEvent::Heard(news) => self.on_heard(news, now, &mut actions),
             ControlEvent::Pulled(patches) => {
                 for patch in patches {
@@ -400,35 +435,72 @@
     fn on_announced(
         &mut self,
         record: HostRecord,
+        revision: HostRevision,
         manifest: ObjectVersion,
-        from: SocketAddrV4,
         now: TimePoint,
-        actions: &mut Vec<ControlAction>,
-    ) {
+    ) -> WelcomeNews {
         let chosen = self.keepers_of(&record);
         let rank = chosen.iter().position(|entry| entry.name == self.me.name);
         let news = WelcomeNews {
             keepers: chosen,
-            slice: self
-                .view
-                .service(&record.service)
-                .map_or(0, |service| service.slice),
-            fresh: self.age(now).is_some_and(|age| age < FRESH_AGE),
+            resend: false,
+            ..self.welcome(&record.service, now)
         };
-        actions.push(ControlAction::Welcome(from, news));
         // A host that doesn't know its keepers yet is looked after by all.
         let rank = rank.unwrap_or(KEEPERS_PER_HOST) as u32;
-        let progress = HostProgress {
-            service: record.service.clone(),
-            manifest,
-            heard: now,
-        };
         if record.state == HostState::Gone {
             self.progress.remove(&record.name);
         } else {
-            self.progress.insert(record.name.clone(), progress);
+            self.note_progress(record.name.clone(), record.service.clone(), manifest, now);
         }
-        self.keeper.hear(record, rank, now);
+        self.keeper.hear(record, revision, rank, now);
+        news
+    }
+
+    fn on_alive(
+        &mut self,
+        name: HostName,
+        known: Option<ServiceId>,
+        manifest: ObjectVersion,
+        now: TimePoint,
+    ) -> WelcomeNews {
+        match known {
+            Some(service) => {
+                let news = self.welcome(&service, now);
+                self.note_progress(name, service, manifest, now);
+                news
+            }
+            None => WelcomeNews {
+                keepers: Vec::new(),
+                slice: 0,
+                fresh: false,
+                resend: true,
+            },
+        }
+    }
+
+    fn welcome(&self, service: &ServiceId, now: TimePoint) -> WelcomeNews {
+        WelcomeNews {
+            keepers: Vec::new(),
+            slice: self.view.service(service).map_or(0, |view| view.slice),
+            fresh: self.age(now).is_some_and(|age| age < FRESH_AGE),
+            resend: false,
+        }
+    }
+
+    fn note_progress(
+        &mut self,
+        name: HostName,
+        service: ServiceId,
+        manifest: ObjectVersion,
+        now: TimePoint,
+    ) {
+        let progress = HostProgress {
+            service,
+            manifest,
+            heard: now,
+        };
+        self.progress.insert(name, progress);
     }
 
     // The entry VMs that look after a host; this one if none is known.
--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -2,25 +2,38 @@
 //!
 //! The answer is a plan of hops that travels with the packet, so that a walk
 //! follows one roster from its start to its end, whatever the hosts on the
-//! way have heard of. An entry VM keeps nothing that a flow needs; its hints
-//! only shorten the walk.
+//! way have heard of. An entry VM keeps nothing that a flow needs. What it
+//! remembers of flows, as many as fit, shortens the walk, and serves callers
+//! that only listen: when a host is lost, quiet flows of its service are probed,
+//! the callers' answers walk, and a host that is certain resets them.
 
-use std::net::SocketAddrV4;
+use std::collections::VecDeque;
 use std::num::NonZeroUsize;
 use std::sync::Arc;
+use std::time::Duration;
 
 use lru::LruCache;
 
 use crate::chart::HostState;
-use crate::flow::{FlowHash, SegmentFacts};
+use crate::flow::{FlowHash, FlowKey, SegmentFacts};
 use crate::ids::Incarnation;
 use crate::placement::CHAIN_HOPS;
 use crate::roster::HostIndex;
+use crate::units::TimePoint;
 use crate::view::{RoutingView, ServiceView};
 
 /// Most hops of a plan: the hinted host, the chain and holders of old flows.
 pub const PLAN_HOPS: usize = CHAIN_HOPS + 4;
 
+/// A flow that was silent for this time may have lost its owner.
+pub const PROBE_QUIET: Duration = Duration::from_secs(5);
+
+/// Time between two probes of a flow.
+pub const PROBE_PERIOD: Duration = Duration::from_secs(3);
+
+/// Probes of a flow: enough for a host to be certain, with one to lose.
+pub const PROBE_ROUNDS: u8 = 5;
+
 /// Where the first hop of a plan comes from.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum PlanSource {
@@ -100,19 +113,48 @@
     incarnation: Incarnation,
 }
 
+/// What an entry VM remembers of a flow that it forwarded packets of.
+#[derive(Debug, Clone, Copy)]
+struct FlowMemory {
+    hint: Option<OwnerHint>,
+    next_sequence: u32,
+    acknowledged: u32,
+    seen: TimePoint,
+}
+
+/// A segment that asks a caller whether it still has a flow.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct FlowProbe {
+    /// The flow.
+    pub key: FlowKey,
+    /// Sequence number, just before what the caller expects.
+    pub sequence: u32,
+    /// Acknowledges what the caller sent.
+    pub acknowledgement: u32,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct PlannedProbe {
+    key: FlowKey,
+    due: TimePoint,
+    rounds: u8,
+}
+
 /// Routes packets by the newest view.
 #[derive(Debug)]
 pub struct EntryRouter {
     view: Arc<RoutingView>,
-    hints: Option<LruCache<FlowHash, OwnerHint>>,
+    flows: Option<LruCache<FlowKey, FlowMemory>>,
+    probes: VecDeque<PlannedProbe>,
 }
 
 impl EntryRouter {
-    /// A router that keeps up to `hint_limit` hints, none if zero.
-    pub fn new(hint_limit: usize) -> Self {
+    /// A router that remembers up to `flow_limit` flows, none if zero.
+    pub fn new(flow_limit: usize) -> Self {
         Self {
             view: Arc::default(),
-            hints: NonZeroUsize::new(hint_limit).map(LruCache::new),
+            flows: NonZeroUsize::new(flow_limit).map(LruCache::new),
+            probes: VecDeque::new(),
         }
     }
 
@@ -122,29 +164,68 @@
     }
 
     /// Takes a new view. A hint to a host that moved is noticed by its
-    /// incarnation when it is looked at.
-    pub fn replace_view(&mut self, view: Arc<RoutingView>) {
+    /// incarnation when it is looked at. If a host was lost, the quiet flows
+    /// of its service are asked whether they still have an owner.
+    pub fn replace_view(&mut self, view: Arc<RoutingView>, now: TimePoint) {
+        let lost = view.services_with_lost_hosts(&self.view);
         self.view = view;
+        let (Some(flows), false) = (&self.flows, lost.is_empty()) else {
+            return;
+        };
+        let quiet = flows.iter().filter(|(key, memory)| {
+            lost.contains(&key.service) && now.since(memory.seen) >= PROBE_QUIET
+        });
+        for (key, _) in quiet {
+            self.probes.push_back(PlannedProbe {
+                key: *key,
+                due: now,
+                rounds: PROBE_ROUNDS,
+            });
+        }
+    }
+
+    /// The next probe that is due.
+    pub fn next_probe(&mut self, now: TimePoint) -> Option<FlowProbe> {
+        while self.probes.front()?.due <= now {
+            let probe = self.probes.pop_front()?;
+            let memory = self.flows.as_ref().and_then(|flows| flows.peek(&probe.key));
+            let Some(memory) = memory else { continue };
+            if probe.rounds > 1 {
+                self.probes.push_back(PlannedProbe {
+                    due: now + PROBE_PERIOD,
+                    rounds: probe.rounds - 1,
+                    ..probe
+                });
+            }
+            return Some(FlowProbe {
+                key: probe.key,
+                sequence: memory.acknowledged.wrapping_sub(1),
+                acknowledgement: memory.next_sequence,
+            });
+        }
+        None
     }
 
     /// Notes that the host with this incarnation owns the flow.
-    pub fn learn(&mut self, flow: FlowHash, address: SocketAddrV4, owner: Incarnation) {
-        let (Some(hints), Some(service)) = (&mut self.hints, self.view.service_at(address)) else {
+    pub fn learn(&mut self, key: FlowKey, owner: Incarnation) {
+        let (Some(flows), Some(service)) = (&mut self.flows, self.view.service_at(key.service))
+        else {
             return;
         };
         let place = service
             .hosts()
             .iter()
             .position(|host| host.record.incarnation == owner);
-        if let Some(place) = place {
-            let host = HostIndex(place as u32);
-            let incarnation = owner;
-            hints.put(flow, OwnerHint { host, incarnation });
+        if let (Some(place), Some(memory)) = (place, flows.get_mut(&key)) {
+            memory.hint = Some(OwnerHint {
+                host: HostIndex(place as u32),
+                incarnation: owner,
+            });
         }
     }
 
     /// Decides where a segment goes.
-    pub fn route(&mut self, segment: &SegmentFacts) -> RouteDecision {
+    pub fn route(&mut self, segment: &SegmentFacts, now: TimePoint) -> RouteDecision {
         let Some(service) = self.view.service_at(segment.key.service) else {
             return RouteDecision::Drop(RouteDrop::NoService);
         };
@@ -153,12 +234,8 @@
         if segment.opens {
             plan_opening(service, flow, &mut plan);
         } else {
-            if let Some(host) = self
-                .hints
-                .as_mut()
-                .and_then(|hints| hints.get(&flow))
-                .and_then(|hint| current_host(service, *hint))
-            {
+            let hint = remember(&mut self.flows, segment, now);
+            if let Some(host) = hint.and_then(|hint| current_host(service, hint)) {
                 plan.push(host);
                 plan.source = PlanSource::Hint;
             }
@@ -172,6 +249,30 @@
     }
 }
 
+// Notes what the segment tells of its flow, and returns the hint.
+fn remember(
+    flows: &mut Option<LruCache<FlowKey, FlowMemory>>,
+    segment: &SegmentFacts,
+    now: TimePoint,
+) -> Option<OwnerHint> {
+    let flows = flows.as_mut()?;
+    if segment.resets {
+        return flows.pop(&segment.key)?.hint;
+    }
+    let acknowledged = segment.acknowledgement?;
+    let next_sequence = segment.sequence.wrapping_add(segment.payload.into());
+    let memory = flows.get_or_insert_mut(segment.key, || FlowMemory {
+        hint: None,
+        next_sequence,
+        acknowledged,
+        seen: now,
+    });
+    memory.next_sequence = next_sequence;
+    memory.acknowledged = acknowledged;
+    memory.seen = now;
+    memory.hint
+}
+
 fn plan_opening(service: &ServiceView, flow: FlowHash, plan: &mut HopPlan) {
     let chain = service.chain(flow.bucket());
     for host in chain.as_slice() {
--- a/crates/core/src/keeper.rs
+++ b/crates/core/src/keeper.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use crate::chart::{HostEvent, HostState};
-use crate::ids::HostName;
+use crate::ids::{HostName, Incarnation};
 use crate::members::RANK_DELAY;
 use crate::roster::HostRecord;
 use crate::units::TimePoint;
@@ -27,6 +27,15 @@
 /// Fewer hosts than this say nothing about being cut off.
 const CUT_OFF_MIN_HOSTS: usize = 4;
 
+/// Counts the changes that a host made to what it announces.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct HostRevision(pub u64);
+
+impl HostRevision {
+    /// Stands for a host that is known from the roster only.
+    pub const UNHEARD: HostRevision = HostRevision(u64::MAX);
+}
+
 /// A change of the roster.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum RosterEdit {
@@ -48,6 +57,7 @@
 #[derive(Debug)]
 struct HostSighting {
     record: HostRecord,
+    revision: HostRevision,
     heard: TimePoint,
     differs_since: Option<TimePoint>,
     rank: u32,
@@ -62,7 +72,7 @@
 
 impl HostKeeper {
     /// Notes an announcement. `rank` is this entry VM's rank for the host.
-    pub fn hear(&mut self, record: HostRecord, rank: u32, now: TimePoint) {
+    pub fn hear(&mut self, record: HostRecord, revision: HostRevision, rank: u32, now: TimePoint) {
         match self.sightings.get_mut(&record.name) {
             Some(known) if known.record.incarnation > record.incarnation => {}
             Some(known) => {
@@ -70,6 +80,7 @@
                     known.differs_since = None;
                 }
                 known.record = record;
+                known.revision = revision;
                 known.heard = now;
                 known.rank = rank;
             }
@@ -77,6 +88,7 @@
                 let name = record.name.clone();
                 let sighting = HostSighting {
                     record,
+                    revision,
                     heard: now,
                     differs_since: None,
                     rank,
@@ -86,6 +98,23 @@
         }
     }
 
+    /// Notes a short announcement. Returns the host if just this record of it
+    /// is known; otherwise the host has to announce itself in full.
+    pub fn hear_again(
+        &mut self,
+        name: &HostName,
+        incarnation: Incarnation,
+        revision: HostRevision,
+        now: TimePoint,
+    ) -> Option<&HostRecord> {
+        let known = self.sightings.get_mut(name)?;
+        if known.record.incarnation != incarnation || known.revision != revision {
+            return None;
+        }
+        known.heard = now;
+        Some(&known.record)
+    }
+
     /// Hosts looked after.
     pub fn len(&self) -> usize {
         self.sightings.len()
@@ -100,7 +129,7 @@
     /// a start, so that their silence is noticed.
     pub fn adopt(&mut self, record: &HostRecord, rank: u32, now: TimePoint) {
         if !self.sightings.contains_key(&record.name) {
-            self.hear(record.clone(), rank, now);
+            self.hear(record.clone(), HostRevision::UNHEARD, rank, now);
         }
     }
 
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -49,7 +49,7 @@
     DatacenterName, EntryName, FirmName, HostName, Incarnation, ObjectVersion, RequestId,
     ServiceId, ServiceName, ServiceTag,
 };
-pub use keeper::{HostKeeper, RosterEdit};
+pub use keeper::{HostKeeper, HostRevision, RosterEdit};
 pub use manifest::{
     AddressBlock, FirmManifest, ManifestChange, RequestClass, RouteRule, ServiceKind, ServiceSpec,
 };
--- a/crates/core/src/view.rs
+++ b/crates/core/src/view.rs
@@ -108,6 +108,18 @@
         &self.hosts[index.0 as usize]
     }
 
+    // Whether a host of this view is missing from a later one without having
+    // left; a new start of a host is another host.
+    fn lost_hosts(&self, later: &ServiceView) -> bool {
+        self.hosts.iter().any(|host| {
+            host.record.state != HostState::Leaving
+                && later
+                    .hosts
+                    .iter()
+                    .all(|other| other.record.incarnation != host.record.incarnation)
+        })
+    }
+
     /// All hosts that may hold flows.
     pub fn hosts(&self) -> &[ViewHost] {
         &self.hosts
@@ -179,6 +191,21 @@
         self.by_id.get(id)
     }
 
+    /// Addresses of services that lost a host, compared with an older view: one
+    /// that was there and did not leave.
+    pub fn services_with_lost_hosts(&self, old: &RoutingView) -> BTreeSet<SocketAddrV4> {
+        let mut lost = BTreeSet::new();
+        for (address, before) in &old.by_address {
+            let Some(after) = self.by_address.get(address) else {
+                continue;
+            };
+            if !Arc::ptr_eq(before, after) && before.lost_hosts(after) {
+                lost.insert(*address);
+            }
+        }
+        lost
+    }
+
     /// The ids of all services.
     pub fn ids(&self) -> impl Iterator<Item = &ServiceId> {
         self.by_id.keys()
--- a/crates/core/tests/keeping.rs
+++ b/crates/core/tests/keeping.rs
@@ -3,7 +3,9 @@
 mod common;
 
 use chestnutlb_core::keeper::{GONE_AFTER, SUSPECT_AFTER};
-use chestnutlb_core::{HostKeeper, HostRecord, HostState, RosterEdit, TimePoint};
+use chestnutlb_core::{
+    HostKeeper, HostRecord, HostRevision, HostState, Incarnation, RosterEdit, TimePoint,
+};
 use common::host;
 
 fn describe(edits: &[RosterEdit]) -> Vec<String> {
@@ -36,7 +38,7 @@
     let mut keeper = HostKeeper::default();
     let serving = host(1, HostState::Serving);
     keeper.edits(|_| None, TimePoint(0));
-    keeper.hear(serving.clone(), 0, TimePoint(100));
+    keeper.hear(serving.clone(), HostRevision(1), 0, TimePoint(100));
     let put = silence(&mut keeper, &[], 200, 400);
     assert_eq!(describe(&put), ["put host-1 serving"]);
     let roster = [serving];
@@ -53,7 +55,12 @@
 fn the_second_rank_waits_for_the_first() {
     let mut keeper = HostKeeper::default();
     keeper.edits(|_| None, TimePoint(0));
-    keeper.hear(host(1, HostState::Serving), 1, TimePoint(0));
+    keeper.hear(
+        host(1, HostState::Serving),
+        HostRevision(1),
+        1,
+        TimePoint(0),
+    );
     assert!(silence(&mut keeper, &[], 200, 1_000).is_empty());
     let late = silence(&mut keeper, &[], 1_200, 1_400);
     assert_eq!(describe(&late), ["put host-1 serving"]);
@@ -64,7 +71,7 @@
     let mut keeper = HostKeeper::default();
     let roster = [host(1, HostState::Serving)];
     keeper.edits(|_| None, TimePoint(0));
-    keeper.hear(roster[0].clone(), 0, TimePoint(0));
+    keeper.hear(roster[0].clone(), HostRevision(1), 0, TimePoint(0));
     // It sleeps for an hour and wakes up.
     let woken = 3_600_000;
     let edits = silence(&mut keeper, &roster, woken, woken + 1_000);
@@ -77,7 +84,7 @@
     let roster: Vec<_> = (0..6).map(|n| host(n, HostState::Serving)).collect();
     keeper.edits(|_| None, TimePoint(0));
     for record in &roster {
-        keeper.hear(record.clone(), 0, TimePoint(0));
+        keeper.hear(record.clone(), HostRevision(1), 0, TimePoint(0));
     }
     let edits = silence(&mut keeper, &roster, 200, 60_000);
     assert!(edits.is_empty(), "{edits:?}");
@@ -88,13 +95,13 @@
     let mut keeper = HostKeeper::default();
     keeper.edits(|_| None, TimePoint(0));
     let old = host(1, HostState::Serving);
-    keeper.hear(old.clone(), 0, TimePoint(0));
+    keeper.hear(old.clone(), HostRevision(1), 0, TimePoint(0));
     let mut newer = old.clone();
     newer.incarnation.0 += 1;
     let edits = silence(&mut keeper, &[newer.clone()], 200, 1_000);
     assert!(edits.is_empty(), "{edits:?}");
     // The old one's late announcement does not bring it back either.
-    keeper.hear(old, 0, TimePoint(1_000));
+    keeper.hear(old, HostRevision(1), 0, TimePoint(1_000));
     assert!(silence(&mut keeper, &[newer], 1_200, 1_400).is_empty());
 }
 
@@ -103,9 +110,28 @@
     let mut keeper = HostKeeper::default();
     let roster = [host(1, HostState::Leaving)];
     keeper.edits(|_| None, TimePoint(0));
-    keeper.hear(host(1, HostState::Gone), 0, TimePoint(0));
+    keeper.hear(host(1, HostState::Gone), HostRevision(1), 0, TimePoint(0));
     assert_eq!(
         describe(&silence(&mut keeper, &roster, 200, 200)),
         ["remove host-1"]
     );
 }
+
+#[test]
+fn a_short_announcement_counts_only_for_the_record_that_is_known() {
+    let mut keeper = HostKeeper::default();
+    let record = host(1, HostState::Serving);
+    let (name, start) = (record.name.clone(), record.incarnation);
+    let one = HostRevision(1);
+    assert!(keeper.hear_again(&name, start, one, TimePoint(0)).is_none());
+    keeper.hear(record, one, 0, TimePoint(0));
+    assert!(keeper.hear_again(&name, start, one, TimePoint(1)).is_some());
+    let changed = keeper.hear_again(&name, start, HostRevision(2), TimePoint(1));
+    assert!(changed.is_none());
+    let restarted = Incarnation(start.0 + 1);
+    assert!(
+        keeper
+            .hear_again(&name, restarted, one, TimePoint(1))
+            .is_none()
+    );
+}
--- a/crates/core/tests/routing.rs
+++ b/crates/core/tests/routing.rs
@@ -9,7 +9,7 @@
 use chestnutlb_core::view::ServiceView;
 use chestnutlb_core::{
     BucketIndex, EntryRouter, HostIndex, HostRecord, HostState, HostWeight, ObjectVersion,
-    PlanSource, RouteDecision, RouteDrop, RoutingView, ServiceSpec,
+    PlanSource, RouteDecision, RouteDrop, RoutingView, ServiceSpec, TimePoint,
 };
 use common::{data, host, key, quickcheck, syn};
 
@@ -32,7 +32,7 @@
 
 fn router(hosts: Vec<HostRecord>) -> EntryRouter {
     let mut router = EntryRouter::new(16);
-    router.replace_view(view(hosts));
+    router.replace_view(view(hosts), TimePoint(0));
     router
 }
 
@@ -104,13 +104,13 @@
 fn a_packet_for_no_service_or_without_hosts_is_dropped() {
     let mut router = router(Vec::new());
     assert_eq!(
-        router.route(&syn(1)),
+        router.route(&syn(1), TimePoint(0)),
         RouteDecision::Drop(RouteDrop::NoHost)
     );
     let mut other = syn(1);
     other.key.service = "10.30.0.1:7000".parse().unwrap();
     assert_eq!(
-        router.route(&other),
+        router.route(&other, TimePoint(0)),
         RouteDecision::Drop(RouteDrop::NoService)
     );
 }
@@ -122,11 +122,11 @@
     hosts[2].state = HostState::Suspect;
     let mut router = router(hosts);
     for port in 1..200 {
-        let opening = router.route(&syn(port));
+        let opening = router.route(&syn(port), TimePoint(0));
         let opening = names(&router, opening);
         assert_eq!(opening.len(), 4);
         assert!(!opening.contains(&"host-1".to_owned()));
-        let walk = router.route(&data(port, 1));
+        let walk = router.route(&data(port, 1), TimePoint(0));
         let walk = names(&router, walk);
         assert_eq!(walk.len(), 6);
         assert_eq!(walk[5], "host-2");
@@ -146,7 +146,7 @@
         })
         .collect();
     let mut router = router(hosts);
-    let opening = router.route(&syn(1));
+    let opening = router.route(&syn(1), TimePoint(0));
     assert_eq!(names(&router, opening).len(), 4);
 }
 
@@ -155,13 +155,13 @@
     let hosts: Vec<_> = (0..5).map(|n| host(n, HostState::Serving)).collect();
     let mut router = router(hosts.clone());
     let last = |router: &mut EntryRouter| {
-        let walk = router.route(&data(1, 1));
+        let walk = router.route(&data(1, 1), TimePoint(0));
         names(router, walk)[4].clone()
     };
     let owner = last(&mut router);
     let record = hosts.iter().find(|h| h.name.as_str() == owner).unwrap();
-    router.learn(key(1).hash(), key(1).service, record.incarnation);
-    let RouteDecision::Forward(plan) = router.route(&data(1, 1)) else {
+    router.learn(key(1), record.incarnation);
+    let RouteDecision::Forward(plan) = router.route(&data(1, 1), TimePoint(0)) else {
         panic!("dropped");
     };
     assert_eq!(plan.source, PlanSource::Hint);
@@ -172,8 +172,8 @@
     for host in &mut restarted {
         host.incarnation.0 += 100;
     }
-    router.replace_view(view(restarted));
-    let RouteDecision::Forward(plan) = router.route(&data(1, 1)) else {
+    router.replace_view(view(restarted), TimePoint(0));
+    let RouteDecision::Forward(plan) = router.route(&data(1, 1), TimePoint(0)) else {
         panic!("dropped");
     };
     assert_eq!(plan.source, PlanSource::Chain);
@@ -183,7 +183,7 @@
 fn a_host_that_fell_out_of_the_ranking_with_flows_is_still_walked_to() {
     let mut hosts: Vec<_> = (0..40).map(|n| host(n, HostState::Serving)).collect();
     let mut bare = router(hosts.clone());
-    let walk = bare.route(&data(1, 1));
+    let walk = bare.route(&data(1, 1), TimePoint(0));
     let walk = names(&bare, walk);
     let outside = hosts
         .iter()
@@ -192,6 +192,37 @@
     hosts[outside].held = vec![key(1).hash().bucket()];
     let name = hosts[outside].name.to_string();
     let mut router = router(hosts);
-    let walk = router.route(&data(1, 1));
+    let walk = router.route(&data(1, 1), TimePoint(0));
     assert!(names(&router, walk).contains(&name));
 }
+
+#[test]
+fn quiet_flows_are_probed_when_a_host_of_their_service_is_lost() {
+    let mut hosts: Vec<_> = (0..3).map(|n| host(n, HostState::Serving)).collect();
+    let mut router = router(hosts.clone());
+    let at = |seconds: u64| TimePoint(seconds * 1000);
+    router.route(&data(1, 500), at(0));
+    router.route(&data(2, 600), at(9));
+    let mut probed = |hosts: &[HostRecord], from: u64| {
+        router.replace_view(view(hosts.to_vec()), at(from));
+        let mut probes = Vec::new();
+        for second in from..from + 20 {
+            while let Some(probe) = router.next_probe(at(second)) {
+                assert_eq!((probe.key, probe.sequence), (key(1), 499));
+                probes.push(second - from);
+            }
+        }
+        probes
+    };
+    hosts[0].state = HostState::Suspect;
+    assert!(probed(&hosts, 10).is_empty(), "it may come back");
+    hosts.remove(0);
+    assert_eq!(probed(&hosts, 10), [0, 3, 6, 9, 12], "only the quiet flow");
+    hosts[0].state = HostState::Leaving;
+    assert!(probed(&hosts, 10).is_empty());
+    hosts.remove(0);
+    assert!(
+        probed(&hosts, 10).is_empty(),
+        "a host that left had no flows"
+    );
+}
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -55,6 +55,7 @@
     let packets = PacketLoop::new(
         packet_socket,
         settings.packets,
+        settings.fabric,
         settings.hints,
         views,
         Arc::clone(&counters),
--- a/crates/daemon/src/entry_control.rs
+++ b/crates/daemon/src/entry_control.rs
@@ -8,8 +8,8 @@
 use crossbeam_channel::{Receiver, RecvTimeoutError, Sender};
 
 use chestnutlb_core::{
-    ControlAction, ControlEvent, DocumentId, EntryControl, HostRecord, MemberEdit, ObjectVersion,
-    RosterEdit, RoutingView,
+    ControlAction, ControlEvent, DocumentId, EntryControl, HostRecord, HostRevision, Incarnation,
+    MemberEdit, ObjectVersion, RosterEdit, RoutingView,
 };
 use chestnutlb_wire::peer::{MAX_PEER_DATAGRAM_BYTES, PeerMessage, scan_message, write_message};
 
@@ -233,10 +233,18 @@
             let record = HostRecord::try_from(&announcement.host).ok()?;
             Some(ControlEvent::Announced {
                 record,
+                revision: HostRevision(announcement.revision),
                 manifest: ObjectVersion(announcement.manifest),
                 from,
             })
         }
+        PeerMessage::Alive(alive) => Some(ControlEvent::Alive {
+            name: alive.name.parse().ok()?,
+            incarnation: Incarnation(alive.incarnation),
+            revision: HostRevision(alive.revision),
+            manifest: ObjectVersion(alive.manifest),
+            from,
+        }),
         PeerMessage::Heartbeat(heartbeat) => {
             Some(ControlEvent::Heard((&heartbeat).try_into().ok()?))
         }
--- a/crates/daemon/src/entry_http.rs
+++ b/crates/daemon/src/entry_http.rs
@@ -149,7 +149,7 @@
 fn explain_flow(view: &Arc<RoutingView>, key: FlowKey) -> Option<FlowExplanation> {
     let service = view.service_at(key.service)?;
     let mut router = EntryRouter::new(0);
-    router.replace_view(Arc::clone(view));
+    router.replace_view(Arc::clone(view), TimePoint(0));
     let mut hops = |opens: bool| {
         let segment = SegmentFacts {
             key,
@@ -159,7 +159,7 @@
             acknowledgement: None,
             payload: 0,
         };
-        match router.route(&segment) {
+        match router.route(&segment, TimePoint(0)) {
             RouteDecision::Forward(plan) => (
                 plan.hops()
                     .iter()
--- a/crates/daemon/src/entry_packets.rs
+++ b/crates/daemon/src/entry_packets.rs
@@ -5,21 +5,26 @@
 
 use crossbeam_channel::Receiver;
 
+use chestnutlb_core::SegmentFacts;
 use chestnutlb_core::{EntryRouter, HopPlan, PlanSource, RouteDecision, RouteDrop, RoutingView};
-use chestnutlb_core::{Incarnation, SegmentFacts};
-use chestnutlb_wire::packet::{MAX_DATAGRAM_BYTES, write_data};
+use chestnutlb_wire::packet::{MAX_DATAGRAM_BYTES, write_data, write_probe};
 use chestnutlb_wire::{PacketError, PacketFrame, PacketHeader, WireHop, scan_frame, scan_segment};
 
+use crate::clock;
 use crate::metrics::{Counter, CounterSet};
 
 /// First byte of the system's own datagrams.
 const MAGIC_FIRST: u8 = b'C';
 
+/// Probes that are sent before packets get their turn.
+const PROBE_BATCH: usize = 64;
+
 /// The packet thread.
 #[derive(Debug)]
 pub struct PacketLoop {
     socket: UdpSocket,
     own: SocketAddrV4,
+    fabric: SocketAddrV4,
     router: EntryRouter,
     views: Receiver<Arc<RoutingView>>,
     counters: Arc<CounterSet>,
@@ -31,6 +36,7 @@
     pub fn new(
         socket: UdpSocket,
         own: SocketAddrV4,
+        fabric: SocketAddrV4,
         hints: usize,
         views: Receiver<Arc<RoutingView>>,
         counters: Arc<CounterSet>,
@@ -38,6 +44,7 @@
         Self {
             socket,
             own,
+            fabric,
             router: EntryRouter::new(hints),
             views,
             counters,
@@ -50,10 +57,11 @@
         let mut datagram = [0; MAX_DATAGRAM_BYTES + 1];
         loop {
             match self.views.try_recv() {
-                Ok(view) => self.router.replace_view(view),
+                Ok(view) => self.router.replace_view(view, clock::now()),
                 Err(crossbeam_channel::TryRecvError::Empty) => {}
                 Err(crossbeam_channel::TryRecvError::Disconnected) => return,
             }
+            self.send_probes();
             // A timeout lets the loop look for a new view.
             if let Ok((len, _)) = self.socket.recv_from(&mut datagram) {
                 self.handle(&datagram[..len]);
@@ -73,12 +81,23 @@
         }
     }
 
+    fn send_probes(&mut self) {
+        for _ in 0..PROBE_BATCH {
+            let Some(probe) = self.router.next_probe(clock::now()) else {
+                return;
+            };
+            self.counters.add(Counter::ProbesOut);
+            log::info!(target: "route", flow:% = probe.key; "probe");
+            // A lost probe is made up for by the next one.
+            let _ = self.socket.send_to(&write_probe(&probe), self.fabric);
+        }
+    }
+
     fn take_note(&mut self, datagram: &[u8]) -> Result<(), PacketError> {
         match scan_frame(datagram)? {
             PacketFrame::Note(note) => {
                 self.counters.add(Counter::NotesIn);
-                let owner = Incarnation(note.incarnation);
-                self.router.learn(note.flow(), note.service(), owner);
+                self.router.learn(note.key(), note.owner());
                 Ok(())
             }
             PacketFrame::Data { .. } => Err(PacketError::Header),
@@ -88,7 +107,7 @@
     fn forward(&mut self, packet: &[u8]) -> Result<(), PacketError> {
         self.counters.add(Counter::PacketsIn);
         let segment = scan_segment(packet)?;
-        match self.router.route(&segment) {
+        match self.router.route(&segment, clock::now()) {
             RouteDecision::Forward(plan) => self.send(&segment, &plan, packet),
             RouteDecision::Drop(cause) => self.drop_packet(&segment, cause),
         }
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -49,6 +49,8 @@
     PacketsUnsent = "packets.unsent",
     /// Notes about owners.
     NotesIn = "notes.in",
+    /// Probes to callers of flows that may have lost their owner.
+    ProbesOut = "probes.out",
     /// Datagrams from peers that can't be read.
     PeerBad = "peer.bad",
     /// Datagrams from peers.
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -45,6 +45,7 @@
     packets: CompactString,
     peers: CompactString,
     status: CompactString,
+    fabric: CompactString,
     platform: CompactString,
     #[serde(default)]
     seeds: Vec<CompactString>,
@@ -107,11 +108,13 @@
     pub peers: SocketAddrV4,
     /// Where it answers over HTTP.
     pub status: SocketAddrV4,
+    /// Where packets to callers go.
+    pub fabric: SocketAddrV4,
     /// The platform's address.
     pub platform: CompactString,
     /// Other entry VMs.
     pub seeds: Vec<SocketAddrV4>,
-    /// Most hints about owners of flows.
+    /// Most flows that are remembered.
     pub hints: usize,
     /// Time that it goes on forwarding after it was asked to stop.
     pub stop_linger: Duration,
@@ -249,6 +252,7 @@
             packets: parse_text("packets", &wire.packets, ADDRESS_FORM)?,
             peers: parse_text("peers", &wire.peers, ADDRESS_FORM)?,
             status: parse_text("status", &wire.status, ADDRESS_FORM)?,
+            fabric: parse_text("fabric", &wire.fabric, ADDRESS_FORM)?,
             platform: wire.platform.clone(),
             seeds: parse_list("seeds", &wire.seeds)?,
             hints: wire.hints,
--- a/crates/daemon/src/side_control.rs
+++ b/crates/daemon/src/side_control.rs
@@ -8,11 +8,12 @@
 use std::time::Duration;
 
 use chestnutlb_core::{
-    EntryRecord, HostEvent, HostRecord, HostState, Incarnation, ServiceSpec, TimePoint, TimerPart,
-    TimerService, WelcomeNews,
+    EntryRecord, HostEvent, HostRecord, HostRevision, HostState, Incarnation, ServiceSpec,
+    TimePoint, TimerPart, TimerService, WelcomeNews,
 };
 use chestnutlb_wire::peer::{
-    Announcement, MAX_PEER_DATAGRAM_BYTES, PeerMessage, ServiceSlice, scan_message, write_message,
+    Announcement, HostAlive, MAX_PEER_DATAGRAM_BYTES, PeerMessage, ServiceSlice, scan_message,
+    write_message,
 };
 
 use crate::clock;
@@ -23,6 +24,8 @@
 
 /// Time between two announcements.
 const ANNOUNCE_PERIOD: Duration = Duration::from_millis(500);
+/// Time between two announcements in full.
+const FULL_PERIOD: Duration = Duration::from_secs(5);
 /// Time between two looks at the backend server.
 const PROBE_PERIOD: Duration = Duration::from_millis(500);
 /// Time for the backend server to say how it is.
@@ -61,6 +64,9 @@
     warm_up: Duration,
     drain_grace: Duration,
     leave_shown: Option<TimePoint>,
+    announced: Option<HostRecord>,
+    revision: HostRevision,
+    full_due: TimePoint,
     keepers: Vec<EntryRecord>,
     heard: Option<TimePoint>,
     slice: Option<u64>,
@@ -93,6 +99,9 @@
             warm_up: Duration::ZERO,
             drain_grace: Duration::ZERO,
             leave_shown: None,
+            announced: None,
+            revision: HostRevision::default(),
+            full_due: now,
             keepers: Vec::new(),
             heard: None,
             slice: None,
@@ -200,11 +209,28 @@
             state: self.state,
             held: self.shared.held(),
         };
-        let announcement = Announcement {
-            host: (&record).into(),
-            manifest: self.shared.manifest.load(Ordering::Relaxed),
+        if self.announced.as_ref() != Some(&record) {
+            self.revision.0 += 1;
+            self.full_due = now;
+            self.announced = Some(record.clone());
+        }
+        let manifest = self.shared.manifest.load(Ordering::Relaxed);
+        let message = if self.full_due <= now {
+            self.full_due = now + FULL_PERIOD;
+            PeerMessage::Announce(Announcement {
+                host: (&record).into(),
+                revision: self.revision.0,
+                manifest,
+            })
+        } else {
+            PeerMessage::Alive(HostAlive {
+                name: record.name.into(),
+                incarnation: self.incarnation.0,
+                revision: self.revision.0,
+                manifest,
+            })
         };
-        let bytes = write_message(&PeerMessage::Announce(announcement));
+        let bytes = write_message(&message);
         let silent = self
             .heard
             .is_none_or(|heard| now.since(heard) >= KEEPER_SILENCE);
@@ -244,6 +270,10 @@
 
     fn welcome(&mut self, news: WelcomeNews, now: TimePoint) {
         self.heard = Some(now);
+        if news.resend {
+            self.full_due = now;
+            return;
+        }
         self.events.push(SideEvent::Heard { fresh: news.fresh });
         if !news.keepers.is_empty() {
             self.keepers = news.keepers;
--- a/crates/daemon/src/side_flows.rs
+++ b/crates/daemon/src/side_flows.rs
@@ -318,9 +318,6 @@
             }
             PacketVerdict::Open => {
                 self.open_flow(&segment, inner, now);
-                if position > 0 {
-                    self.send_note(&header, segment.key, now);
-                }
             }
             PacketVerdict::PassOn => {
                 let target = header.hops[position + 1].target();
@@ -390,12 +387,7 @@
             return;
         }
         flow.noted = Some(now);
-        let note = OwnerNote {
-            flow: key.hash().0,
-            address: u32::from(*key.service.ip()),
-            port: key.service.port(),
-            incarnation: self.table.incarnation().0,
-        };
+        let note = OwnerNote::new(key, self.table.incarnation());
         let mut buffer = std::mem::take(&mut self.buffer);
         write_note(&mut buffer, &note);
         self.send_packet(&buffer, header.entry());
--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -6,7 +6,7 @@
 const ENTRY: &str = r#"{
   "role": "entry", "name": "entry-1", "datacenter": "honam-1",
   "packets": "127.0.0.1:9001", "peers": "127.0.0.1:9002", "status": "127.0.0.1:9003",
-  "platform": "http://127.0.0.1:7100"
+  "fabric": "127.0.0.1:9000", "platform": "http://127.0.0.1:7100"
 }"#;
 
 const SIDE: &str = r#"{
--- a/crates/standin/src/capacity.rs
+++ b/crates/standin/src/capacity.rs
@@ -18,14 +18,17 @@
 use chestnutlb_core::document::VersionedDocument;
 use chestnutlb_core::{
     ControlEvent, DocumentId, DocumentItem, DocumentKind, EntryControl, EntryRecord, EntryRouter,
-    FirmManifest, FlowEvent, FlowKey, FlowTable, HeartbeatNews, HostRecord, HostState, HostWeight,
-    Incarnation, ObjectVersion, OpeningGate, PacketArrival, SegmentFacts, ServiceSpec, ServiceTag,
-    TimePoint, TimerPart,
+    FirmManifest, FlowEvent, FlowKey, FlowTable, HeartbeatNews, HostRecord, HostRevision,
+    HostState, HostWeight, Incarnation, ObjectVersion, OpeningGate, PacketArrival, SegmentFacts,
+    ServiceSpec, ServiceTag, TimePoint, TimerPart,
 };
 use chestnutlb_stack::FlowStack;
 use chestnutlb_wire::manifest::shared_services;
-use chestnutlb_wire::peer::{Announcement, KeeperReply, PeerHeartbeat, PeerMessage, write_message};
-use chestnutlb_wire::{WireHost, WireManifest, WirePatch, WireRoster, parse_json};
+use chestnutlb_wire::packet::write_data;
+use chestnutlb_wire::peer::{
+    Announcement, HostAlive, KeeperReply, PeerHeartbeat, PeerMessage, write_message,
+};
+use chestnutlb_wire::{PacketHeader, WireHost, WireManifest, WirePatch, WireRoster, parse_json};
 
 /// The target of the developers' page.
 pub mod target {
@@ -316,14 +319,14 @@
     };
     let (opening, data) = (segments(true), segments(false));
     let mut router = EntryRouter::new(SEGMENTS * 2);
-    router.replace_view(Arc::clone(control.view()));
+    router.replace_view(Arc::clone(control.view()), TimePoint(0));
     let size = hosts as f64;
     let syn = median_ns(SEGMENTS, |step| {
-        black_box(router.route(&opening[step % SEGMENTS]));
+        black_box(router.route(&opening[step % SEGMENTS], TimePoint(1)));
     });
     report.add("decision, SYN", "ns", size, syn);
     let walk = median_ns(SEGMENTS, |step| {
-        black_box(router.route(&data[step % SEGMENTS]));
+        black_box(router.route(&data[step % SEGMENTS], TimePoint(1)));
     });
     report.add("decision, data without hint", "ns", size, walk);
     let view = Arc::clone(control.view());
@@ -332,11 +335,11 @@
             && let Some(host) = service.hosts().last()
         {
             let owner = host.record.incarnation;
-            router.learn(segment.key.hash(), segment.key.service, owner);
+            router.learn(segment.key, owner);
         }
     }
     let hinted = median_ns(SEGMENTS, |step| {
-        black_box(router.route(&data[step % SEGMENTS]));
+        black_box(router.route(&data[step % SEGMENTS], TimePoint(1)));
     });
     report.add("decision, data with hint", "ns", size, hinted);
     let plain = median_ns(SEGMENTS, |step| {
@@ -376,11 +379,11 @@
         build,
     );
     let mut router = EntryRouter::new(0);
-    router.replace_view(Arc::clone(control.view()));
+    router.replace_view(Arc::clone(control.view()), TimePoint(0));
     let mut random = StdRng::seed_from_u64(2);
     let data: Vec<_> = (0..4096).map(|_| segment(&mut random, 1, false)).collect();
     let walk = median_ns(4096, |step| {
-        black_box(router.route(&data[step % data.len()]));
+        black_box(router.route(&data[step % data.len()], TimePoint(1)));
     });
     report.add(
         "decision in one service of all hosts",
@@ -428,6 +431,7 @@
         let number = step * 16 % hosts;
         let event = ControlEvent::Announced {
             record: host(number, services),
+            revision: HostRevision(1),
             manifest: ObjectVersion(1),
             from: address(1, 1),
         };
@@ -499,12 +503,26 @@
     let wire_host = WireHost::from(&record);
     let announce = PeerMessage::Announce(Announcement {
         host: wire_host.clone(),
+        revision: 300,
+        manifest: 1_000_000,
+    });
+    let alive = PeerMessage::Alive(HostAlive {
+        name: wire_host.name.clone(),
+        incarnation: wire_host.incarnation,
+        revision: 300,
         manifest: 1_000_000,
     });
+    let short = PeerMessage::Welcome(KeeperReply {
+        keepers: Vec::new(),
+        slice: u64::MAX / 3,
+        fresh: true,
+        resend: false,
+    });
     let welcome = PeerMessage::Welcome(KeeperReply {
         keepers: vec![(&entry(5_000)).into(), (&entry(5_001)).into()],
         slice: u64::MAX / 3,
         fresh: true,
+        resend: false,
     });
     let recent = vec![
         (
@@ -531,6 +549,25 @@
     let size = |message: &PeerMessage| write_message(message).len() as f64;
     report.add("message: announcement", "bytes", 1.0, size(&announce));
     report.add("message: welcome", "bytes", 1.0, size(&welcome));
+    report.add("message: short announcement", "bytes", 1.0, size(&alive));
+    report.add("message: short welcome", "bytes", 1.0, size(&short));
+    for hops in [1, 4, 8, 12] {
+        let header = PacketHeader {
+            tag: u64::MAX / 3,
+            generation: 1_000_000,
+            complete: true,
+            entry: (u32::MAX / 3, 9001),
+            hops: vec![(&record).into(); hops],
+        };
+        let mut buffer = Vec::new();
+        write_data(&mut buffer, &header, &[]);
+        report.add(
+            "message: header of a packet",
+            "bytes",
+            hops as f64,
+            buffer.len() as f64,
+        );
+    }
     report.add(
         "message: push of a change",
         "bytes",
@@ -784,7 +821,11 @@
     let bytes = [
         (
             "announcements and welcomes",
-            announcements * (message("message: announcement") + message("message: welcome")),
+            announcements
+                * ((1.0 - FULL_SHARE)
+                    * (message("message: short announcement") + message("message: short welcome"))
+                    + FULL_SHARE
+                        * (message("message: announcement") + message("message: welcome"))),
         ),
         (
             "heartbeats, in and out",
@@ -872,6 +913,8 @@
 const KEEPERS: f64 = chestnutlb_core::members::KEEPERS_PER_HOST as f64;
 /// Announcements of a host to each keeper, a second.
 const ANNOUNCEMENTS: f64 = 2.0;
+/// Share of them that are in full: one in 5 s.
+const FULL_SHARE: f64 = 0.1;
 /// Heartbeats sent a second: to neighbours and a seed.
 const HEARTBEATS: f64 = (chestnutlb_core::members::NEIGHBOURS as f64 + 1.0) * 2.0;
 /// Peers told of a change at once.
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -298,6 +298,7 @@
             "packets": ports.packets,
             "peers": ports.peers,
             "status": ports.status,
+            "fabric": self.fabric,
             "platform": format!("http://{}", self.platform),
             "seeds": seeds,
         });
@@ -525,6 +526,19 @@
         self.sides.remove(name);
     }
 
+    /// Processor time, in kernel ticks, and resident memory, in bytes, of a
+    /// process.
+    pub fn process_costs(&self, name: &str) -> Option<(f64, f64)> {
+        const PAGE_BYTES: f64 = 4096.0;
+        let id = self.processes.get(name)?.id();
+        let stat = std::fs::read_to_string(format!("/proc/{id}/stat")).ok()?;
+        // Behind the name in brackets: state is field 3, times are 14 and 15.
+        let fields: Vec<&str> = stat.rsplit_once(')')?.1.split_whitespace().collect();
+        let ticks = fields.get(11)?.parse::<f64>().ok()? + fields.get(12)?.parse::<f64>().ok()?;
+        let memory = fields.get(21)?.parse::<f64>().ok()? * PAGE_BYTES;
+        Some((ticks, memory))
+    }
+
     /// What a process printed.
     pub fn log(&self, name: &str) -> String {
         std::fs::read_to_string(self.logs.join(format!("{name}.log"))).unwrap_or_default()
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -8,4 +8,6 @@
 pub mod fleet;
 pub mod platform;
 pub mod small_http;
+pub mod spread;
 pub mod tryout;
+pub mod waiting;
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -9,7 +9,7 @@
 
 use chestnutlb_standin::backend::BackendPlan;
 use chestnutlb_standin::tryout::{TryoutPlan, program_folder};
-use chestnutlb_standin::{backend, capacity, fabric, platform, tryout};
+use chestnutlb_standin::{backend, capacity, fabric, platform, spread, tryout, waiting};
 
 /// Stand-ins of the systems around chestnutlb.
 #[derive(Debug)]
@@ -28,6 +28,8 @@
     Backend(BackendOptions),
     Tryout(TryoutOptions),
     Capacity(CapacityOptions),
+    Spread(SpreadOptions),
+    Waiting(WaitingOptions),
 }
 
 /// the platform's object API
@@ -128,6 +130,35 @@
     json: bool,
 }
 
+/// time of a manifest to every entry VM, and costs of idle ones
+#[derive(Debug)]
+#[derive(FromArgs)]
+#[argh(subcommand, name = "spread")]
+struct SpreadOptions {
+    /// numbers of entry VMs
+    #[argh(option, default = "String::from(\"4,8,16,32\")")]
+    sizes: String,
+    /// folder for logs
+    #[argh(option, default = "PathBuf::from(\"target/spread\")")]
+    logs: PathBuf,
+    /// manifest to commit
+    #[argh(option, default = "PathBuf::from(\"examples/dalbit.json\")")]
+    manifest: PathBuf,
+}
+
+/// waiting of short work at one host, in virtual time
+#[derive(Debug)]
+#[derive(FromArgs)]
+#[argh(subcommand, name = "waiting")]
+struct WaitingOptions {
+    /// virtual seconds of each run
+    #[argh(option, default = "2000")]
+    seconds: u64,
+    /// seed
+    #[argh(option, default = "1")]
+    seed: u64,
+}
+
 fn main() -> ExitCode {
     let options: StandinOptions = argh::from_env();
     let outcome = match options.command {
@@ -143,6 +174,8 @@
         StandinCommand::Backend(options) => run_backend(options),
         StandinCommand::Tryout(options) => run_tryout(options),
         StandinCommand::Capacity(options) => run_capacity(&options),
+        StandinCommand::Spread(options) => run_spread(&options),
+        StandinCommand::Waiting(options) => run_waiting(&options),
     };
     match outcome {
         Ok(()) => ExitCode::SUCCESS,
@@ -171,8 +204,7 @@
     let report = capacity::measure();
     if options.json {
         for point in &report.points {
-            let line = serde_json::to_string(point).map_err(|error| error.to_string())?;
-            println!("{line}");
+            print_line(point)?;
         }
     } else {
         print!("{}", capacity::write_tables(&report));
@@ -180,6 +212,32 @@
     Ok(())
 }
 
+fn print_line<T: serde::Serialize>(figures: &T) -> Result<(), String> {
+    let line = serde_json::to_string(figures).map_err(|error| error.to_string())?;
+    println!("{line}");
+    Ok(())
+}
+
+fn run_spread(options: &SpreadOptions) -> Result<(), String> {
+    let binaries = program_folder().map_err(|error| error.to_string())?;
+    for size in options.sizes.split(',') {
+        let size = size
+            .parse()
+            .map_err(|_| format!("--sizes: found {size:?}, allowed are numbers with commas"))?;
+        eprintln!("{size} entry VMs");
+        let figures = spread::measure(&binaries, &options.logs, &options.manifest, size)
+            .map_err(|error| error.to_string())?;
+        print_line(&figures)?;
+    }
+    Ok(())
+}
+
+fn run_waiting(options: &WaitingOptions) -> Result<(), String> {
+    waiting::measure_all(options.seconds, options.seed)
+        .iter()
+        .try_for_each(print_line)
+}
+
 fn run_tryout(options: TryoutOptions) -> Result<(), String> {
     let plan = TryoutPlan {
         binaries: program_folder().map_err(|error| error.to_string())?,
--- a/crates/standin/tests/host_faults.rs
+++ b/crates/standin/tests/host_faults.rs
@@ -117,21 +117,20 @@
             fleet.rosters().iter().all(|host| host.name != "feed-1")
         })
         .unwrap();
-    let end = feeds.elapsed() + std::time::Duration::from_secs(2);
-    feeds.run(|feeds| feeds.elapsed() > end);
+    // Callers that only listen are told, too: their feeds are reset.
+    let limit = feeds.elapsed() + std::time::Duration::from_secs(60);
+    feeds.run(|feeds| feeds.results().len() == own || feeds.elapsed() > limit);
+    assert_eq!(feeds.results().len(), own);
     feeds.end_feeds();
-    // The flows of the dead host never got another line, or were reset.
-    let lines: Vec<u64> = feeds
+    let words: Vec<_> = feeds
         .results()
         .iter()
-        .map(|result| match &result.end {
-            chestnutlb_standin::caller::CallerEnd::FeedHeld { lines, .. } => *lines,
-            _ => 0,
-        })
+        .map(|result| word(&result.end))
         .collect();
-    let most = lines.iter().max().copied().unwrap_or(0);
-    let stuck = lines.iter().filter(|count| **count * 2 < most).count();
-    assert_eq!(stuck, own, "{lines:?}");
+    let (broken, held) = words.split_at(own);
+    assert!(broken.iter().all(|word| *word == "broken"), "{words:?}");
+    assert!(held.iter().all(|word| *word == "held"), "{words:?}");
+    assert_eq!(held.len(), 12 - own);
 }
 
 #[test]
--- a/crates/wire/src/packet.rs
+++ b/crates/wire/src/packet.rs
@@ -6,13 +6,14 @@
 
 use std::net::{Ipv4Addr, SocketAddrV4};
 
-use etherparse::{NetSlice, SlicedPacket, TransportSlice};
+use etherparse::{
+    IpHeaders, NetSlice, PacketBuilder, PacketBuilderStep, SlicedPacket, TcpHeader, TransportSlice,
+};
 use quick_error::quick_error;
 use serde::{Deserialize, Serialize};
 
-use chestnutlb_core::{
-    FlowHash, FlowKey, HostRecord, Incarnation, ObjectVersion, SegmentFacts, ServiceTag,
-};
+use chestnutlb_core::entry::FlowProbe;
+use chestnutlb_core::{FlowKey, HostRecord, Incarnation, ObjectVersion, SegmentFacts, ServiceTag};
 
 /// Version of this form.
 pub const PACKET_VERSION: u8 = 1;
@@ -129,25 +130,37 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
 pub struct OwnerNote {
-    /// The flow.
-    pub flow: u64,
-    /// Address of its service.
-    pub address: u32,
-    /// Port of its service.
-    pub port: u16,
+    /// The caller's end.
+    pub caller: (u32, u16),
+    /// The service.
+    pub service: (u32, u16),
     /// Incarnation of the owner.
     pub incarnation: u64,
 }
 
 impl OwnerNote {
+    /// A note about this flow.
+    pub fn new(key: FlowKey, owner: Incarnation) -> Self {
+        let pair = |address: SocketAddrV4| (u32::from(*address.ip()), address.port());
+        Self {
+            caller: pair(key.caller),
+            service: pair(key.service),
+            incarnation: owner.0,
+        }
+    }
+
     /// The flow.
-    pub fn flow(&self) -> FlowHash {
-        FlowHash(self.flow)
+    pub fn key(&self) -> FlowKey {
+        let address = |(ip, port)| SocketAddrV4::new(Ipv4Addr::from(ip), port);
+        FlowKey {
+            caller: address(self.caller),
+            service: address(self.service),
+        }
     }
 
-    /// Address of the service.
-    pub fn service(&self) -> SocketAddrV4 {
-        SocketAddrV4::new(Ipv4Addr::from(self.address), self.port)
+    /// The owner.
+    pub fn owner(&self) -> Incarnation {
+        Incarnation(self.incarnation)
     }
 }
 
@@ -260,17 +273,31 @@
     })
 }
 
-/// A reset that answers a segment, as RFC 9293 section 3.10.7.1 asks for.
-pub fn write_reset(segment: &SegmentFacts) -> Vec<u8> {
-    const TIME_TO_LIVE: u8 = 64;
-    let key = segment.key;
-    let builder = etherparse::PacketBuilder::ipv4(
+const TIME_TO_LIVE: u8 = 64;
+
+// From the service to the caller.
+fn builder(key: FlowKey) -> PacketBuilderStep<IpHeaders> {
+    PacketBuilder::ipv4(
         key.service.ip().octets(),
         key.caller.ip().octets(),
         TIME_TO_LIVE,
-    );
+    )
+}
+
+fn write_segment(builder: PacketBuilderStep<TcpHeader>) -> Vec<u8> {
+    let mut packet = Vec::with_capacity(builder.size(0));
+    // Writing an empty payload to memory can't fail.
+    let written = builder.write(&mut packet, &[]);
+    debug_assert!(written.is_ok());
+    packet
+}
+
+/// A reset that answers a segment, as RFC 9293 section 3.10.7.1 asks for.
+pub fn write_reset(segment: &SegmentFacts) -> Vec<u8> {
+    let key = segment.key;
     let (source, target) = (key.service.port(), key.caller.port());
-    let builder = match segment.acknowledgement {
+    let builder = builder(key);
+    write_segment(match segment.acknowledgement {
         Some(number) => builder.tcp(source, target, number, 0).rst(),
         None => {
             let length = u32::from(segment.payload) + u32::from(segment.opens);
@@ -279,10 +306,14 @@
                 .rst()
                 .ack(segment.sequence.wrapping_add(length))
         }
-    };
-    let mut packet = Vec::with_capacity(builder.size(0));
-    // Writing an empty payload to memory can't fail.
-    let written = builder.write(&mut packet, &[]);
-    debug_assert!(written.is_ok());
-    packet
+    })
+}
+
+/// A keep-alive probe to the caller of a flow (RFC 9293 section 3.8.4).
+pub fn write_probe(probe: &FlowProbe) -> Vec<u8> {
+    const WINDOW_BYTES: u16 = 1024;
+    let key = probe.key;
+    let (source, target) = (key.service.port(), key.caller.port());
+    let tcp = builder(key).tcp(source, target, probe.sequence, WINDOW_BYTES);
+    write_segment(tcp.ack(probe.acknowledgement))
 }
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -43,8 +43,10 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
 pub enum PeerMessage {
-    /// A host says that it is there.
+    /// A host says who it is.
     Announce(Announcement),
+    /// A host says that it is as it said before.
+    Alive(HostAlive),
     /// What a host should know.
     Welcome(KeeperReply),
     /// An entry VM says that it is there.
@@ -57,6 +59,22 @@
 pub struct Announcement {
     /// The host.
     pub host: WireHost,
+    /// Its count of changes.
+    pub revision: u64,
+    /// Version of its firm's manifest that it has in force.
+    pub manifest: u64,
+}
+
+/// A host's short announcement.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct HostAlive {
+    /// The host.
+    pub name: CompactString,
+    /// Start of its side process.
+    pub incarnation: u64,
+    /// Its count of changes.
+    pub revision: u64,
     /// Version of its firm's manifest that it has in force.
     pub manifest: u64,
 }
@@ -65,12 +83,14 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
 pub struct KeeperReply {
-    /// The keepers of this host, best first.
+    /// The keepers of this host, best first; empty if they were told before.
     pub keepers: Vec<WireEntry>,
     /// Hash of what the host should know of its service.
     pub slice: u64,
     /// Whether the platform confirmed that lately.
     pub fresh: bool,
+    /// Whether the host should announce itself in full.
+    pub resend: bool,
 }
 
 impl From<&WelcomeNews> for KeeperReply {
@@ -79,6 +99,7 @@
             keepers: news.keepers.iter().map(WireEntry::from).collect(),
             slice: news.slice,
             fresh: news.fresh,
+            resend: news.resend,
         }
     }
 }
@@ -95,6 +116,7 @@
                 .collect::<Result<_, _>>()?,
             slice: wire.slice,
             fresh: wire.fresh,
+            resend: wire.resend,
         })
     }
 }
