--- a/crates/spec/src/checker.rs
+++ b/crates/spec/src/checker.rs
@@ -59,12 +59,18 @@
         state: start,
     });
     let successors = |node: &Node<S>| next(&node.0.state).into_iter().map(Node);
-    match bfs(&start, successors, |node| !right(&node.0.state)) {
-        Some(path) => SearchResult::Broken {
-            trace: path.into_iter().map(|node| node.0.label).collect(),
-        },
-        None => SearchResult::Holds {
-            states: bfs_reach(start, successors).count(),
+    let wrong = |node: &Node<S>| !right(&node.0.state);
+    let mut states = 0;
+    let broken = bfs_reach(start.clone(), successors).any(|node| {
+        states += 1;
+        wrong(&node)
+    });
+    // Only a broken property is worth the second search, which keeps the way.
+    let way = broken.then(|| bfs(&start, successors, wrong)).flatten();
+    match way {
+        None => SearchResult::Holds { states },
+        Some(way) => SearchResult::Broken {
+            trace: way.into_iter().map(|node| node.0.label).collect(),
         },
     }
 }
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -110,6 +110,8 @@
     backends: BTreeMap<String, BackendPorts>,
     sides: BTreeMap<String, SocketAddrV4>,
     faults: FabricFaults,
+    /// Where entry VMs that are started from now on send their metrics.
+    pub metrics: Option<SocketAddrV4>,
     /// The platform's address.
     pub platform: SocketAddrV4,
     /// The fabric's address for packets.
@@ -152,6 +154,7 @@
             backends: BTreeMap::new(),
             sides: BTreeMap::new(),
             faults: FabricFaults::default(),
+            metrics: None,
             platform: free_address()?,
             fabric: free_address()?,
             fabric_admin: free_address()?,
@@ -301,6 +304,7 @@
             "fabric": self.fabric,
             "platform": format!("http://{}", self.platform),
             "seeds": seeds,
+            "metrics": self.metrics,
         });
         self.spawn_daemon(name, &settings)?;
         self.entries.insert(name.to_owned(), ports);
--- a/crates/standin/tests/control_faults.rs
+++ b/crates/standin/tests/control_faults.rs
@@ -181,3 +181,49 @@
     assert!(!accused, "a paused keeper must blame itself");
     assert!(fleet.rosters().iter().all(|host| host.state == "serving"));
 }
+
+#[test]
+fn operators_see_what_is_in_force_and_where_flows_go() {
+    let name = "operators";
+    let mut fleet = start(name);
+    let receiver = std::net::UdpSocket::bind("127.0.0.1:0").unwrap();
+    let std::net::SocketAddr::V4(address) = receiver.local_addr().unwrap() else {
+        panic!("not IPv4");
+    };
+    fleet.metrics = Some(address);
+    fleet.start_entry("entry-3", "dc-1").unwrap();
+    fleet
+        .wait_for("entry-3 to be listed", || {
+            fleet
+                .entry_status("entry-1")
+                .is_some_and(|status| status.entries.len() == 3)
+        })
+        .unwrap();
+    let entry = fleet.entry_ports("entry-1").unwrap().status.to_string();
+    let ask = |words: &[&str]| -> serde_json::Value {
+        let output = fleet.operate(words).unwrap();
+        assert_eq!(output.status.code(), Some(0), "{words:?}");
+        serde_json::from_slice(&output.stdout).unwrap()
+    };
+    let status = ask(&["status", "--json", "--entry", &entry]);
+    assert_eq!(status["entries"].as_array().unwrap().len(), 3);
+    assert_eq!(status["hosts"].as_object().unwrap().len(), 6);
+    let words = ["explain", "--json", "--entry", &entry];
+    let flow = ["--caller", "10.9.1.1:10000", "--service", common::FEEDS];
+    let explained = ask(&[&words[..], &flow].concat());
+    assert_eq!(explained["service"], "dalbit/catalogue");
+    assert_eq!(explained["opening"].as_array().unwrap().len(), 3);
+    assert_eq!(explained["complete"], true);
+    let nowhere = ["--caller", "10.9.1.1:10000", "--service", "10.99.0.1:1"];
+    let output = fleet.operate(&[&words[..], &nowhere].concat()).unwrap();
+    assert_eq!(output.status.code(), Some(3));
+    let late = ["wait", "--json", "--entry", &entry, "--firm", "dalbit"];
+    let version = ["--manifest", "999999", "--seconds", "1"];
+    let output = fleet.operate(&[&late[..], &version].concat()).unwrap();
+    assert_eq!(output.status.code(), Some(1));
+
+    let mut datagram = [0; 2048];
+    let len = receiver.recv(&mut datagram).unwrap();
+    let metric = String::from_utf8_lossy(&datagram[..len]).into_owned();
+    assert!(metric.starts_with("chestnutlb.entry."), "{metric}");
+}
--- a/crates/standin/tests/host_faults.rs
+++ b/crates/standin/tests/host_faults.rs
@@ -239,3 +239,29 @@
         })
         .unwrap();
 }
+
+#[test]
+fn a_second_signal_stops_at_once_and_says_what_was_cut() {
+    let mut fleet = start("second-signal");
+    let mut feeds = caller(&fleet, 1);
+    for id in 0..12 {
+        feeds.add(feed(id));
+    }
+    feeds.run(|feeds| feeds.live_feeds() == 12);
+    fleet.signal("feed-1", TERM).unwrap();
+    fleet
+        .wait_for("feed-1 to leave", || {
+            fleet
+                .side_status("feed-1")
+                .is_some_and(|status| status.state == "leaving" && status.flows > 0)
+        })
+        .unwrap();
+    assert_eq!(fleet.stop("feed-1").unwrap(), Some(0));
+    let log = fleet.log("feed-1");
+    let line = log
+        .lines()
+        .find(|line| line.contains("stopped at once"))
+        .unwrap();
+    let fields: serde_json::Value = serde_json::from_str(line).unwrap();
+    assert!(fields["flows"].as_u64().unwrap() > 0, "{line}");
+}
