Load tool: a demand swing over real processes

Cause: service at the crest and imbalance were not measured. Change: command crest: seven hosts with speeds 1 to 4, 70% load, 3 times capacity for 6 s, 70%.

--- /dev/null
+++ b/crates/standin/src/crest.rs
@@ -0,0 +1,281 @@
+//! A demand swing over real processes: seven uneven hosts of the order desk at
+//! ordinary load, at the crest, and after it.
+
+use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+use hdrhistogram::Histogram;
+use serde::Serialize;
+
+use crate::caller::{CallerEnd, CallerLoop, CallerResult, CallerTask, CallerWish};
+use crate::fleet::{Fleet, FleetError, HostPlan};
+use crate::tryout::order_request;
+
+/// Speeds of the hosts, 1 to 4.
+const SPEEDS: [f64; 7] = [0.5, 0.5, 1.0, 1.0, 1.0, 2.0, 2.0];
+/// Slots of each host.
+const SLOTS: f64 = 3.0;
+/// Run time of a request at ordinary speed, in milliseconds.
+const WORK_MS: u64 = 60;
+/// Deadline of a request; the manifest is told the same.
+const DEADLINE: Duration = Duration::from_millis(2_000);
+/// Callers' machines, to spread the load of user-space TCP.
+const CALLERS: usize = 3;
+/// The service.
+const ADDRESS: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(10, 30, 0, 1), 7000);
+/// Time between two readings of the hosts.
+const READING_PERIOD: Duration = Duration::from_secs(1);
+
+/// A part of the swing.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct SwingPhase {
+    /// Its name.
+    pub name: &'static str,
+    /// Offered load, as a share of capacity.
+    pub load: f64,
+    /// How long it lasts.
+    pub time: Duration,
+}
+
+/// Figures of one phase.
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize)]
+pub struct PhaseFigures {
+    /// Its name.
+    pub phase: &'static str,
+    /// Offered load, as a share of capacity.
+    pub load: f64,
+    /// Requests.
+    pub offered: usize,
+    /// Requests answered within the deadline.
+    pub in_time: usize,
+    /// Requests answered late.
+    pub late: usize,
+    /// Requests told `not run`.
+    pub not_run: usize,
+    /// Requests told `unknown`.
+    pub unknown: usize,
+    /// Flows refused, cut or silent.
+    pub lost: usize,
+    /// Requests answered in time, as a share of what capacity could.
+    pub goodput: f64,
+    /// Time to an answer, median, in milliseconds.
+    pub p50_ms: u64,
+    /// The same, 99th of 100.
+    pub p99_ms: u64,
+    /// Time until told `not run`, 99th of 100, in milliseconds.
+    pub refusal_p99_ms: u64,
+    /// Largest over mean busy share of the hosts, median over time.
+    pub imbalance_p50: f64,
+    /// The same, at worst.
+    pub imbalance_max: f64,
+}
+
+/// What is measured.
+#[derive(Debug, Clone)]
+pub struct SwingPlan<'a> {
+    /// Folder of the programs.
+    pub binaries: &'a Path,
+    /// Folder for logs.
+    pub logs: &'a Path,
+    /// The firm's manifest.
+    pub manifest: &'a Path,
+    /// Load at the crest, as a share of capacity.
+    pub crest: f64,
+    /// Whether the roster knows the hosts' speeds.
+    pub weighted: bool,
+    /// Seed.
+    pub seed: u64,
+}
+
+fn capacity_per_second() -> f64 {
+    SPEEDS.iter().sum::<f64>() * SLOTS * 1000.0 / WORK_MS as f64
+}
+
+fn start_fleet(plan: &SwingPlan<'_>) -> Result<Fleet, FleetError> {
+    let mut fleet = Fleet::start(plan.binaries, plan.logs)?;
+    fleet.grant(&[("10.30.0.0/16", "calinawan")])?;
+    let entries = ["entry-1".to_owned(), "entry-2".to_owned()];
+    for entry in &entries {
+        fleet.start_entry(entry, "luzon-1")?;
+    }
+    let text = std::fs::read_to_string(plan.manifest)?;
+    let text = text.replacen(
+        "\"deadline_ms\": 5000",
+        &format!("\"deadline_ms\": {}", DEADLINE.as_millis()),
+        1,
+    );
+    let path = plan.logs.join("manifest.json");
+    std::fs::write(&path, text)?;
+    let version = fleet.commit(&path)?;
+    let mut names = Vec::new();
+    for (number, speed) in SPEEDS.iter().enumerate() {
+        let name = format!("order-desk-{}", number + 1);
+        let mut host = HostPlan::new(&name, "luzon-1", "calinawan/order-desk", false);
+        host.backend
+            .extend(["--speed".to_owned(), speed.to_string()]);
+        if plan.weighted {
+            host.weight = (speed * 100.0) as u16;
+        }
+        fleet.start_host(&host)?;
+        names.push(name);
+    }
+    fleet.wait_ready(&entries, &names)?;
+    fleet.wait_in_force("calinawan", version)?;
+    Ok(fleet)
+}
+
+// Requests at even distances, dealt to the callers in turn.
+fn plan_tasks(phases: &[SwingPhase]) -> Vec<CallerTask> {
+    let mut tasks = Vec::new();
+    let mut start = Duration::ZERO;
+    for phase in phases {
+        let count = (phase.time.as_secs_f64() * phase.load * capacity_per_second()) as u32;
+        for number in 0..count {
+            let id = tasks.len();
+            tasks.push(CallerTask {
+                id,
+                start: start + phase.time * number / count,
+                service: ADDRESS,
+                wish: CallerWish::Request(order_request("/orders", &format!("o{id}"), WORK_MS, 20)),
+                patience: DEADLINE * 5,
+            });
+        }
+        start += phase.time;
+    }
+    tasks
+}
+
+/// Runs the swing.
+pub fn measure(plan: &SwingPlan<'_>) -> Result<Vec<PhaseFigures>, FleetError> {
+    let phases = [
+        SwingPhase {
+            name: "ordinary",
+            load: 0.7,
+            time: Duration::from_secs(10),
+        },
+        SwingPhase {
+            name: "crest",
+            load: plan.crest,
+            time: Duration::from_secs(6),
+        },
+        SwingPhase {
+            name: "after",
+            load: 0.7,
+            time: Duration::from_secs(10),
+        },
+    ];
+    let fleet = start_fleet(plan)?;
+    let tasks = plan_tasks(&phases);
+    let total: Duration = phases.iter().map(|phase| phase.time).sum();
+    let starts: BTreeMap<usize, Duration> = tasks.iter().map(|t| (t.id, t.start)).collect();
+    let mut callers = Vec::new();
+    for number in 0..CALLERS {
+        let address = Ipv4Addr::new(10, 9, 2, number as u8 + 1);
+        let mut caller = CallerLoop::new(address, fleet.fabric, plan.seed + number as u64)?;
+        for task in tasks.iter().filter(|task| task.id % CALLERS == number) {
+            caller.add(task.clone());
+        }
+        callers.push(std::thread::spawn(move || {
+            caller.run(|_| false);
+            caller.results().to_vec()
+        }));
+    }
+    let readings = read_busy(&fleet, total);
+    let mut results = Vec::new();
+    for caller in callers {
+        results.extend(
+            caller
+                .join()
+                .map_err(|_| FleetError::Wrong("a caller stopped".to_owned()))?,
+        );
+    }
+    let mut from = Duration::ZERO;
+    let mut figures = Vec::new();
+    for phase in phases {
+        let range = from..from + phase.time;
+        let own: Vec<_> = results
+            .iter()
+            .filter(|result| starts.get(&result.id).is_some_and(|at| range.contains(at)))
+            .collect();
+        let shares: Vec<_> = readings
+            .iter()
+            .filter(|(at, _)| range.contains(at))
+            .map(|(_, imbalance)| *imbalance)
+            .collect();
+        figures.push(judge(&phase, &own, shares));
+        from = range.end;
+    }
+    Ok(figures)
+}
+
+// Largest over mean busy share of the hosts, each second.
+fn read_busy(fleet: &Fleet, total: Duration) -> Vec<(Duration, f64)> {
+    let start = Instant::now();
+    let mut last: BTreeMap<String, u64> = BTreeMap::new();
+    let mut readings = Vec::new();
+    while start.elapsed() < total {
+        std::thread::sleep(READING_PERIOD);
+        let mut shares = Vec::new();
+        for host in fleet.hosts() {
+            let busy = fleet
+                .backend_report(&host)
+                .map_or(0, |report| report.busy_ms);
+            let before = last.insert(host, busy).unwrap_or(0);
+            shares.push(busy.saturating_sub(before) as f64);
+        }
+        let mean = shares.iter().sum::<f64>() / shares.len().max(1) as f64;
+        let most = shares.iter().copied().fold(0.0, f64::max);
+        if mean > 0.0 {
+            readings.push((start.elapsed(), most / mean));
+        }
+    }
+    readings
+}
+
+fn judge(phase: &SwingPhase, results: &[&CallerResult], mut shares: Vec<f64>) -> PhaseFigures {
+    const SIGNIFICANT_DIGITS: u8 = 3;
+    let histogram =
+        || Histogram::<u64>::new(SIGNIFICANT_DIGITS).unwrap_or_else(|error| panic!("{error}"));
+    let (mut answers, mut refusals) = (histogram(), histogram());
+    let (mut in_time, mut late, mut not_run, mut unknown, mut lost) = (0, 0, 0, 0, 0);
+    for result in results {
+        let took = result.took.as_millis() as u64;
+        match &result.end {
+            CallerEnd::Answered { status: 200, .. } => {
+                // The histogram grows by itself.
+                let _ = answers.record(took);
+                if result.took <= DEADLINE {
+                    in_time += 1;
+                } else {
+                    late += 1;
+                }
+            }
+            CallerEnd::Answered { outcome, .. } if outcome.as_deref() == Some("not-run") => {
+                let _ = refusals.record(took);
+                not_run += 1;
+            }
+            CallerEnd::Answered { .. } => unknown += 1,
+            _ => lost += 1,
+        }
+    }
+    shares.sort_by(f64::total_cmp);
+    PhaseFigures {
+        phase: phase.name,
+        load: phase.load,
+        offered: results.len(),
+        in_time,
+        late,
+        not_run,
+        unknown,
+        lost,
+        goodput: in_time as f64 / (phase.time.as_secs_f64() * capacity_per_second()),
+        p50_ms: answers.value_at_quantile(0.5),
+        p99_ms: answers.value_at_quantile(0.99),
+        refusal_p99_ms: refusals.value_at_quantile(0.99),
+        imbalance_p50: shares.get(shares.len() / 2).copied().unwrap_or(0.0),
+        imbalance_max: shares.last().copied().unwrap_or(0.0),
+    }
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod backend;
 pub mod caller;
 pub mod capacity;
+pub mod crest;
 pub mod fabric;
 pub mod fleet;
 pub mod platform;
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -8,8 +8,9 @@
 use argh::FromArgs;
 
 use chestnutlb_standin::backend::BackendPlan;
+use chestnutlb_standin::crest::SwingPlan;
 use chestnutlb_standin::tryout::{TryoutPlan, program_folder};
-use chestnutlb_standin::{backend, capacity, fabric, platform, spread, tryout, waiting};
+use chestnutlb_standin::{backend, capacity, crest, fabric, platform, spread, tryout, waiting};
 
 /// Stand-ins of the systems around chestnutlb.
 #[derive(Debug)]
@@ -30,6 +31,7 @@
     Capacity(CapacityOptions),
     Spread(SpreadOptions),
     Waiting(WaitingOptions),
+    Crest(CrestOptions),
 }
 
 /// the platform's object API
@@ -159,6 +161,28 @@
     seed: u64,
 }
 
+/// a demand swing over real processes
+#[derive(Debug)]
+#[derive(FromArgs)]
+#[argh(subcommand, name = "crest")]
+struct CrestOptions {
+    /// load at the crest, as a share of capacity
+    #[argh(option, default = "3.0")]
+    load: f64,
+    /// leave the speeds of the hosts out of the roster
+    #[argh(switch)]
+    unweighted: bool,
+    /// seed
+    #[argh(option, default = "1")]
+    seed: u64,
+    /// folder for logs
+    #[argh(option, default = "PathBuf::from(\"target/crest\")")]
+    logs: PathBuf,
+    /// manifest with the order desk
+    #[argh(option, default = "PathBuf::from(\"examples/calinawan.json\")")]
+    manifest: PathBuf,
+}
+
 fn main() -> ExitCode {
     let options: StandinOptions = argh::from_env();
     let outcome = match options.command {
@@ -176,6 +200,7 @@
         StandinCommand::Capacity(options) => run_capacity(&options),
         StandinCommand::Spread(options) => run_spread(&options),
         StandinCommand::Waiting(options) => run_waiting(&options),
+        StandinCommand::Crest(options) => run_crest(&options),
     };
     match outcome {
         Ok(()) => ExitCode::SUCCESS,
@@ -238,6 +263,22 @@
         .try_for_each(print_line)
 }
 
+fn run_crest(options: &CrestOptions) -> Result<(), String> {
+    let binaries = program_folder().map_err(|error| error.to_string())?;
+    let plan = SwingPlan {
+        binaries: &binaries,
+        logs: &options.logs,
+        manifest: &options.manifest,
+        crest: options.load,
+        weighted: !options.unweighted,
+        seed: options.seed,
+    };
+    crest::measure(&plan)
+        .map_err(|error| error.to_string())?
+        .iter()
+        .try_for_each(print_line)
+}
+
 fn run_tryout(options: TryoutOptions) -> Result<(), String> {
     let plan = TryoutPlan {
         binaries: program_folder().map_err(|error| error.to_string())?,
