Refuse early under overload, relay less, and let long work through

Ruled out: the fabric and the entry VMs (no packet lost, 0 flows lost in all phases). Change: a queue of short work that stands for 250 ms is overloaded, until it was empty for 100 ms; then it is served newest first, what waited 40 ms is offered to another host and else refused. At most 16 requests are with other hosts at once; cancellations have threads of their own. Each class has a queue limit of its own. Long work gets a slot before short work when it has none.

--- a/crates/core/src/slots.rs
+++ b/crates/core/src/slots.rs
@@ -3,8 +3,9 @@
 //! Short and long requests wait in queues of their own. Long ones take only
 //! slots that the short work of the last seconds leaves over, with a margin for
 //! its swings; one slot of several is never theirs, one always may be. Work whose deadline
-//! can't be met is refused before it takes a slot; a queue that stays long is
-//! served newest first, since its oldest requests are about to expire.
+//! can't be met is refused before it takes a slot. A queue that has not been
+//! empty for a while stands for overload: it is served newest first, and what
+//! waited for longer than a moment is refused, so that callers hear of it soon.
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -13,8 +14,14 @@
 use crate::manifest::RequestClass;
 use crate::units::TimePoint;
 
-/// A queue whose head waited longer than this is overloaded.
-pub const OVERLOAD_WAIT: Duration = Duration::from_millis(100);
+/// A queue that was not empty for this time is overloaded.
+pub const OVERLOAD_TIME: Duration = Duration::from_millis(250);
+
+/// It is so until it was empty for this time.
+pub const CALM_TIME: Duration = Duration::from_millis(100);
+
+/// Longest wait in an overloaded queue.
+pub const OVERLOAD_WAIT: Duration = Duration::from_millis(40);
 
 /// How slots are given out.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -34,6 +41,8 @@
     WaitTooLong,
     /// The deadline passed while it waited.
     Expired,
+    /// The queue is overloaded.
+    Overload,
     /// The host is leaving.
     Leaving,
 }
@@ -45,6 +54,7 @@
             Self::QueueFull => "queue-full",
             Self::WaitTooLong => "wait-too-long",
             Self::Expired => "expired",
+            Self::Overload => "overload",
             Self::Leaving => "leaving",
         }
     }
@@ -133,10 +143,12 @@
     short_time: MeanTime,
     long_time: MeanTime,
     demand: ShortDemand,
+    standing_since: Option<TimePoint>,
+    empty_since: Option<TimePoint>,
 }
 
 impl SlotScheduler {
-    /// A scheduler for this many slots and waiting requests.
+    /// A scheduler for this many slots and waiting requests of each class.
     pub fn new(policy: SlotPolicy, slots: usize, queue_limit: usize) -> Self {
         Self {
             policy,
@@ -148,6 +160,8 @@
             short_time: MeanTime(1.0),
             long_time: MeanTime(1.0),
             demand: ShortDemand::default(),
+            standing_since: None,
+            empty_since: None,
         }
     }
 
@@ -225,7 +239,8 @@
             self.run(id, class, now);
             return SlotOffer::Start;
         }
-        if self.waiting() >= self.queue_limit {
+        let limit = self.queue_limit;
+        if self.queue(class).len() >= limit {
             return SlotOffer::Refused(SlotRefusal::QueueFull);
         }
         let wait = self.expected_wait(class);
@@ -273,12 +288,22 @@
     /// The next thing to do, none when slots or queues are exhausted.
     pub fn next(&mut self, now: TimePoint) -> Option<SlotEvent> {
         self.demand.decay(now);
-        self.next_of(RequestClass::Short, now)
-            .or_else(|| self.next_of(RequestClass::Long, now))
+        // Without this, short work at the crest would starve long work.
+        let long_waits = self
+            .running
+            .iter()
+            .all(|run| run.class != RequestClass::Long);
+        let (first, second) = if long_waits && self.slots > 1 {
+            (RequestClass::Long, RequestClass::Short)
+        } else {
+            (RequestClass::Short, RequestClass::Long)
+        };
+        self.next_of(first, now)
+            .or_else(|| self.next_of(second, now))
     }
 
     fn next_of(&mut self, class: RequestClass, now: TimePoint) -> Option<SlotEvent> {
-        let newest_first = self.policy == SlotPolicy::Classes;
+        let overloaded = class == RequestClass::Short && self.is_overloaded(now);
         let has_slot = self.has_slot(class);
         let queue = self.queue(class);
         let head = *queue.front()?;
@@ -286,11 +311,14 @@
             queue.pop_front();
             return Some(SlotEvent::Refuse(head.id, SlotRefusal::Expired));
         }
+        if overloaded && now.since(head.arrived) > OVERLOAD_WAIT {
+            queue.pop_front();
+            return Some(SlotEvent::Refuse(head.id, SlotRefusal::Overload));
+        }
         if !has_slot {
             return None;
         }
-        let overloaded = now.since(head.arrived) > OVERLOAD_WAIT;
-        let next = if newest_first && overloaded {
+        let next = if overloaded {
             queue.pop_back()?
         } else {
             queue.pop_front()?
@@ -298,4 +326,24 @@
         self.run(next.id, next.class, now);
         Some(SlotEvent::Start(next.id))
     }
+
+    // Only the queue of short work is judged: long work waits for long.
+    fn is_overloaded(&mut self, now: TimePoint) -> bool {
+        if self.policy == SlotPolicy::Fifo {
+            return false;
+        }
+        if self.short.is_empty() {
+            let since = *self.empty_since.get_or_insert(now);
+            if now.since(since) >= CALM_TIME {
+                self.standing_since = None;
+            }
+            return false;
+        }
+        let empty_since = self.empty_since.take();
+        if empty_since.is_some_and(|since| now.since(since) >= CALM_TIME) {
+            self.standing_since = None;
+        }
+        let since = *self.standing_since.get_or_insert(now);
+        now.since(since) >= OVERLOAD_TIME
+    }
 }
--- a/crates/daemon/src/side.rs
+++ b/crates/daemon/src/side.rs
@@ -7,7 +7,7 @@
 use std::thread::Builder;
 use std::time::Duration;
 
-use crossbeam_channel::{Receiver, bounded};
+use crossbeam_channel::{Receiver, Sender, bounded};
 use mio::{Poll, Waker};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -21,14 +21,14 @@
 use crate::side_events::{SideEvent, SideRing, SideShared};
 use crate::side_flows::{FlowLoop, FlowParts, WAKER_TOKEN};
 use crate::side_http::{SideRoutes, server};
-use crate::side_relay::run_relays;
-use crate::side_requests::{DeskParts, RequestDesk};
+use crate::side_relay::{RelayJob, run_relays};
+use crate::side_requests::{DeskParts, RELAY_LIMIT, RequestDesk};
 use crate::{StopSignal, clock, http};
 
 const RELAY_RING: usize = 256;
 
-/// Threads that hand requests to other hosts.
-const RELAY_THREADS: usize = 8;
+/// Threads that cancel requests at other hosts.
+const CANCEL_THREADS: usize = 2;
 
 /// Time between two looks at whether the host has left.
 const LEAVE_POLL: Duration = Duration::from_millis(50);
@@ -70,8 +70,14 @@
     http::start(server(routes, settings.status))?;
 
     let (relay_ring, relay_jobs) = bounded(RELAY_RING);
-    for number in 0..RELAY_THREADS {
-        let (jobs, events) = (relay_jobs.clone(), Arc::clone(&ring));
+    let (cancel_ring, cancel_jobs) = bounded(RELAY_RING);
+    for number in 0..RELAY_LIMIT + CANCEL_THREADS {
+        let jobs = if number < RELAY_LIMIT {
+            relay_jobs.clone()
+        } else {
+            cancel_jobs.clone()
+        };
+        let events = Arc::clone(&ring);
         Builder::new()
             .name(format!("relay-{number}"))
             .spawn(move || run_relays(&jobs, &events))?;
@@ -84,6 +90,7 @@
         socket: mio::net::UdpSocket::from_std(packet_socket),
         events,
         relay_ring,
+        cancel_ring,
         shared: Arc::clone(&shared),
     };
     Builder::new()
@@ -136,7 +143,8 @@
     poll: Poll,
     socket: mio::net::UdpSocket,
     events: Receiver<SideEvent>,
-    relay_ring: crossbeam_channel::Sender<crate::side_relay::RelayJob>,
+    relay_ring: Sender<RelayJob>,
+    cancel_ring: Sender<RelayJob>,
     shared: Arc<SideShared>,
 }
 
@@ -173,6 +181,7 @@
         spec: Arc::clone(&spec),
         registry,
         relay_ring: parts.relay_ring,
+        cancel_ring: parts.cancel_ring,
         shared: Arc::clone(&parts.shared),
         incarnation: parts.incarnation.0,
         random: StdRng::from_rng(&mut random),
--- a/crates/daemon/src/side_requests.rs
+++ b/crates/daemon/src/side_requests.rs
@@ -14,6 +14,7 @@
 
 use chestnutlb_core::budget::RETRY_PERCENT;
 use chestnutlb_core::manifest::RequestClass;
+use chestnutlb_core::slots::OVERLOAD_WAIT;
 use chestnutlb_core::{
     CancelWord, FlowKey, HostRecord, HostState, PercentShare, RelayLedger, RelayWord, RequestEvent,
     RequestId, RequestLedger, RequestOutcome, RetryBudget, ServiceSpec, SlotEvent, SlotOffer,
@@ -33,9 +34,16 @@
 /// A request that would wait longer than this is offered to another host.
 const RELAY_WAIT: Duration = Duration::from_millis(20);
 
+/// A request that other hosts refused waits here only if it is younger.
+const RELAY_PATIENCE: Duration = OVERLOAD_WAIT;
+
 /// Hosts that a request is offered to at most.
 const MAX_RELAYS: u8 = 2;
 
+/// Requests that are with other hosts at once; each takes a thread until its
+/// answer comes. A leaving host may have more, which wait for a thread.
+pub const RELAY_LIMIT: usize = 16;
+
 /// Time to wait for the word on a cancellation.
 const CANCEL_GRACE: Duration = Duration::from_secs(1);
 
@@ -55,6 +63,7 @@
     class: RequestClass,
     repeatable: bool,
     head_request: bool,
+    arrived: TimePoint,
     deadline: TimePoint,
     link: Option<BackendLink>,
     answer: Vec<u8>,
@@ -79,12 +88,14 @@
     spec: Arc<ServiceSpec>,
     registry: Registry,
     relay_ring: Sender<RelayJob>,
+    cancel_ring: Sender<RelayJob>,
     shared: Arc<SideShared>,
     counters: Arc<CounterSet>,
     incarnation: u64,
     slots: SlotScheduler,
     ledger: RequestLedger,
     relays: RelayLedger,
+    relays_out: usize,
     budget: RetryBudget,
     jobs: HashMap<RequestId, RequestJob>,
     links: HashMap<Token, RequestId>,
@@ -105,8 +116,10 @@
     pub spec: Arc<ServiceSpec>,
     /// Where connections are registered.
     pub registry: Registry,
-    /// Calls of other hosts.
+    /// Requests for other hosts.
     pub relay_ring: Sender<RelayJob>,
+    /// Cancellations, which must not wait behind requests.
+    pub cancel_ring: Sender<RelayJob>,
     /// What the threads share.
     pub shared: Arc<SideShared>,
     /// Start of this process.
@@ -131,10 +144,12 @@
             spec: parts.spec,
             registry: parts.registry,
             relay_ring: parts.relay_ring,
+            cancel_ring: parts.cancel_ring,
             shared: parts.shared,
             incarnation: parts.incarnation,
             ledger: RequestLedger::default(),
             relays: RelayLedger::default(),
+            relays_out: 0,
             budget: RetryBudget::new(share),
             jobs: HashMap::new(),
             links: HashMap::new(),
@@ -196,6 +211,7 @@
             class: rule.class,
             repeatable: rule.repeatable,
             head_request: head.method == "HEAD",
+            arrived: now,
             deadline: now + rule.deadline,
             link: None,
             answer: Vec::new(),
@@ -249,6 +265,7 @@
             bytes: query.request,
             class,
             repeatable: false,
+            arrived: now,
             deadline,
             link: None,
             answer: Vec::new(),
@@ -317,7 +334,8 @@
         if self.state == HostState::Leaving {
             return self.place_elsewhere(id, SlotRefusal::Leaving, now);
         }
-        let may_relay = job.relays < MAX_RELAYS && !self.peers.is_empty();
+        let may_relay =
+            job.relays < MAX_RELAYS && !self.peers.is_empty() && self.relays_out < RELAY_LIMIT;
         let wait = self.slots.expected_wait(job.class);
         if wait > RELAY_WAIT && may_relay {
             return self.place_elsewhere(id, SlotRefusal::WaitTooLong, now);
@@ -344,7 +362,8 @@
         };
         let left = job.deadline.since(now);
         let from_caller = matches!(job.source, JobSource::Flow(_));
-        let tries_left = from_caller && job.relays < MAX_RELAYS && !left.is_zero();
+        let has_room = self.relays_out < RELAY_LIMIT || self.state == HostState::Leaving;
+        let tries_left = from_caller && job.relays < MAX_RELAYS && !left.is_zero() && has_room;
         let last = job.target.as_ref().map(|host| host.name.clone());
         let target = self
             .peers
@@ -358,6 +377,7 @@
         job.target = Some(target.clone());
         let wait = match refusal {
             SlotRefusal::Leaving => left,
+            SlotRefusal::Overload => Duration::ZERO,
             _ => self.slots.expected_wait(job.class) / 2,
         };
         let query = RelayQuery {
@@ -377,6 +397,7 @@
         self.counters.add(Counter::RelaysOut);
         let job = RelayJob::Send(target.relays, query);
         if offer(&self.relay_ring, job, &self.counters) {
+            self.relays_out += 1;
             self.ledger.apply(id, RequestEvent::Relay);
         } else {
             self.keep_or_refuse(id, refusal, now);
@@ -388,7 +409,9 @@
             return;
         };
         let offer = match refusal {
-            SlotRefusal::Leaving | SlotRefusal::Expired => SlotOffer::Refused(refusal),
+            SlotRefusal::Leaving | SlotRefusal::Expired | SlotRefusal::Overload => {
+                SlotOffer::Refused(refusal)
+            }
             SlotRefusal::QueueFull | SlotRefusal::WaitTooLong => {
                 self.slots.offer(id, job.class, job.deadline, now)
             }
@@ -510,6 +533,7 @@
 
     /// What became of a request that was handed over.
     pub fn relay_done(&mut self, id: RequestId, result: RelayResult, now: TimePoint) {
+        self.relays_out = self.relays_out.saturating_sub(1);
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
         };
@@ -538,8 +562,15 @@
             return self.finish(id, RequestOutcome::NotRun, "cancelled", now);
         }
         self.ledger.apply(id, RequestEvent::Return);
+        let waited = self
+            .jobs
+            .get(&id)
+            .is_some_and(|job| now.since(job.arrived) >= RELAY_PATIENCE);
         if self.state == HostState::Leaving {
             self.place_elsewhere(id, SlotRefusal::Leaving, now);
+        } else if waited {
+            // Neither this host nor another had room.
+            self.keep_or_refuse(id, SlotRefusal::Overload, now);
         } else {
             self.keep_or_refuse(id, SlotRefusal::WaitTooLong, now);
         }
@@ -552,7 +583,7 @@
                 incarnation: target.incarnation.0,
             };
             let job = RelayJob::Cancel(target.relays, query);
-            offer(&self.relay_ring, job, &self.counters);
+            offer(&self.cancel_ring, job, &self.counters);
         }
     }
 
@@ -611,6 +642,10 @@
         while let Some(event) = self.slots.next(now) {
             match event {
                 SlotEvent::Start(id) => self.run(id, now),
+                // Another host may have room when this one has not.
+                SlotEvent::Refuse(id, refusal @ SlotRefusal::Overload) => {
+                    self.place_elsewhere(id, refusal, now);
+                }
                 SlotEvent::Refuse(id, refusal) => {
                     self.finish(id, RequestOutcome::NotRun, refusal.as_str(), now);
                 }
