Admit by estimate instead of shedding what waited

Cause: a test of a draining host failed: with all slots taken for 2 s, requests with 5 s left were refused after 40 ms. Ruled out: longer limits (they delay the refusals at the crest, which was why the limits were short); newest first (it lets the oldest wait until they expire, which is what made refusals late to begin with). Change: on arrival a request is refused if by the estimate of its class half of its time would go by waiting; what is taken is served in the order of arrival; what could not end in time any more is not begun. Overload state, shedding and newest first are gone. The baseline first come first served refuses only when its queue is full or the deadline has passed. Also: stand-in ports were taken by children started at the same moment (seen as a backend server that could not bind); starting and trying ports now take turns.

--- a/crates/core/src/slots.rs
+++ b/crates/core/src/slots.rs
@@ -3,9 +3,9 @@
 //! Short and long requests wait in queues of their own. Long ones take only
 //! slots that the short work of the last seconds leaves over, with a margin for
 //! its swings; one slot of several is never theirs, one always may be. Work whose deadline
-//! can't be met is refused before it takes a slot. A queue that has not been
-//! empty for a while stands for overload: it is served newest first, and what
-//! waited for longer than a moment is refused, so that callers hear of it soon.
+//! can't be met is refused before it takes a slot: on arrival, if by estimate
+//! half of its time would go by waiting, so that callers hear of it at once and
+//! what is taken is answered in time, in the order of arrival.
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -14,14 +14,8 @@
 use crate::manifest::RequestClass;
 use crate::units::TimePoint;
 
-/// A queue that was not empty for this time is overloaded.
-pub const OVERLOAD_TIME: Duration = Duration::from_millis(250);
-
-/// It is so until it was empty for this time.
-pub const CALM_TIME: Duration = Duration::from_millis(100);
-
-/// Longest wait in an overloaded queue.
-pub const OVERLOAD_WAIT: Duration = Duration::from_millis(40);
+/// Part of the time to its deadline that a request may wait.
+const WAIT_DIVISOR: u32 = 2;
 
 /// How slots are given out.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -37,12 +31,10 @@
 pub enum SlotRefusal {
     /// The queue is full.
     QueueFull,
-    /// The wait would outlast the deadline.
+    /// The wait would take too much of the time to the deadline.
     WaitTooLong,
-    /// The deadline passed while it waited.
+    /// Too little time was left when it could have run.
     Expired,
-    /// The queue is overloaded.
-    Overload,
     /// The host is leaving.
     Leaving,
 }
@@ -54,7 +46,6 @@
             Self::QueueFull => "queue-full",
             Self::WaitTooLong => "wait-too-long",
             Self::Expired => "expired",
-            Self::Overload => "overload",
             Self::Leaving => "leaving",
         }
     }
@@ -84,7 +75,6 @@
 struct WaitingRequest {
     id: RequestId,
     class: RequestClass,
-    arrived: TimePoint,
     deadline: TimePoint,
 }
 
@@ -143,8 +133,6 @@
     short_time: MeanTime,
     long_time: MeanTime,
     demand: ShortDemand,
-    standing_since: Option<TimePoint>,
-    empty_since: Option<TimePoint>,
 }
 
 impl SlotScheduler {
@@ -160,8 +148,6 @@
             short_time: MeanTime(1.0),
             long_time: MeanTime(1.0),
             demand: ShortDemand::default(),
-            standing_since: None,
-            empty_since: None,
         }
     }
 
@@ -244,13 +230,13 @@
             return SlotOffer::Refused(SlotRefusal::QueueFull);
         }
         let wait = self.expected_wait(class);
-        if now + wait >= deadline {
+        let is_late = wait > deadline.since(now) / WAIT_DIVISOR || deadline <= now;
+        if is_late && self.policy == SlotPolicy::Classes {
             return SlotOffer::Refused(SlotRefusal::WaitTooLong);
         }
         self.queue(class).push_back(WaitingRequest {
             id,
             class,
-            arrived: now,
             deadline,
         });
         SlotOffer::Queued(wait)
@@ -303,47 +289,31 @@
     }
 
     fn next_of(&mut self, class: RequestClass, now: TimePoint) -> Option<SlotEvent> {
-        let overloaded = class == RequestClass::Short && self.is_overloaded(now);
         let has_slot = self.has_slot(class);
+        let run_time = match self.policy {
+            SlotPolicy::Fifo => Duration::ZERO,
+            SlotPolicy::Classes => self.run_time(class),
+        };
         let queue = self.queue(class);
         let head = *queue.front()?;
-        if head.deadline <= now {
+        // What would end too late is better not begun.
+        if head.deadline <= now + run_time {
             queue.pop_front();
             return Some(SlotEvent::Refuse(head.id, SlotRefusal::Expired));
         }
-        if overloaded && now.since(head.arrived) > OVERLOAD_WAIT {
-            queue.pop_front();
-            return Some(SlotEvent::Refuse(head.id, SlotRefusal::Overload));
-        }
         if !has_slot {
             return None;
         }
-        let next = if overloaded {
-            queue.pop_back()?
-        } else {
-            queue.pop_front()?
-        };
-        self.run(next.id, next.class, now);
-        Some(SlotEvent::Start(next.id))
+        queue.pop_front();
+        self.run(head.id, head.class, now);
+        Some(SlotEvent::Start(head.id))
     }
 
-    // Only the queue of short work is judged: long work waits for long.
-    fn is_overloaded(&mut self, now: TimePoint) -> bool {
-        if self.policy == SlotPolicy::Fifo {
-            return false;
-        }
-        if self.short.is_empty() {
-            let since = *self.empty_since.get_or_insert(now);
-            if now.since(since) >= CALM_TIME {
-                self.standing_since = None;
-            }
-            return false;
-        }
-        let empty_since = self.empty_since.take();
-        if empty_since.is_some_and(|since| now.since(since) >= CALM_TIME) {
-            self.standing_since = None;
-        }
-        let since = *self.standing_since.get_or_insert(now);
-        now.since(since) >= OVERLOAD_TIME
+    fn run_time(&self, class: RequestClass) -> Duration {
+        let mean = match class {
+            RequestClass::Short => self.short_time,
+            RequestClass::Long => self.long_time,
+        };
+        Duration::from_secs_f64(mean.0 / 1000.0)
     }
 }
--- a/crates/core/tests/serving.rs
+++ b/crates/core/tests/serving.rs
@@ -120,31 +120,37 @@
 }
 
 #[test]
-fn a_queue_that_stands_is_served_newest_first_and_sheds_what_waited() {
-    let mut slots = SlotScheduler::new(SlotPolicy::Classes, 1, 10);
+fn a_full_host_refuses_at_once_and_answers_what_it_takes() {
+    let mut slots = SlotScheduler::new(SlotPolicy::Classes, 1, 1_000);
     let short = RequestClass::Short;
-    let refuse = |id| Some(SlotEvent::Refuse(RequestId(id), SlotRefusal::Overload));
-    let start = |id| Some(SlotEvent::Start(RequestId(id)));
-    offer(&mut slots, 1, short, 0);
-    offer(&mut slots, 2, short, 0);
-    offer(&mut slots, 3, short, 10);
-    assert_eq!(slots.next(TimePoint(10)), None, "the queue begins to stand");
-    slots.finish(RequestId(1), TimePoint(200));
-    assert_eq!(slots.next(TimePoint(200)), start(2), "no overload yet");
-    offer(&mut slots, 4, short, 240);
-    offer(&mut slots, 5, short, 250);
-    assert_eq!(slots.next(TimePoint(270)), refuse(3));
-    assert_eq!(slots.next(TimePoint(270)), None);
-    slots.finish(RequestId(2), TimePoint(275));
-    assert_eq!(slots.next(TimePoint(275)), start(5));
-    assert_eq!(slots.next(TimePoint(285)), refuse(4));
-    // A moment without waiting does not end the overload, a while does.
-    assert_eq!(slots.next(TimePoint(290)), None);
-    offer(&mut slots, 6, short, 300);
-    assert_eq!(slots.next(TimePoint(345)), refuse(6));
-    assert_eq!(slots.next(TimePoint(350)), None);
-    offer(&mut slots, 7, short, 500);
-    assert_eq!(slots.next(TimePoint(560)), None);
+    // It learns that work takes 50 ms.
+    for id in 0..100 {
+        let now = id * 50;
+        offer(&mut slots, id, short, now);
+        slots.finish(RequestId(id), TimePoint(now + 50));
+    }
+    let now = TimePoint(5_000);
+    let deadline = TimePoint(6_000);
+    let mut taken = Vec::new();
+    for id in 1_000..1_100 {
+        match slots.offer(RequestId(id), short, deadline, now) {
+            SlotOffer::Refused(refusal) => assert_eq!(refusal, SlotRefusal::WaitTooLong),
+            _ => taken.push(id),
+        }
+    }
+    assert_eq!(
+        taken.len(),
+        11,
+        "one runs, ten wait for half the time at most"
+    );
+    for (place, id) in taken.iter().enumerate() {
+        let end = TimePoint(5_000 + 50 * (place as u64 + 1));
+        slots.finish(RequestId(*id), end);
+        let next = taken
+            .get(place + 1)
+            .map(|id| SlotEvent::Start(RequestId(*id)));
+        assert_eq!(slots.next(end), next);
+    }
 }
 
 #[test]
--- a/crates/daemon/src/side_requests.rs
+++ b/crates/daemon/src/side_requests.rs
@@ -14,7 +14,6 @@
 
 use chestnutlb_core::budget::RETRY_PERCENT;
 use chestnutlb_core::manifest::RequestClass;
-use chestnutlb_core::slots::OVERLOAD_WAIT;
 use chestnutlb_core::{
     CancelWord, FlowKey, HostRecord, HostState, PercentShare, RelayLedger, RelayWord, RequestEvent,
     RequestId, RequestLedger, RequestOutcome, RetryBudget, ServiceSpec, SlotEvent, SlotOffer,
@@ -34,9 +33,6 @@
 /// A request that would wait longer than this is offered to another host.
 const RELAY_WAIT: Duration = Duration::from_millis(20);
 
-/// A request that other hosts refused waits here only if it is younger.
-const RELAY_PATIENCE: Duration = OVERLOAD_WAIT;
-
 /// Hosts that a request is offered to at most.
 const MAX_RELAYS: u8 = 2;
 
@@ -63,7 +59,6 @@
     class: RequestClass,
     repeatable: bool,
     head_request: bool,
-    arrived: TimePoint,
     deadline: TimePoint,
     link: Option<BackendLink>,
     answer: Vec<u8>,
@@ -211,7 +206,6 @@
             class: rule.class,
             repeatable: rule.repeatable,
             head_request: head.method == "HEAD",
-            arrived: now,
             deadline: now + rule.deadline,
             link: None,
             answer: Vec::new(),
@@ -265,7 +259,6 @@
             bytes: query.request,
             class,
             repeatable: false,
-            arrived: now,
             deadline,
             link: None,
             answer: Vec::new(),
@@ -377,7 +370,6 @@
         job.target = Some(target.clone());
         let wait = match refusal {
             SlotRefusal::Leaving => left,
-            SlotRefusal::Overload => Duration::ZERO,
             _ => self.slots.expected_wait(job.class) / 2,
         };
         let query = RelayQuery {
@@ -409,9 +401,7 @@
             return;
         };
         let offer = match refusal {
-            SlotRefusal::Leaving | SlotRefusal::Expired | SlotRefusal::Overload => {
-                SlotOffer::Refused(refusal)
-            }
+            SlotRefusal::Leaving | SlotRefusal::Expired => SlotOffer::Refused(refusal),
             SlotRefusal::QueueFull | SlotRefusal::WaitTooLong => {
                 self.slots.offer(id, job.class, job.deadline, now)
             }
@@ -562,15 +552,8 @@
             return self.finish(id, RequestOutcome::NotRun, "cancelled", now);
         }
         self.ledger.apply(id, RequestEvent::Return);
-        let waited = self
-            .jobs
-            .get(&id)
-            .is_some_and(|job| now.since(job.arrived) >= RELAY_PATIENCE);
         if self.state == HostState::Leaving {
             self.place_elsewhere(id, SlotRefusal::Leaving, now);
-        } else if waited {
-            // Neither this host nor another had room.
-            self.keep_or_refuse(id, SlotRefusal::Overload, now);
         } else {
             self.keep_or_refuse(id, SlotRefusal::WaitTooLong, now);
         }
@@ -642,10 +625,6 @@
         while let Some(event) = self.slots.next(now) {
             match event {
                 SlotEvent::Start(id) => self.run(id, now),
-                // Another host may have room when this one has not.
-                SlotEvent::Refuse(id, refusal @ SlotRefusal::Overload) => {
-                    self.place_elsewhere(id, refusal, now);
-                }
                 SlotEvent::Refuse(id, refusal) => {
                     self.finish(id, RequestOutcome::NotRun, refusal.as_str(), now);
                 }
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -7,6 +7,7 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Output, Stdio};
 use std::sync::atomic::{AtomicU16, Ordering};
+use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
 use quick_error::quick_error;
@@ -126,8 +127,13 @@
 
 static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
 
+// A process that is started while another thread tries a port inherits that
+// socket for a moment, and keeps the port busy for whoever was given it.
+static PORT_LOCK: Mutex<()> = Mutex::new(());
+
 /// A free port of the loopback address, for both protocols.
 pub fn free_address() -> std::io::Result<SocketAddrV4> {
+    let _guard = PORT_LOCK.lock().unwrap_or_else(PoisonError::into_inner);
     // Programs that run side by side start at different places.
     let start = (std::process::id() as u16).wrapping_mul(61);
     for _ in 0..PORT_COUNT {
@@ -178,6 +184,7 @@
     }
 
     fn spawn(&mut self, name: &str, program: &str, arguments: &[&str]) -> FleetResult<()> {
+        let _guard = PORT_LOCK.lock().unwrap_or_else(PoisonError::into_inner);
         let log = File::create(self.logs.join(format!("{name}.log")))?;
         let child = Command::new(self.binaries.join(program))
             .args(arguments)
