--- /dev/null
+++ b/crates/core/benches/decision.rs
@@ -0,0 +1,138 @@
+//! An entry VM's decision with 10,000 hosts in view, beside plain hashing.
+
+use std::collections::BTreeSet;
+use std::hint::black_box;
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::sync::Arc;
+use std::time::Duration;
+
+use criterion::Criterion;
+
+use chestnutlb_core::manifest::{HostLimits, ServiceTiming};
+use chestnutlb_core::view::ServiceView;
+use chestnutlb_core::{
+    ByteCount, EntryRouter, FlowKey, HostRecord, HostState, HostWeight, Incarnation, ObjectVersion,
+    PercentShare, RequestClass, RouteRule, RoutingView, SegmentFacts, ServiceKind, ServiceSpec,
+    TimePoint,
+};
+
+const HOSTS: u32 = 10_000;
+const HOSTS_PER_SERVICE: u32 = 5;
+const FLOWS: usize = 4096;
+const NOW: TimePoint = TimePoint(0);
+
+fn address(base: u32, number: u32, port: u16) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::from(base + number), port)
+}
+
+fn service_address(service: u32) -> SocketAddrV4 {
+    address(0x0a14_0000, service, 7000)
+}
+
+fn spec(service: u32) -> ServiceSpec {
+    ServiceSpec {
+        id: format!("firm/service-{service}").parse().unwrap(),
+        kind: ServiceKind::Stream,
+        address: service_address(service),
+        datacenters: Vec::new(),
+        limits: HostLimits {
+            slots: 3,
+            queue: 64,
+            flows: 2000,
+            head: ByteCount(16 << 10),
+            body: ByteCount(1 << 20),
+        },
+        timing: ServiceTiming {
+            drain_grace: Duration::ZERO,
+            warm_up: Duration::ZERO,
+            receive: Duration::ZERO,
+        },
+        eject_limit: PercentShare::new(50).unwrap(),
+        rules: Vec::new(),
+        fallback: RouteRule {
+            method: None,
+            path_prefix: "/".into(),
+            class: RequestClass::Short,
+            repeatable: false,
+            deadline: Duration::from_secs(1),
+        },
+    }
+}
+
+fn host(number: u32, spec: &ServiceSpec) -> Arc<HostRecord> {
+    Arc::new(HostRecord {
+        name: format!("host-{number}").parse().unwrap(),
+        service: spec.id.clone(),
+        datacenter: "dc-1".parse().unwrap(),
+        packets: address(0x0a40_0000, number, 9000),
+        relays: address(0x0a40_0000, number, 9001),
+        incarnation: Incarnation(u64::from(number) + 1),
+        weight: HostWeight::ORDINARY,
+        state: HostState::Serving,
+        held: Vec::new(),
+    })
+}
+
+fn view() -> Arc<RoutingView> {
+    let mut view = RoutingView::default();
+    for service in 0..HOSTS / HOSTS_PER_SERVICE {
+        let spec = Arc::new(spec(service));
+        let first = service * HOSTS_PER_SERVICE;
+        let hosts: Vec<_> = (first..first + HOSTS_PER_SERVICE)
+            .map(|number| host(number, &spec))
+            .collect();
+        let version = ObjectVersion(1);
+        view.put(ServiceView::build(spec, version, &hosts, &BTreeSet::new()));
+    }
+    Arc::new(view)
+}
+
+fn segments(opens: bool) -> Vec<SegmentFacts> {
+    (0..FLOWS as u32)
+        .map(|flow| SegmentFacts {
+            key: FlowKey {
+                caller: address(0x0b00_0000, flow, 4000),
+                service: service_address(flow * 7 % (HOSTS / HOSTS_PER_SERVICE)),
+            },
+            opens,
+            resets: false,
+            sequence: 1,
+            acknowledgement: (!opens).then_some(1),
+            payload: 100,
+        })
+        .collect()
+}
+
+fn decisions(criterion: &mut Criterion) {
+    let view = view();
+    let mut group = criterion.benchmark_group("decision");
+    for (name, opens) in [("syn", true), ("data", false)] {
+        let segments = segments(opens);
+        let mut router = EntryRouter::new(FLOWS * 2);
+        router.replace_view(Arc::clone(&view), NOW);
+        let mut step = 0;
+        group.bench_function(name, |bencher| {
+            bencher.iter(|| {
+                step += 1;
+                black_box(router.route(&segments[step % FLOWS], NOW))
+            });
+        });
+    }
+    let segments = segments(false);
+    let mut step = 0;
+    group.bench_function("plain-hash", |bencher| {
+        bencher.iter(|| {
+            step += 1;
+            let key = segments[step % FLOWS].key;
+            let hosts = view.service_at(key.service).map(|service| service.hosts());
+            black_box(hosts.map(|hosts| &hosts[key.hash().0 as usize % hosts.len()]))
+        });
+    });
+    group.finish();
+}
+
+fn main() {
+    let mut criterion = Criterion::default().configure_from_args();
+    decisions(&mut criterion);
+    criterion.final_summary();
+}
