Send a SYN on from a leaving host that knows more than the plan

Logs: plan of one hop by roster 8 while roster 9, with the other hosts, was in the packet thread's ring. Ruled out: suspicion of the sleeping entry VM (its keeper accused nobody). Change: the last host of a SYN's plan that can't take it, but knows hosts that do and are not in the plan, appends them and sends it on. The packet thread takes the newest view, not the next one. Grown files split: events of the control part, the generated world and the tables of the capacity tool.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod control;
 pub mod document;
 pub mod entry;
+pub mod events;
 pub mod flow;
 pub mod ids;
 pub mod keeper;
@@ -39,11 +40,10 @@
 pub use chart::{
     FlowEvent, FlowState, HostEvent, HostState, RequestEvent, RequestState, check_charts,
 };
-pub use control::{
-    ControlAction, ControlEvent, EntryControl, HeartbeatNews, MemberEdit, WelcomeNews,
-};
+pub use control::EntryControl;
 pub use document::{DocumentId, DocumentItem, DocumentKind, DocumentPatch, DocumentStore};
 pub use entry::{EntryRouter, HopPlan, PlanSource, RouteDecision, RouteDrop};
+pub use events::{ControlAction, ControlEvent, HeartbeatNews, MemberEdit, WelcomeNews};
 pub use flow::{BucketIndex, FlowHash, FlowKey, SegmentFacts};
 pub use ids::{
     DatacenterName, EntryName, FirmName, HostName, Incarnation, ObjectVersion, RequestId,
--- a/crates/daemon/src/entry_packets.rs
+++ b/crates/daemon/src/entry_packets.rs
@@ -52,14 +52,13 @@
         }
     }
 
-    /// Runs until the views end.
+    /// Runs until the process ends.
     pub fn run(mut self) {
         let mut datagram = [0; MAX_DATAGRAM_BYTES + 1];
         loop {
-            match self.views.try_recv() {
-                Ok(view) => self.router.replace_view(view, clock::now()),
-                Err(crossbeam_channel::TryRecvError::Empty) => {}
-                Err(crossbeam_channel::TryRecvError::Disconnected) => return,
+            // Only the newest view matters.
+            if let Some(view) = self.views.try_iter().last() {
+                self.router.replace_view(view, clock::now());
             }
             self.send_probes();
             // A timeout lets the loop look for a new view.
--- a/crates/daemon/src/side_flows.rs
+++ b/crates/daemon/src/side_flows.rs
@@ -22,9 +22,10 @@
 };
 use chestnutlb_stack::{FlowStack, flow_seed, scan_sent};
 use chestnutlb_wire::packet::{
-    MAX_DATAGRAM_BYTES, OwnerNote, advance, scan_frame, scan_segment, write_note, write_reset,
+    MAX_DATAGRAM_BYTES, OwnerNote, advance, scan_frame, scan_segment, write_data, write_note,
+    write_reset,
 };
-use chestnutlb_wire::{PacketError, PacketFrame, PacketHeader};
+use chestnutlb_wire::{PacketError, PacketFrame, PacketHeader, WireHop};
 
 use crate::clock;
 use crate::http1::{RequestScan, TOO_SLOW, add_close, scan_request, write_bad};
@@ -54,6 +55,8 @@
 const NOTE_PERIOD: Duration = Duration::from_secs(1);
 /// What a keeper said counts as fresh for this time.
 const FRESH_TIME: Duration = Duration::from_secs(3);
+/// Hops of a plan that a host extended; fits the largest header.
+const MAX_PLAN_HOPS: usize = 16;
 /// Packets that are read before other work gets its turn.
 const PACKET_BATCH: usize = 256;
 
@@ -328,6 +331,9 @@
                 advance(datagram);
                 self.send_packet(datagram, target);
             }
+            PacketVerdict::Reset if segment.opens && self.extend_plan(&header, &segment, inner) => {
+                self.counters.add(Counter::PacketsPassed);
+            }
             PacketVerdict::Reset => {
                 self.counters.add(Counter::PacketsReset);
                 log::info!(target: "flow", flow:% = segment.key, opens = segment.opens; "reset");
@@ -348,6 +354,32 @@
         Ok(())
     }
 
+    // An entry VM with an old roster may know fewer hosts than this one does. A
+    // SYN that nobody took yet goes on to those, rather than being refused.
+    fn extend_plan(&self, header: &PacketHeader, segment: &SegmentFacts, inner: &[u8]) -> bool {
+        let planned = |host: &&HostRecord| {
+            let hops = &mut header.hops.iter();
+            !hops.any(|hop| hop.incarnation() == host.incarnation)
+        };
+        let takers = self.hosts.iter().filter(|host| host.takes_flows());
+        let room = MAX_PLAN_HOPS.saturating_sub(header.hops.len());
+        let added: Vec<WireHop> = takers.filter(planned).take(room).map(Into::into).collect();
+        let Some(next) = added.first().map(WireHop::target) else {
+            return false;
+        };
+        log::info!(target: "flow", flow:% = segment.key, to:% = next; "passed on");
+        let visited = header.hops.len();
+        let mut header = header.clone();
+        header.hops.extend(added);
+        let mut datagram = Vec::with_capacity(MAX_DATAGRAM_BYTES);
+        write_data(&mut datagram, &header, inner);
+        for _ in 0..visited {
+            advance(&mut datagram);
+        }
+        self.send_packet(&datagram, next);
+        true
+    }
+
     // Whether every host that is known here has had the packet, and what is
     // known here was confirmed lately.
     fn is_proved(&self, header: &PacketHeader, now: TimePoint) -> bool {
--- a/crates/standin/src/capacity.rs
+++ b/crates/standin/src/capacity.rs
@@ -4,23 +4,19 @@
 //! Everything is measured on the core and the codecs in this process, with
 //! generated rosters and manifests; nothing is simulated across nodes.
 
-use std::collections::BTreeMap;
-use std::fmt::Write;
 use std::hint::black_box;
-use std::net::{Ipv4Addr, SocketAddrV4};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use rand::SeedableRng;
 use rand::rngs::StdRng;
-use rand::{Rng, SeedableRng};
 use serde::Serialize;
 
 use chestnutlb_core::document::VersionedDocument;
 use chestnutlb_core::{
-    ControlEvent, DocumentId, DocumentItem, DocumentKind, EntryControl, EntryRecord, EntryRouter,
-    FirmManifest, FlowEvent, FlowKey, FlowTable, HeartbeatNews, HostRecord, HostRevision,
-    HostState, HostWeight, Incarnation, ObjectVersion, OpeningGate, PacketArrival, SegmentFacts,
-    ServiceSpec, ServiceTag, TimePoint, TimerPart,
+    ControlEvent, DocumentId, DocumentItem, DocumentKind, EntryControl, EntryRouter, FlowEvent,
+    FlowKey, FlowTable, HeartbeatNews, HostRevision, Incarnation, ObjectVersion, OpeningGate,
+    PacketArrival, SegmentFacts, ServiceSpec, ServiceTag, TimePoint, TimerPart,
 };
 use chestnutlb_stack::FlowStack;
 use chestnutlb_wire::manifest::shared_services;
@@ -28,38 +24,12 @@
 use chestnutlb_wire::peer::{
     Announcement, HostAlive, KeeperReply, PeerHeartbeat, PeerMessage, write_message,
 };
-use chestnutlb_wire::{PacketHeader, WireHost, WireManifest, WirePatch, WireRoster, parse_json};
+use chestnutlb_wire::{PacketHeader, WireHost, WirePatch, WireRoster};
 
-/// The target of the developers' page.
-pub mod target {
-    /// Entry VMs.
-    pub const NODES: f64 = 5_200.0;
-    /// Hosts.
-    pub const HOSTS: f64 = 43_000.0;
-    /// Addresses of services.
-    pub const ADDRESSES: f64 = 19_000.0;
-    /// Open flows.
-    pub const FLOWS: f64 = 120e6;
-    /// New flows a second.
-    pub const NEW_FLOWS: f64 = 570e3;
-    /// Data centres.
-    pub const DATACENTERS: f64 = 16.0;
-    /// Changes of configuration a second.
-    pub const CHANGES: f64 = 20_000.0 / 86_400.0;
-    /// Hosts and entry VMs replaced a second.
-    pub const REPLACED: f64 = (6_100.0 + 77.0) / 86_400.0;
-    /// Share of a core for control.
-    pub const CORE_PERCENT: f64 = 3.3;
-    /// Memory for control, in bytes.
-    pub const MEMORY: f64 = 64.0 * 1024.0 * 1024.0;
-    /// Bytes a second for control.
-    pub const BYTES: f64 = 15_000.0;
-}
-
-/// Writes of the roster in one host's life: warming, serving, leaving, gone.
-const WRITES_PER_REPLACEMENT: f64 = 4.0;
-/// Firms that the services are spread over; the target does not give it.
-const FIRMS: usize = 200;
+use crate::capacity_tables::target;
+use crate::capacity_world::{
+    address, entry, host, load, loaded_control, manifests, segment, service_count,
+};
 
 /// One measured point.
 #[derive(Debug, Clone, PartialEq)]
@@ -129,146 +99,18 @@
         self.points.push(point);
     }
 
-    fn of(&self, what: &str) -> Vec<CapacityPoint> {
+    /// The points of one measurement.
+    pub fn of(&self, what: &str) -> Vec<CapacityPoint> {
         let points = self.points.iter().filter(|point| point.what == what);
         points.cloned().collect()
     }
 
-    fn line(&self, what: &str) -> SlopeLine {
+    /// The line through the points of one measurement.
+    pub fn line(&self, what: &str) -> SlopeLine {
         SlopeLine::fit(&self.of(what))
     }
 }
 
-fn address(number: usize, port: u16) -> SocketAddrV4 {
-    SocketAddrV4::new(Ipv4Addr::from(0x0a00_0000 + number as u32), port)
-}
-
-// Service and host numbers as at the target: 43,000 hosts on 19,000 addresses.
-fn service_count(hosts: usize) -> usize {
-    (hosts as f64 * target::ADDRESSES / target::HOSTS) as usize
-}
-
-fn firm_name(service: usize) -> String {
-    format!("firm-{}", service % FIRMS)
-}
-
-fn manifests(services: usize) -> Vec<FirmManifest> {
-    (0..FIRMS.min(services))
-        .map(|firm| {
-            let list: Vec<_> = (firm..services)
-                .step_by(FIRMS)
-                .map(|service| {
-                    serde_json::json!({
-                        "name": format!("service-{service}"),
-                        "kind": "request",
-                        "address": address(service, 7000).to_string(),
-                        "datacenters": ["dc-1", "dc-2", "dc-3"],
-                        "rules": [
-                            {"method": "POST", "path": "/orders", "deadline_ms": 5000},
-                            {"method": "POST", "path": "/uploads", "class": "long", "deadline_ms": 60000}
-                        ]
-                    })
-                })
-                .collect();
-            let text = serde_json::json!({"firm": firm_name(firm), "services": list}).to_string();
-            let wire: WireManifest = parse_json(&text).unwrap_or_else(|error| panic!("{error}"));
-            FirmManifest::try_from(&wire).unwrap_or_else(|error| panic!("{error}"))
-        })
-        .collect()
-}
-
-fn host(number: usize, services: usize) -> HostRecord {
-    let service = number % services;
-    let text = format!("{}/service-{service}", firm_name(service));
-    let parse = |text: &str| text.parse().unwrap_or_else(|_| panic!("{text}"));
-    HostRecord {
-        name: parse(&format!("host-{number}")),
-        service: text.parse().unwrap_or_else(|error| panic!("{error}")),
-        datacenter: format!("dc-{}", number % target::DATACENTERS as usize)
-            .parse()
-            .unwrap_or_else(|error| panic!("{error}")),
-        packets: address(1 << 20 | number, 9000),
-        relays: address(1 << 20 | number, 9001),
-        incarnation: Incarnation(1_700_000_000_000 + number as u64),
-        weight: HostWeight::ORDINARY,
-        state: HostState::Serving,
-        held: Vec::new(),
-    }
-}
-
-fn entry(number: usize) -> EntryRecord {
-    EntryRecord {
-        name: format!("entry-{number}")
-            .parse()
-            .unwrap_or_else(|error| panic!("{error}")),
-        datacenter: format!("dc-{}", number % target::DATACENTERS as usize)
-            .parse()
-            .unwrap_or_else(|error| panic!("{error}")),
-        peers: address(1 << 22 | number, 9002),
-        status: address(1 << 22 | number, 9003),
-        incarnation: Incarnation(1_700_000_000_000 + number as u64),
-    }
-}
-
-fn load(control: &mut EntryControl, kind: DocumentKind, name: &str, items: Vec<DocumentItem>) {
-    let event = ControlEvent::Loaded {
-        id: DocumentId::new(kind, name),
-        version: ObjectVersion(1),
-        items,
-    };
-    control.handle(event, TimePoint(0));
-}
-
-// An entry VM that knows `hosts` hosts, their services and `entries` peers.
-fn loaded_control(hosts: usize, entries: usize) -> EntryControl {
-    let services = service_count(hosts);
-    let mut control = EntryControl::new(entry(0), Vec::new(), 1, TimePoint(0));
-    let mut members: BTreeMap<String, Vec<DocumentItem>> = BTreeMap::new();
-    for number in 0..entries {
-        let record = entry(number);
-        members
-            .entry(record.datacenter.to_string())
-            .or_default()
-            .push(DocumentItem::Entry(record));
-    }
-    for (name, items) in members {
-        load(&mut control, DocumentKind::Members, &name, items);
-    }
-    let firms = manifests(services);
-    let grants = firms.iter().enumerate().flat_map(|(firm, manifest)| {
-        let name = firm_name(firm);
-        manifest
-            .services
-            .iter()
-            .filter_map(move |spec| {
-                let block = format!("{}/32", spec.address.ip()).parse().ok()?;
-                Some(DocumentItem::Grant(block, name.as_str().into()))
-            })
-            .collect::<Vec<_>>()
-    });
-    load(&mut control, DocumentKind::Grants, "all", grants.collect());
-    let mut rosters: BTreeMap<String, Vec<DocumentItem>> = BTreeMap::new();
-    for number in 0..hosts {
-        let record = host(number, services);
-        rosters
-            .entry(record.datacenter.to_string())
-            .or_default()
-            .push(DocumentItem::Host(Arc::new(record)));
-    }
-    for (name, items) in rosters {
-        load(&mut control, DocumentKind::Roster, &name, items);
-    }
-    for manifest in manifests(services) {
-        let firm = manifest.firm.to_string();
-        let items = shared_services(manifest)
-            .into_iter()
-            .map(DocumentItem::Service)
-            .collect();
-        load(&mut control, DocumentKind::Manifest, &firm, items);
-    }
-    control
-}
-
 fn resident_bytes() -> f64 {
     const PAGE_BYTES: f64 = 4096.0;
     std::fs::read_to_string("/proc/self/statm")
@@ -294,20 +136,6 @@
     times[BATCHES / 2]
 }
 
-fn segment(random: &mut StdRng, services: usize, opens: bool) -> SegmentFacts {
-    SegmentFacts {
-        key: FlowKey {
-            caller: address(random.random_range(0..1 << 24), random.random()),
-            service: address(random.random_range(0..services), 7000),
-        },
-        opens,
-        resets: false,
-        sequence: 1,
-        acknowledgement: (!opens).then_some(1),
-        payload: 100,
-    }
-}
-
 fn measure_decisions(report: &mut CapacityReport, hosts: usize, control: &EntryControl) {
     const SEGMENTS: usize = 4096;
     let services = service_count(hosts);
@@ -735,191 +563,3 @@
     measure_messages(&mut report);
     report
 }
-
-/// The page's tables.
-pub fn write_tables(report: &CapacityReport) -> String {
-    let mut text = String::new();
-    // Writing to a string can't fail.
-    let _ = writeln!(
-        text,
-        "| measured | unit | points (size: value) | line |\n|---|---|---|---|"
-    );
-    let mut seen: Vec<&str> = Vec::new();
-    for point in &report.points {
-        if seen.contains(&point.what) {
-            continue;
-        }
-        seen.push(point.what);
-        let points = report.of(point.what);
-        let list: Vec<_> = points
-            .iter()
-            .map(|point| format!("{}: {}", point.size, short(point.value)))
-            .collect();
-        let line = if points.len() > 2 {
-            let line = report.line(point.what);
-            format!("{} + {:.3e} × size", short(line.base), line.slope)
-        } else {
-            "–".to_owned()
-        };
-        let _ = writeln!(
-            text,
-            "| {} | {} | {} | {line} |",
-            point.what,
-            point.unit,
-            list.join(", ")
-        );
-    }
-    let _ = writeln!(text, "\n{}", write_target(report));
-    text
-}
-
-fn short(value: f64) -> String {
-    if value.abs() >= 100.0 {
-        format!("{value:.0}")
-    } else {
-        format!("{value:.2}")
-    }
-}
-
-// What the slopes come to at the target, row by row.
-fn write_target(report: &CapacityReport) -> String {
-    use target::*;
-    let line = |what: &str| report.line(what);
-    let message = |what: &str| report.of(what).first().map_or(0.0, |point| point.value);
-    let hosts_per_node = HOSTS / NODES;
-    let announcements = hosts_per_node * KEEPERS * ANNOUNCEMENTS;
-    let roster_changes = REPLACED * WRITES_PER_REPLACEMENT;
-    let changes = roster_changes + CHANGES;
-    let pushes = FANOUT * changes;
-
-    let cpu_ms = [
-        (
-            "roster and manifest changes",
-            changes * line("change of a roster taken").at(HOSTS),
-        ),
-        (
-            "members changes",
-            REPLACED * line("change of members taken").at(NODES),
-        ),
-        (
-            "announcements",
-            announcements * line("announcement taken").at(HOSTS) / 1e3,
-        ),
-        (
-            "heartbeats taken",
-            (HEARTBEATS + pushes) * line("heartbeat taken").at(NODES) / 1e3,
-        ),
-        (
-            "heartbeat and liveness ticks",
-            5.0 * line("heartbeat and liveness tick").at(NODES) / 1e3,
-        ),
-        (
-            "looks at what to write",
-            5.0 * line("look at what to write").at(HOSTS) / 1e3,
-        ),
-    ];
-    let bytes = [
-        (
-            "announcements and welcomes",
-            announcements
-                * ((1.0 - FULL_SHARE)
-                    * (message("message: short announcement") + message("message: short welcome"))
-                    + FULL_SHARE
-                        * (message("message: announcement") + message("message: welcome"))),
-        ),
-        (
-            "heartbeats, in and out",
-            2.0 * HEARTBEATS * message("message: heartbeat"),
-        ),
-        (
-            "pushes of changes, in and out",
-            2.0 * pushes * message("message: push of a change"),
-        ),
-        (
-            "patches, in and out",
-            2.0 * (CHANGES * message("message: patch of one service")
-                + roster_changes * message("message: patch of one host")),
-        ),
-    ];
-    let memory = line("control state of an entry VM").at(HOSTS);
-    let mut text = String::new();
-    let mut row = |what: &str, value: String, limit: String| {
-        let _ = writeln!(text, "| {what} | {value} | {limit} |");
-    };
-    row(
-        "at the target, an entry VM",
-        "value".to_owned(),
-        "limit".to_owned(),
-    );
-    row("---", "---".to_owned(), "---".to_owned());
-    for (what, value) in cpu_ms {
-        row(
-            &format!("processor: {what}"),
-            format!("{:.3}% of a core", value / 10.0),
-            String::new(),
-        );
-    }
-    let total: f64 = cpu_ms.iter().map(|(_, value)| value).sum::<f64>() / 10.0;
-    row(
-        "processor: control, sum",
-        format!("{total:.2}% of a core"),
-        format!("{CORE_PERCENT}%"),
-    );
-    for (what, value) in bytes {
-        row(
-            &format!("bytes: {what}"),
-            format!("{value:.0} B/s"),
-            String::new(),
-        );
-    }
-    let total: f64 = bytes.iter().map(|(_, value)| value).sum();
-    row(
-        "bytes: control, sum",
-        format!("{total:.0} B/s"),
-        format!("{BYTES:.0} B/s"),
-    );
-    let mib = |bytes: f64| format!("{:.1} MiB", bytes / 1048576.0);
-    row("memory: control state", mib(memory), mib(MEMORY));
-    let decision = line("decision, data without hint").at(HOSTS);
-    let flows = NEW_FLOWS / NODES;
-    row(
-        "new flows",
-        format!("{flows:.0}/s, {decision:.0} ns each"),
-        String::new(),
-    );
-    let open = FLOWS / HOSTS;
-    let flow_memory = line("side process, memory of idle flows").slope;
-    row(
-        "a side process: open flows",
-        format!("{open:.0}, {} of stacks", mib(open * flow_memory)),
-        String::new(),
-    );
-    let watchers = DATACENTERS * WATCHERS;
-    let calls = watchers * WATCHES + watchers * changes + 2.0 * changes;
-    row(
-        "platform: calls of the whole fleet",
-        format!("{calls:.0}/s"),
-        "2000/s".to_owned(),
-    );
-    row(
-        "platform: writes of the whole fleet",
-        format!("{:.2}/s", changes + 2.0 * REPLACED),
-        "a few hundred/s".to_owned(),
-    );
-    text
-}
-
-/// Keepers of a host.
-const KEEPERS: f64 = chestnutlb_core::members::KEEPERS_PER_HOST as f64;
-/// Announcements of a host to each keeper, a second.
-const ANNOUNCEMENTS: f64 = 2.0;
-/// Share of them that are in full: one in 5 s.
-const FULL_SHARE: f64 = 0.1;
-/// Heartbeats sent a second: to neighbours and a seed.
-const HEARTBEATS: f64 = (chestnutlb_core::members::NEIGHBOURS as f64 + 1.0) * 2.0;
-/// Peers told of a change at once.
-const FANOUT: f64 = chestnutlb_core::control::SPREAD_FANOUT as f64;
-/// Watchers of a data centre.
-const WATCHERS: f64 = chestnutlb_core::members::WATCHERS_PER_DATACENTER as f64;
-/// Watch calls of a watcher, a second.
-const WATCHES: f64 = 0.5;
--- /dev/null
+++ b/crates/standin/src/capacity_world.rs
@@ -0,0 +1,171 @@
+//! A generated world of the target's form: firms, services, hosts and entry
+//! VMs, and one entry VM's control part that knows them.
+
+use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::sync::Arc;
+
+use rand::Rng;
+use rand::rngs::StdRng;
+
+use chestnutlb_core::{
+    ControlEvent, DocumentId, DocumentItem, DocumentKind, EntryControl, EntryRecord, FirmManifest,
+    FlowKey, HostRecord, HostState, HostWeight, Incarnation, ObjectVersion, SegmentFacts,
+    TimePoint,
+};
+use chestnutlb_wire::manifest::shared_services;
+use chestnutlb_wire::{WireManifest, parse_json};
+
+use crate::capacity_tables::target;
+
+/// Firms that the services are spread over; the target does not give it.
+const FIRMS: usize = 200;
+
+pub(crate) fn address(number: usize, port: u16) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::from(0x0a00_0000 + number as u32), port)
+}
+
+// Service and host numbers as at the target: 43,000 hosts on 19,000 addresses.
+pub(crate) fn service_count(hosts: usize) -> usize {
+    (hosts as f64 * target::ADDRESSES / target::HOSTS) as usize
+}
+
+pub(crate) fn firm_name(service: usize) -> String {
+    format!("firm-{}", service % FIRMS)
+}
+
+pub(crate) fn manifests(services: usize) -> Vec<FirmManifest> {
+    (0..FIRMS.min(services))
+        .map(|firm| {
+            let list: Vec<_> = (firm..services)
+                .step_by(FIRMS)
+                .map(|service| {
+                    serde_json::json!({
+                        "name": format!("service-{service}"),
+                        "kind": "request",
+                        "address": address(service, 7000).to_string(),
+                        "datacenters": ["dc-1", "dc-2", "dc-3"],
+                        "rules": [
+                            {"method": "POST", "path": "/orders", "deadline_ms": 5000},
+                            {"method": "POST", "path": "/uploads", "class": "long", "deadline_ms": 60000}
+                        ]
+                    })
+                })
+                .collect();
+            let text = serde_json::json!({"firm": firm_name(firm), "services": list}).to_string();
+            let wire: WireManifest = parse_json(&text).unwrap_or_else(|error| panic!("{error}"));
+            FirmManifest::try_from(&wire).unwrap_or_else(|error| panic!("{error}"))
+        })
+        .collect()
+}
+
+pub(crate) fn host(number: usize, services: usize) -> HostRecord {
+    let service = number % services;
+    let text = format!("{}/service-{service}", firm_name(service));
+    let parse = |text: &str| text.parse().unwrap_or_else(|_| panic!("{text}"));
+    HostRecord {
+        name: parse(&format!("host-{number}")),
+        service: text.parse().unwrap_or_else(|error| panic!("{error}")),
+        datacenter: format!("dc-{}", number % target::DATACENTERS as usize)
+            .parse()
+            .unwrap_or_else(|error| panic!("{error}")),
+        packets: address(1 << 20 | number, 9000),
+        relays: address(1 << 20 | number, 9001),
+        incarnation: Incarnation(1_700_000_000_000 + number as u64),
+        weight: HostWeight::ORDINARY,
+        state: HostState::Serving,
+        held: Vec::new(),
+    }
+}
+
+pub(crate) fn entry(number: usize) -> EntryRecord {
+    EntryRecord {
+        name: format!("entry-{number}")
+            .parse()
+            .unwrap_or_else(|error| panic!("{error}")),
+        datacenter: format!("dc-{}", number % target::DATACENTERS as usize)
+            .parse()
+            .unwrap_or_else(|error| panic!("{error}")),
+        peers: address(1 << 22 | number, 9002),
+        status: address(1 << 22 | number, 9003),
+        incarnation: Incarnation(1_700_000_000_000 + number as u64),
+    }
+}
+
+pub(crate) fn load(
+    control: &mut EntryControl,
+    kind: DocumentKind,
+    name: &str,
+    items: Vec<DocumentItem>,
+) {
+    let event = ControlEvent::Loaded {
+        id: DocumentId::new(kind, name),
+        version: ObjectVersion(1),
+        items,
+    };
+    control.handle(event, TimePoint(0));
+}
+
+// An entry VM that knows `hosts` hosts, their services and `entries` peers.
+pub(crate) fn loaded_control(hosts: usize, entries: usize) -> EntryControl {
+    let services = service_count(hosts);
+    let mut control = EntryControl::new(entry(0), Vec::new(), 1, TimePoint(0));
+    let mut members: BTreeMap<String, Vec<DocumentItem>> = BTreeMap::new();
+    for number in 0..entries {
+        let record = entry(number);
+        members
+            .entry(record.datacenter.to_string())
+            .or_default()
+            .push(DocumentItem::Entry(record));
+    }
+    for (name, items) in members {
+        load(&mut control, DocumentKind::Members, &name, items);
+    }
+    let firms = manifests(services);
+    let grants = firms.iter().enumerate().flat_map(|(firm, manifest)| {
+        let name = firm_name(firm);
+        manifest
+            .services
+            .iter()
+            .filter_map(move |spec| {
+                let block = format!("{}/32", spec.address.ip()).parse().ok()?;
+                Some(DocumentItem::Grant(block, name.as_str().into()))
+            })
+            .collect::<Vec<_>>()
+    });
+    load(&mut control, DocumentKind::Grants, "all", grants.collect());
+    let mut rosters: BTreeMap<String, Vec<DocumentItem>> = BTreeMap::new();
+    for number in 0..hosts {
+        let record = host(number, services);
+        rosters
+            .entry(record.datacenter.to_string())
+            .or_default()
+            .push(DocumentItem::Host(Arc::new(record)));
+    }
+    for (name, items) in rosters {
+        load(&mut control, DocumentKind::Roster, &name, items);
+    }
+    for manifest in manifests(services) {
+        let firm = manifest.firm.to_string();
+        let items = shared_services(manifest)
+            .into_iter()
+            .map(DocumentItem::Service)
+            .collect();
+        load(&mut control, DocumentKind::Manifest, &firm, items);
+    }
+    control
+}
+
+pub(crate) fn segment(random: &mut StdRng, services: usize, opens: bool) -> SegmentFacts {
+    SegmentFacts {
+        key: FlowKey {
+            caller: address(random.random_range(0..1 << 24), random.random()),
+            service: address(random.random_range(0..services), 7000),
+        },
+        opens,
+        resets: false,
+        sequence: 1,
+        acknowledgement: (!opens).then_some(1),
+        payload: 100,
+    }
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -4,6 +4,8 @@
 pub mod backend;
 pub mod caller;
 pub mod capacity;
+pub mod capacity_tables;
+mod capacity_world;
 pub mod crest;
 pub mod fabric;
 pub mod fleet;
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -10,7 +10,9 @@
 use chestnutlb_standin::backend::BackendPlan;
 use chestnutlb_standin::crest::SwingPlan;
 use chestnutlb_standin::tryout::{TryoutPlan, program_folder};
-use chestnutlb_standin::{backend, capacity, crest, fabric, platform, spread, tryout, waiting};
+use chestnutlb_standin::{
+    backend, capacity, capacity_tables, crest, fabric, platform, spread, tryout, waiting,
+};
 
 /// Stand-ins of the systems around chestnutlb.
 #[derive(Debug)]
@@ -232,7 +234,7 @@
             print_line(point)?;
         }
     } else {
-        print!("{}", capacity::write_tables(&report));
+        print!("{}", capacity_tables::write_tables(&report));
     }
     Ok(())
 }
--- a/crates/standin/tests/host_faults.rs
+++ b/crates/standin/tests/host_faults.rs
@@ -265,3 +265,58 @@
     let fields: serde_json::Value = serde_json::from_str(line).unwrap();
     assert!(fields["flows"].as_u64().unwrap() > 0, "{line}");
 }
+
+#[test]
+fn a_syn_whose_plan_knows_only_a_leaving_host_goes_on_to_others() {
+    let fleet = start("short-plan");
+    fleet.signal("order-2", TERM).unwrap();
+    fleet
+        .wait_for("the roster to show that order-2 leaves", || {
+            let hosts = fleet.rosters();
+            hosts
+                .iter()
+                .any(|host| host.name == "order-2" && host.state == "leaving")
+        })
+        .unwrap();
+    let leaving = fleet
+        .rosters()
+        .into_iter()
+        .find(|host| host.name == "order-2")
+        .unwrap();
+    let address: std::net::SocketAddrV4 = leaving.packets.parse().unwrap();
+    let service = chestnutlb_core::ServiceId {
+        firm: "calinawan".parse().unwrap(),
+        service: "order-desk".parse().unwrap(),
+    };
+    let header = PacketHeader {
+        tag: service.tag().0,
+        generation: 1,
+        complete: false,
+        entry: (0x7f00_0001, 1),
+        hops: vec![WireHop {
+            address: u32::from(*address.ip()),
+            port: address.port(),
+            incarnation: leaving.incarnation,
+        }],
+    };
+    let key = chestnutlb_core::FlowKey {
+        caller: "10.9.1.200:4000".parse().unwrap(),
+        service: common::ORDERS.parse().unwrap(),
+    };
+    let now = chestnutlb_core::TimePoint(0);
+    let mut stack = chestnutlb_stack::FlowStack::connect(key, 1, now).unwrap();
+    stack.poll(now);
+    let mut bytes = Vec::new();
+    write_data(&mut bytes, &header, &stack.pop_packet().unwrap());
+    let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+    socket.send_to(&bytes, address).unwrap();
+    fleet
+        .wait_for("another host to take the flow", || {
+            ["order-1", "order-3"].iter().any(|host| {
+                fleet
+                    .side_status(host)
+                    .is_some_and(|status| status.counters.contains_key("flows.opened"))
+            })
+        })
+        .unwrap();
+}
