Take no new work without a backend server; status put together when asked

Cause: a host whose backend server refused connections kept taking its share of flows and refused most of their requests, since second tries are a tenth of first ones. Ruled out: the health endpoint as judge (it may mislead). Change: after two refused connections in a row the host calls itself suspect, takes nothing that another host takes, and runs its requests elsewhere. A process test waits for that state (which could not come before) and sees 30 of 30 orders answered.

--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -1,5 +1,6 @@
 //! Which flows a host takes: none while it leaves, a growing share while it
-//! is cold.
+//! is cold, and none but what nobody else takes while its backend server is out
+//! of reach.
 
 use std::time::Duration;
 
@@ -54,7 +55,8 @@
     /// it; then a cold host takes it rather than refuse it.
     pub fn gate(&self, flow: FlowHash, last: bool, now: TimePoint) -> OpeningGate {
         let open = match self.state {
-            HostState::Serving | HostState::Suspect => true,
+            HostState::Serving => true,
+            HostState::Suspect => last,
             HostState::Warming => last || (flow.0 >> 32) % 100 < self.share(now),
             HostState::Joining | HostState::Leaving | HostState::Gone => false,
         };
--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -62,6 +62,15 @@
     pub heard: TimePoint,
 }
 
+/// What was asked of the platform or a peer and is not answered yet.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+enum ControlJob {
+    /// One document.
+    Document(DocumentId),
+    /// Whatever differs from a peer.
+    Repair,
+}
+
 /// The control part of an entry VM.
 #[derive(Debug)]
 pub struct EntryControl {
@@ -74,7 +83,7 @@
     progress: BTreeMap<HostName, HostProgress>,
     silent_entries: HashMap<EntryName, TimePoint>,
     recent: VecDeque<(DocumentId, ObjectVersion)>,
-    jobs: HashMap<DocumentId, TimePoint>,
+    jobs: HashMap<ControlJob, TimePoint>,
     suspects: BTreeMap<HostName, ServiceId>,
     hosts: HashMap<ServiceId, Vec<Arc<HostRecord>>>,
     grants: GrantIndex,
@@ -298,7 +307,7 @@
                 }
             }
             ControlEvent::Loaded { id, version, items } => {
-                self.jobs.remove(&id);
+                self.end_job(&id);
                 if let Some(changes) = self.documents.get_mut(&id).replace(version, items) {
                     self.on_changed(id, &changes, &mut actions);
                 }
@@ -307,7 +316,7 @@
                 self.on_listed(list, stale, now, &mut actions);
             }
             ControlEvent::Wrote(id) => {
-                self.jobs.remove(&id);
+                self.end_job(&id);
             }
             ControlEvent::Tick(part) => self.on_tick(part, now, &mut actions),
             ControlEvent::Stop => {
@@ -423,13 +432,13 @@
             .collect();
         if newer.is_empty() {
             // The difference is older than what the heartbeat names.
-            if self.claim_job(&repair_id(), now) {
+            if self.claim_job(ControlJob::Repair, now) {
                 actions.push(ControlAction::Pull(news.entry.status, Vec::new()));
             }
         } else {
             let wanted: Vec<_> = newer
                 .into_iter()
-                .filter(|(id, _)| self.claim_job(id, now))
+                .filter(|(id, _)| self.claim_document(id, now))
                 .collect();
             if !wanted.is_empty() {
                 actions.push(ControlAction::Pull(news.entry.status, wanted));
@@ -442,17 +451,25 @@
     }
 
     // Whether nobody works on this document; if so it is claimed.
-    fn claim_job(&mut self, id: &DocumentId, now: TimePoint) -> bool {
+    fn claim_document(&mut self, id: &DocumentId, now: TimePoint) -> bool {
+        self.claim_job(ControlJob::Document(id.clone()), now)
+    }
+
+    fn claim_job(&mut self, job: ControlJob, now: TimePoint) -> bool {
         let free = self
             .jobs
-            .get(id)
+            .get(&job)
             .is_none_or(|since| now.since(*since) >= JOB_TIMEOUT);
         if free {
-            self.jobs.insert(id.clone(), now);
+            self.jobs.insert(job, now);
         }
         free
     }
 
+    fn end_job(&mut self, id: &DocumentId) {
+        self.jobs.remove(&ControlJob::Document(id.clone()));
+    }
+
     fn on_listed(
         &mut self,
         list: Vec<(DocumentId, ObjectVersion)>,
@@ -465,7 +482,7 @@
             complete &= version >= self.documents.version(&id);
             if version > self.documents.version(&id) {
                 complete = false;
-                if self.claim_job(&id, now) {
+                if self.claim_document(&id, now) {
                     actions.push(ControlAction::Load(id));
                 }
             }
@@ -481,8 +498,8 @@
         changes: &[ItemChange],
         actions: &mut Vec<ControlAction>,
     ) {
-        self.jobs.remove(&id);
-        self.jobs.remove(&repair_id());
+        self.end_job(&id);
+        self.jobs.remove(&ControlJob::Repair);
         let version = self.documents.version(&id);
         match id.kind {
             DocumentKind::Members => {
@@ -593,7 +610,7 @@
         }
         for (datacenter, edits) in rosters {
             let id = DocumentId::new(DocumentKind::Roster, datacenter.as_str());
-            if !self.stopping && self.claim_job(&id, now) {
+            if !self.stopping && self.claim_document(&id, now) {
                 actions.push(ControlAction::WriteRoster(id, edits));
             }
         }
@@ -622,7 +639,7 @@
             }
             let since = *self.silent_entries.entry(entry.name.clone()).or_insert(now);
             let id = DocumentId::new(DocumentKind::Members, entry.datacenter.as_str());
-            if now.since(since) >= RANK_DELAY * rank as u32 && self.claim_job(&id, now) {
+            if now.since(since) >= RANK_DELAY * rank as u32 && self.claim_document(&id, now) {
                 let edit = MemberEdit::Remove(entry);
                 actions.push(ControlAction::WriteMembers(id, vec![edit]));
             }
@@ -642,7 +659,7 @@
         }
         let members = self.members_id();
         let listed = self.all.find(&self.me.name) == Some(&self.me);
-        if !listed && self.claim_job(&members, now) {
+        if !listed && self.claim_document(&members, now) {
             let edit = MemberEdit::Put(self.me.clone());
             actions.push(ControlAction::WriteMembers(members, vec![edit]));
         }
@@ -684,10 +701,6 @@
     }
 }
 
-fn repair_id() -> DocumentId {
-    DocumentId::new(DocumentKind::Members, "")
-}
-
 fn scan_entries<'a>(items: impl Iterator<Item = &'a DocumentItem>) -> Vec<EntryRecord> {
     items
         .filter_map(|item| match item {
--- a/crates/core/src/slots.rs
+++ b/crates/core/src/slots.rs
@@ -37,6 +37,8 @@
     Expired,
     /// The host is leaving.
     Leaving,
+    /// The backend server did not take it.
+    NotStarted,
 }
 
 impl SlotRefusal {
@@ -47,6 +49,7 @@
             Self::WaitTooLong => "wait-too-long",
             Self::Expired => "expired",
             Self::Leaving => "leaving",
+            Self::NotStarted => "not-started",
         }
     }
 }
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -43,7 +43,7 @@
     packet_socket.set_read_timeout(Some(PACKET_TIMEOUT))?;
     let peer_socket = UdpSocket::bind(settings.peers)?;
 
-    let shared = Arc::new(EntryShared::new(&me, Arc::clone(&counters)));
+    let shared = Arc::new(EntryShared::new(me.clone(), Arc::clone(&counters)));
     let (event_ring, events) = bounded(EVENT_RING);
     let (store_ring, store_jobs) = bounded(JOB_RING);
     let (pull_ring, pull_jobs) = bounded(JOB_RING);
--- a/crates/daemon/src/entry_control.rs
+++ b/crates/daemon/src/entry_control.rs
@@ -9,7 +9,7 @@
 
 use chestnutlb_core::{
     ControlAction, ControlEvent, DocumentId, EntryControl, HostRecord, HostRevision, Incarnation,
-    MemberEdit, ObjectVersion, RosterEdit, RoutingView,
+    MemberEdit, ObjectVersion, RosterEdit, RoutingView, TimePoint,
 };
 use chestnutlb_wire::peer::{MAX_PEER_DATAGRAM_BYTES, PeerMessage, scan_message, write_message};
 
@@ -20,6 +20,9 @@
 /// Longest time that the thread waits for an event.
 const MAX_WAIT: Duration = Duration::from_millis(100);
 
+/// Time between two looks of the status page at the control thread.
+const PUBLISH_PERIOD: Duration = Duration::from_millis(100);
+
 /// A call of the platform.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum StoreJob {
@@ -61,6 +64,7 @@
     watching: Arc<AtomicBool>,
     shared: Arc<EntryShared>,
     unsent_view: Option<Arc<RoutingView>>,
+    published: TimePoint,
 }
 
 impl ControlLoop {
@@ -81,6 +85,7 @@
             watching,
             shared,
             unsent_view: None,
+            published: TimePoint::default(),
         }
     }
 
@@ -101,7 +106,11 @@
                 Err(RecvTimeoutError::Timeout) => {}
                 Err(RecvTimeoutError::Disconnected) => return,
             }
-            self.shared.publish_status(&self.control, clock::now());
+            let now = clock::now();
+            if now.since(self.published) >= PUBLISH_PERIOD {
+                self.published = now;
+                self.shared.publish_facts(&self.control, now);
+            }
         }
     }
 
--- a/crates/daemon/src/entry_http.rs
+++ b/crates/daemon/src/entry_http.rs
@@ -1,13 +1,12 @@
 //! What an entry VM answers over HTTP: status and health for operators,
 //! documents for peers, slices for side processes.
 
-use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, PoisonError, RwLock};
 
 use compact_str::ToCompactString;
-use rocket::data::{Data, ToByteUnit};
+use rocket::data::Data;
 use rocket::http::Status;
 use rocket::serde::json::Json;
 use rocket::{Build, Rocket, State, get, post, routes};
@@ -15,17 +14,23 @@
 use chestnutlb_core::entry::EntryRouter;
 use chestnutlb_core::view::ViewHost;
 use chestnutlb_core::{
-    DocumentId, DocumentKind, DocumentStore, EntryControl, EntryRecord, FlowKey, RouteDecision,
-    RoutingView, SegmentFacts, ServiceId, TimePoint,
+    DocumentId, DocumentItem, DocumentKind, DocumentStore, EntryControl, EntryRecord, FlowKey,
+    RouteDecision, RoutingView, SegmentFacts, ServiceId, TimePoint,
 };
-use chestnutlb_wire::peer::{PullQuery, ServiceSlice, scan_message, wire_versions, write_message};
+use chestnutlb_wire::peer::{PullQuery, ServiceSlice, wire_versions, write_message};
 use chestnutlb_wire::status::{EntryStatus, FlowExplanation, HopExplanation, HostStatus};
 
 use crate::entry_store::answer_pull;
-use crate::metrics::{Counter, CounterSet};
-
-/// Largest query of a peer, in kibibytes.
-const MAX_QUERY_KIB: u64 = 256;
+use crate::http::read_query;
+use crate::metrics::CounterSet;
+
+/// What the control thread tells of itself.
+#[derive(Debug, Default)]
+struct ControlFacts {
+    watching: bool,
+    age_ms: Option<u64>,
+    hosts: Vec<HostStatus>,
+}
 
 /// What the threads of an entry VM share. Each part is replaced as a whole.
 #[derive(Debug)]
@@ -34,9 +39,10 @@
     pub counters: Arc<CounterSet>,
     /// Whether the process was asked to stop.
     pub stopping: AtomicBool,
+    me: EntryRecord,
     documents: RwLock<Arc<DocumentStore>>,
     view: RwLock<Arc<RoutingView>>,
-    status: RwLock<Arc<EntryStatus>>,
+    facts: RwLock<Arc<ControlFacts>>,
 }
 
 fn read<T>(lock: &RwLock<Arc<T>>) -> Arc<T> {
@@ -49,24 +55,14 @@
 
 impl EntryShared {
     /// What is shared when the process starts.
-    pub fn new(me: &EntryRecord, counters: Arc<CounterSet>) -> Self {
-        let status = EntryStatus {
-            name: me.name.clone().into(),
-            datacenter: me.datacenter.clone().into(),
-            stopping: false,
-            watching: false,
-            age_ms: None,
-            documents: Vec::new(),
-            entries: Vec::new(),
-            hosts: Vec::new(),
-            counters: BTreeMap::new(),
-        };
+    pub fn new(me: EntryRecord, counters: Arc<CounterSet>) -> Self {
         Self {
             counters,
             stopping: AtomicBool::new(false),
+            me,
             documents: RwLock::default(),
             view: RwLock::default(),
-            status: RwLock::new(Arc::new(status)),
+            facts: RwLock::default(),
         }
     }
 
@@ -86,26 +82,42 @@
         replace(&self.view, Arc::clone(view));
     }
 
-    /// Replaces the status.
-    pub fn publish_status(&self, control: &EntryControl, now: TimePoint) {
-        let old = read(&self.status);
+    /// Replaces what the control thread tells of itself.
+    pub fn publish_facts(&self, control: &EntryControl, now: TimePoint) {
         let hosts = control.progress().map(|(name, progress)| HostStatus {
             name: name.to_compact_string(),
             service: progress.service.to_compact_string(),
             manifest: progress.manifest.0,
         });
-        let status = EntryStatus {
-            name: old.name.clone(),
-            datacenter: old.datacenter.clone(),
-            stopping: self.stopping.load(Ordering::Relaxed),
+        let facts = ControlFacts {
             watching: control.is_watching(),
             age_ms: control.age(now).map(|age| age.as_millis() as u64),
-            documents: wire_versions(&control.documents().digest()),
-            entries: control.entries().map(Into::into).collect(),
             hosts: hosts.collect(),
-            counters: BTreeMap::new(),
         };
-        replace(&self.status, Arc::new(status));
+        replace(&self.facts, Arc::new(facts));
+    }
+
+    // Put together when it is asked for: the members alone may be thousands.
+    fn status(&self) -> EntryStatus {
+        let documents = self.documents();
+        let facts = read(&self.facts);
+        let entries = documents.items(DocumentKind::Members);
+        EntryStatus {
+            name: self.me.name.to_compact_string(),
+            datacenter: self.me.datacenter.to_compact_string(),
+            stopping: self.stopping.load(Ordering::Relaxed),
+            watching: facts.watching,
+            age_ms: facts.age_ms,
+            documents: wire_versions(&documents.digest()),
+            entries: entries
+                .filter_map(|item| match item {
+                    DocumentItem::Entry(record) => Some(record.into()),
+                    _ => None,
+                })
+                .collect(),
+            hosts: facts.hosts.clone(),
+            counters: self.counters.snapshot(),
+        }
     }
 }
 
@@ -120,9 +132,7 @@
 
 #[get("/v1/status")]
 fn status(shared: &State<Arc<EntryShared>>) -> Json<EntryStatus> {
-    let mut status = EntryStatus::clone(&read(&shared.status));
-    status.counters = shared.counters.snapshot();
-    Json(status)
+    Json(shared.status())
 }
 
 #[get("/v1/explain?<caller>&<service>")]
@@ -198,36 +208,6 @@
     Ok(write_message(&answer))
 }
 
-/// Reads a query of a peer.
-pub async fn read_query<T: serde::de::DeserializeOwned>(
-    body: Data<'_>,
-    counters: &CounterSet,
-) -> Result<T, Status> {
-    read_query_of(body, MAX_QUERY_KIB, counters).await
-}
-
-/// Reads a query of a peer with a limit of its own, in kibibytes.
-pub async fn read_query_of<T: serde::de::DeserializeOwned>(
-    body: Data<'_>,
-    limit_kib: u64,
-    counters: &CounterSet,
-) -> Result<T, Status> {
-    let bad = |status| {
-        counters.add(Counter::BodiesBad);
-        log::info!(target: "http", status:% = status; "bad body");
-        status
-    };
-    let bytes = body
-        .open(limit_kib.kibibytes())
-        .into_bytes()
-        .await
-        .map_err(|_| bad(Status::BadRequest))?;
-    if !bytes.is_complete() {
-        return Err(bad(Status::PayloadTooLarge));
-    }
-    scan_message(&bytes).map_err(|_| bad(Status::BadRequest))
-}
-
 #[get("/peer/slice/<firm>/<service>")]
 fn slice(shared: &State<Arc<EntryShared>>, firm: &str, service: &str) -> Result<Vec<u8>, Status> {
     let id: ServiceId = format!("{firm}/{service}")
--- a/crates/daemon/src/entry_store.rs
+++ b/crates/daemon/src/entry_store.rs
@@ -11,13 +11,13 @@
 use chestnutlb_platform::{EditOutcome, LoadedDocument, PlatformClient, objects};
 use chestnutlb_wire::StampList;
 use chestnutlb_wire::peer::{
-    MAX_PEER_BODY_BYTES, PullAnswer, PullQuery, core_versions, scan_message, wire_versions,
-    write_message,
+    PullAnswer, PullQuery, core_versions, scan_message, wire_versions, write_message,
 };
 use chestnutlb_wire::records::WireVersion;
 
 use crate::entry_control::{PullJob, StoreJob};
 use crate::entry_http::EntryShared;
+use crate::http::read_body;
 use crate::metrics::{Counter, CounterSet, offer};
 
 /// Longest wait of one watch.
@@ -194,18 +194,6 @@
         .collect()
 }
 
-/// Reads the body of a peer's answer, up to the limit.
-pub fn read_body(answer: ureq::Response) -> Result<Vec<u8>, String> {
-    use std::io::Read;
-    let mut bytes = Vec::new();
-    answer
-        .into_reader()
-        .take(MAX_PEER_BODY_BYTES)
-        .read_to_end(&mut bytes)
-        .map_err(|error| error.to_string())?;
-    Ok(bytes)
-}
-
 /// Answers a pull from the documents at hand.
 pub fn answer_pull(shared: &EntryShared, query: &PullQuery) -> Option<PullAnswer> {
     let have = core_versions(&query.have).ok()?;
--- a/crates/daemon/src/http.rs
+++ b/crates/daemon/src/http.rs
@@ -1,11 +1,21 @@
-//! The HTTP server that both roles share.
+//! What both roles share of HTTP: the server, and reading bodies within limits.
 
+use std::io::Read;
 use std::net::SocketAddrV4;
 use std::thread::JoinHandle;
 
 use rocket::config::{Config, LogLevel, Shutdown};
+use rocket::data::{Data, ToByteUnit};
+use rocket::http::Status;
 use rocket::{Build, Rocket};
 
+use chestnutlb_wire::peer::{MAX_PEER_BODY_BYTES, scan_message};
+
+use crate::metrics::{Counter, CounterSet};
+
+/// Largest query of a peer, in kibibytes.
+const MAX_QUERY_KIB: u64 = 256;
+
 /// Threads that answer over HTTP.
 const HTTP_WORKERS: usize = 2;
 
@@ -40,3 +50,44 @@
             }
         })
 }
+
+/// Reads a query of a peer.
+pub async fn read_query<T: serde::de::DeserializeOwned>(
+    body: Data<'_>,
+    counters: &CounterSet,
+) -> Result<T, Status> {
+    read_query_of(body, MAX_QUERY_KIB, counters).await
+}
+
+/// Reads a query of a peer with a limit of its own, in kibibytes.
+pub async fn read_query_of<T: serde::de::DeserializeOwned>(
+    body: Data<'_>,
+    limit_kib: u64,
+    counters: &CounterSet,
+) -> Result<T, Status> {
+    let bad = |status| {
+        counters.add(Counter::BodiesBad);
+        log::info!(target: "http", status:% = status; "bad body");
+        status
+    };
+    let bytes = body
+        .open(limit_kib.kibibytes())
+        .into_bytes()
+        .await
+        .map_err(|_| bad(Status::BadRequest))?;
+    if !bytes.is_complete() {
+        return Err(bad(Status::PayloadTooLarge));
+    }
+    scan_message(&bytes).map_err(|_| bad(Status::BadRequest))
+}
+
+/// Reads the body of a peer's answer, up to the limit.
+pub fn read_body(answer: ureq::Response) -> Result<Vec<u8>, String> {
+    let mut bytes = Vec::new();
+    answer
+        .into_reader()
+        .take(MAX_PEER_BODY_BYTES)
+        .read_to_end(&mut bytes)
+        .map_err(|error| error.to_string())?;
+    Ok(bytes)
+}
--- a/crates/daemon/src/side_control.rs
+++ b/crates/daemon/src/side_control.rs
@@ -17,7 +17,7 @@
 };
 
 use crate::clock;
-use crate::entry_store::read_body;
+use crate::http::read_body;
 use crate::metrics::Counter;
 use crate::settings::SideSettings;
 use crate::side_events::{ServiceNews, SideEvent, SideRing, SideShared};
@@ -28,6 +28,8 @@
 const FULL_PERIOD: Duration = Duration::from_secs(5);
 /// Time between two looks at the backend server.
 const PROBE_PERIOD: Duration = Duration::from_millis(500);
+/// Connections in a row that the backend server may refuse.
+const MAX_MISSED: u32 = 2;
 /// Time for the backend server to say how it is.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
 /// Time to wait for a datagram.
@@ -64,6 +66,7 @@
     warm_up: Duration,
     drain_grace: Duration,
     leave_shown: Option<TimePoint>,
+    missed: u32,
     announced: Option<HostRecord>,
     revision: HostRevision,
     full_due: TimePoint,
@@ -99,6 +102,7 @@
             warm_up: Duration::ZERO,
             drain_grace: Duration::ZERO,
             leave_shown: None,
+            missed: 0,
             announced: None,
             revision: HostRevision::default(),
             full_due: now,
@@ -192,9 +196,27 @@
             BackendHealth::Draining if self.state != HostState::Joining => {
                 self.apply(HostEvent::Leave, now);
             }
-            // Its word may mislead; what becomes of requests decides.
+            // Its word may mislead; whether it takes connections decides.
             BackendHealth::Ready | BackendHealth::Draining | BackendHealth::Down => {}
         }
+        self.check_reach(now);
+    }
+
+    // A backend server that takes no connections gets no new work.
+    fn check_reach(&mut self, now: TimePoint) {
+        let backend = self.settings.backend.into();
+        if TcpStream::connect_timeout(&backend, PROBE_TIMEOUT).is_ok() {
+            self.missed = 0;
+            if self.state == HostState::Suspect {
+                self.apply(HostEvent::Heard, now);
+            }
+            return;
+        }
+        self.missed += 1;
+        let works = matches!(self.state, HostState::Warming | HostState::Serving);
+        if works && self.missed >= MAX_MISSED {
+            self.apply(HostEvent::Silent, now);
+        }
     }
 
     fn announce(&mut self, now: TimePoint) {
--- a/crates/daemon/src/side_http.rs
+++ b/crates/daemon/src/side_http.rs
@@ -16,7 +16,7 @@
 use chestnutlb_wire::peer::{CancelAnswer, CancelQuery, RelayAnswer, RelayQuery, write_message};
 use chestnutlb_wire::status::SideStatus;
 
-use crate::entry_http::{read_query, read_query_of};
+use crate::http::{read_query, read_query_of};
 use crate::settings::SideSettings;
 use crate::side_events::{SideEvent, SideRing, SideShared};
 
--- a/crates/daemon/src/side_relay.rs
+++ b/crates/daemon/src/side_relay.rs
@@ -11,7 +11,7 @@
     CancelAnswer, CancelQuery, RelayAnswer, RelayQuery, scan_message, write_message,
 };
 
-use crate::entry_store::read_body;
+use crate::http::read_body;
 use crate::side_events::{SideEvent, SideRing};
 
 /// Time for an answer beyond the deadline of its request.
--- a/crates/daemon/src/side_requests.rs
+++ b/crates/daemon/src/side_requests.rs
@@ -324,8 +324,10 @@
         let Some(job) = self.jobs.get(&id) else {
             return;
         };
-        if self.state == HostState::Leaving {
-            return self.place_elsewhere(id, SlotRefusal::Leaving, now);
+        match self.state {
+            HostState::Leaving => return self.place_elsewhere(id, SlotRefusal::Leaving, now),
+            HostState::Suspect => return self.place_elsewhere(id, SlotRefusal::NotStarted, now),
+            _ => {}
         }
         let may_relay =
             job.relays < MAX_RELAYS && !self.peers.is_empty() && self.relays_out < RELAY_LIMIT;
@@ -369,7 +371,7 @@
         job.relays += 1;
         job.target = Some(target.clone());
         let wait = match refusal {
-            SlotRefusal::Leaving => left,
+            SlotRefusal::Leaving | SlotRefusal::NotStarted => left,
             _ => self.slots.expected_wait(job.class) / 2,
         };
         let query = RelayQuery {
@@ -401,7 +403,9 @@
             return;
         };
         let offer = match refusal {
-            SlotRefusal::Leaving | SlotRefusal::Expired => SlotOffer::Refused(refusal),
+            SlotRefusal::Leaving | SlotRefusal::Expired | SlotRefusal::NotStarted => {
+                SlotOffer::Refused(refusal)
+            }
             SlotRefusal::QueueFull | SlotRefusal::WaitTooLong => {
                 self.slots.offer(id, job.class, job.deadline, now)
             }
@@ -489,7 +493,7 @@
             && self.budget.spend();
         if again {
             self.ledger.apply(id, RequestEvent::Return);
-            self.place_elsewhere(id, SlotRefusal::Leaving, now);
+            self.place_elsewhere(id, SlotRefusal::NotStarted, now);
         } else {
             self.finish(id, RequestOutcome::NotRun, "not-started", now);
         }
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -7,7 +7,7 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Output, Stdio};
 use std::sync::atomic::{AtomicU16, Ordering};
-use std::sync::{Mutex, PoisonError};
+use std::sync::{LazyLock, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
 use quick_error::quick_error;
@@ -125,6 +125,8 @@
 const FIRST_PORT: u16 = 10_000;
 const PORT_COUNT: u16 = 20_000;
 
+static START_PORT: LazyLock<u16> = LazyLock::new(|| rand::random::<u16>() % PORT_COUNT);
+
 static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
 
 // A process that is started while another thread tries a port inherits that
@@ -135,10 +137,10 @@
 pub fn free_address() -> std::io::Result<SocketAddrV4> {
     let _guard = PORT_LOCK.lock().unwrap_or_else(PoisonError::into_inner);
     // Programs that run side by side start at different places.
-    let start = (std::process::id() as u16).wrapping_mul(61);
+    let start = *START_PORT;
     for _ in 0..PORT_COUNT {
         let step = NEXT_PORT.fetch_add(1, Ordering::Relaxed);
-        let port = FIRST_PORT + start.wrapping_add(step) % PORT_COUNT;
+        let port = FIRST_PORT + (start + step % PORT_COUNT) % PORT_COUNT;
         let address = SocketAddrV4::new(Ipv4Addr::LOCALHOST, port);
         if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
             return Ok(address);
--- a/crates/standin/tests/host_faults.rs
+++ b/crates/standin/tests/host_faults.rs
@@ -320,3 +320,24 @@
         })
         .unwrap();
 }
+
+#[test]
+fn a_host_without_its_backend_server_gets_no_new_work() {
+    let mut fleet = start("no-backend");
+    fleet.kill("order-1-backend").unwrap();
+    fleet
+        .wait_for("order-1 to notice", || {
+            fleet
+                .side_status("order-1")
+                .is_some_and(|status| status.state == "suspect")
+        })
+        .unwrap();
+    let mut callers = caller(&fleet, 1);
+    for id in 0..30 {
+        callers.add(order(id, id as u64 * 10, 5, 10));
+    }
+    callers.run(|_| false);
+    for result in callers.results() {
+        assert_eq!(word(&result.end), "answered", "{result:?}");
+    }
+}
