Garbage on the side process's announce port; tests say their packets once

Cause: reading the issue against the tests: one port was without garbage, and two tests wrote the same packet out twice. Ruled out: nothing. Conclusion: no check became weaker: the misdirected packets are SYNs now, which a host would rather take than the resets that were sent before.

--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -90,6 +90,15 @@
     }
 }
 
+/// Where a side process listens.
+#[derive(Debug, Clone)]
+pub struct SidePorts {
+    /// For its keepers.
+    pub announce: SocketAddrV4,
+    /// For HTTP.
+    pub status: SocketAddrV4,
+}
+
 /// A running entry VM.
 #[derive(Debug, Clone)]
 pub struct EntryPorts {
@@ -109,7 +118,7 @@
     processes: BTreeMap<String, Child>,
     entries: BTreeMap<String, EntryPorts>,
     backends: BTreeMap<String, BackendPorts>,
-    sides: BTreeMap<String, SocketAddrV4>,
+    sides: BTreeMap<String, SidePorts>,
     faults: FabricFaults,
     /// Where entry VMs that are started from now on send their metrics.
     pub metrics: Option<SocketAddrV4>,
@@ -360,7 +369,10 @@
             "chestnutlb-standin",
             &arguments,
         )?;
-        let status = free_address()?;
+        let side = SidePorts {
+            announce: free_address()?,
+            status: free_address()?,
+        };
         let seeds: Vec<_> = self.entries.values().map(|entry| entry.peers).collect();
         let settings = json!({
             "role": "side",
@@ -368,8 +380,8 @@
             "datacenter": plan.datacenter,
             "service": plan.service,
             "packets": free_address()?,
-            "announce": free_address()?,
-            "status": status,
+            "announce": side.announce,
+            "status": side.status,
             "fabric": self.fabric,
             "seeds": seeds,
             "backend": ports.work,
@@ -378,7 +390,7 @@
         });
         self.spawn_daemon(&plan.name, &settings)?;
         self.backends.insert(plan.name.clone(), ports);
-        self.sides.insert(plan.name.clone(), status);
+        self.sides.insert(plan.name.clone(), side);
         Ok(())
     }
 
@@ -391,8 +403,8 @@
 
     /// Status of a side process; none if it does not answer.
     pub fn side_status(&self, name: &str) -> Option<SideStatus> {
-        let address = self.sides.get(name)?;
-        let (_, body) = small_http::call(*address, "GET", "/v1/status", "").ok()?;
+        let address = self.sides.get(name)?.status;
+        let (_, body) = small_http::call(address, "GET", "/v1/status", "").ok()?;
         serde_json::from_str(&body).ok()
     }
 
@@ -408,6 +420,11 @@
         self.backends.keys().cloned().collect()
     }
 
+    /// Ports of a side process.
+    pub fn side_ports(&self, name: &str) -> Option<&SidePorts> {
+        self.sides.get(name)
+    }
+
     /// Ports of an entry VM.
     pub fn entry_ports(&self, name: &str) -> Option<&EntryPorts> {
         self.entries.get(name)
--- a/crates/standin/tests/bad_input.rs
+++ b/crates/standin/tests/bad_input.rs
@@ -47,7 +47,8 @@
         .unwrap();
     let side_packets: SocketAddrV4 = host.packets.parse().unwrap();
     let side_http: SocketAddrV4 = host.relays.parse().unwrap();
-    for target in [entry.packets, entry.peers, side_packets] {
+    let announce = fleet.side_ports("order-1").unwrap().announce;
+    for target in [entry.packets, entry.peers, side_packets, announce] {
         for datagram in datagrams() {
             socket.send_to(&datagram, target).unwrap();
         }
@@ -77,6 +78,7 @@
                 && count(&entry.counters, "peer.bad") >= 7
                 && count(&entry.counters, "http.bad-body") >= 4
                 && count(&side.counters, "packets.bad") >= 7
+                && count(&side.counters, "peer.bad") >= 7
                 && count(&side.counters, "http.bad-body") >= 6
         })
         .unwrap();
--- a/crates/standin/tests/host_faults.rs
+++ b/crates/standin/tests/host_faults.rs
@@ -2,11 +2,14 @@
 
 mod common;
 
-use std::net::UdpSocket;
+use std::net::{SocketAddrV4, UdpSocket};
 
+use chestnutlb_core::{FlowKey, ServiceId, TimePoint};
+use chestnutlb_stack::FlowStack;
 use chestnutlb_standin::fabric::FabricFaults;
+use chestnutlb_standin::fleet::Fleet;
 use chestnutlb_wire::packet::write_data;
-use chestnutlb_wire::{PacketHeader, WireHop};
+use chestnutlb_wire::{PacketHeader, WireHop, WireHost};
 use common::{caller, feed, order, runner, start, starts, word};
 
 const TERM: i32 = signal_hook::consts::SIGTERM;
@@ -182,54 +185,55 @@
     }
 }
 
+// A caller's packet with a plan of this one host, as an entry VM would send it.
+fn packet_for(host: &WireHost, service: &str, incarnation: u64, inner: &[u8]) -> Vec<u8> {
+    let address: SocketAddrV4 = host.packets.parse().unwrap();
+    let service: ServiceId = service.parse().unwrap();
+    let header = PacketHeader {
+        tag: service.tag().0,
+        generation: 1,
+        complete: true,
+        entry: (u32::from(*address.ip()), 1),
+        hops: vec![WireHop {
+            address: u32::from(*address.ip()),
+            port: address.port(),
+            incarnation,
+        }],
+    };
+    let mut bytes = Vec::new();
+    write_data(&mut bytes, &header, inner);
+    bytes
+}
+
+// A caller's SYN to the service at this address.
+fn syn_packet(service: &str) -> Vec<u8> {
+    let key = FlowKey {
+        caller: "10.9.1.200:4000".parse().unwrap(),
+        service: service.parse().unwrap(),
+    };
+    let now = TimePoint(0);
+    let mut stack = FlowStack::connect(key, 1, now).unwrap();
+    stack.poll(now);
+    stack.pop_packet().unwrap()
+}
+
+fn find_host(fleet: &Fleet, name: &str) -> WireHost {
+    let mut hosts = fleet.rosters().into_iter();
+    hosts.find(|host| host.name == name).unwrap()
+}
+
 #[test]
 fn a_packet_for_another_service_or_an_earlier_start_is_dropped() {
     let fleet = start("misdirected");
-    let feed = fleet
-        .rosters()
-        .into_iter()
-        .find(|host| host.name == "feed-1")
-        .unwrap();
+    let feed = find_host(&fleet, "feed-1");
     let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
-    let own = chestnutlb_core::ServiceId {
-        firm: "dalbit".parse().unwrap(),
-        service: "catalogue".parse().unwrap(),
-    };
-    let other = chestnutlb_core::ServiceId {
-        firm: "calinawan".parse().unwrap(),
-        service: "order-desk".parse().unwrap(),
-    };
-    let address: std::net::SocketAddrV4 = feed.packets.parse().unwrap();
-    for (id, incarnation) in [(&own, feed.incarnation - 1), (&other, feed.incarnation)] {
-        let header = PacketHeader {
-            tag: id.tag().0,
-            generation: 1,
-            complete: true,
-            entry: (0x7f00_0001, 1),
-            hops: vec![WireHop {
-                address: u32::from(*address.ip()),
-                port: address.port(),
-                incarnation,
-            }],
-        };
-        let segment = chestnutlb_core::SegmentFacts {
-            key: chestnutlb_core::FlowKey {
-                caller: common::FEEDS.parse().unwrap(),
-                service: "10.9.1.200:4000".parse().unwrap(),
-            },
-            opens: false,
-            resets: false,
-            sequence: 1,
-            acknowledgement: None,
-            payload: 0,
-        };
-        let mut bytes = Vec::new();
-        write_data(
-            &mut bytes,
-            &header,
-            &chestnutlb_wire::packet::write_reset(&segment),
-        );
-        socket.send_to(&bytes, address).unwrap();
+    let inner = syn_packet(common::FEEDS);
+    for (service, incarnation) in [
+        ("dalbit/catalogue", feed.incarnation - 1),
+        ("calinawan/order-desk", feed.incarnation),
+    ] {
+        let bytes = packet_for(&feed, service, incarnation, &inner);
+        socket.send_to(&bytes, feed.packets.as_str()).unwrap();
     }
     fleet
         .wait_for("both packets to be dropped", || {
@@ -278,38 +282,16 @@
                 .any(|host| host.name == "order-2" && host.state == "leaving")
         })
         .unwrap();
-    let leaving = fleet
-        .rosters()
-        .into_iter()
-        .find(|host| host.name == "order-2")
-        .unwrap();
-    let address: std::net::SocketAddrV4 = leaving.packets.parse().unwrap();
-    let service = chestnutlb_core::ServiceId {
-        firm: "calinawan".parse().unwrap(),
-        service: "order-desk".parse().unwrap(),
-    };
-    let header = PacketHeader {
-        tag: service.tag().0,
-        generation: 1,
-        complete: false,
-        entry: (0x7f00_0001, 1),
-        hops: vec![WireHop {
-            address: u32::from(*address.ip()),
-            port: address.port(),
-            incarnation: leaving.incarnation,
-        }],
-    };
-    let key = chestnutlb_core::FlowKey {
-        caller: "10.9.1.200:4000".parse().unwrap(),
-        service: common::ORDERS.parse().unwrap(),
-    };
-    let now = chestnutlb_core::TimePoint(0);
-    let mut stack = chestnutlb_stack::FlowStack::connect(key, 1, now).unwrap();
-    stack.poll(now);
-    let mut bytes = Vec::new();
-    write_data(&mut bytes, &header, &stack.pop_packet().unwrap());
+    let leaving = find_host(&fleet, "order-2");
+    let inner = syn_packet(common::ORDERS);
+    let bytes = packet_for(
+        &leaving,
+        "calinawan/order-desk",
+        leaving.incarnation,
+        &inner,
+    );
     let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
-    socket.send_to(&bytes, address).unwrap();
+    socket.send_to(&bytes, leaving.packets.as_str()).unwrap();
     fleet
         .wait_for("another host to take the flow", || {
             ["order-1", "order-3"].iter().any(|host| {
