--- a/crates/standin/tests/common/mod.rs
+++ b/crates/standin/tests/common/mod.rs
@@ -88,6 +88,16 @@
     }
 }
 
+/// A caller with so many feeds, each of which has shown a line.
+pub fn open_feeds(fleet: &Fleet, count: usize) -> CallerLoop {
+    let mut feeds = caller(fleet, 1);
+    for id in 0..count {
+        feeds.add(feed(id));
+    }
+    feeds.run(|feeds| feeds.live_feeds() == count);
+    feeds
+}
+
 pub fn order(id: usize, start_ms: u64, work_ms: u64, body: usize) -> CallerTask {
     let service: SocketAddrV4 = ORDERS.parse().unwrap();
     CallerTask {
--- a/crates/standin/tests/control_faults.rs
+++ b/crates/standin/tests/control_faults.rs
@@ -4,7 +4,7 @@
 mod common;
 
 use chestnutlb_standin::platform::PlatformSwitch;
-use common::{caller, feed, manifest, order, start, word};
+use common::{caller, manifest, open_feeds, order, start, word};
 
 const STOP: i32 = signal_hook::consts::SIGSTOP;
 const CONTINUE: i32 = signal_hook::consts::SIGCONT;
@@ -86,11 +86,7 @@
 fn without_the_platform_all_goes_on_and_a_new_entry_learns_from_peers() {
     let name = "outage";
     let mut fleet = start(name);
-    let mut feeds = caller(&fleet, 1);
-    for id in 0..10 {
-        feeds.add(feed(id));
-    }
-    feeds.run(|feeds| feeds.live_feeds() == 10);
+    let mut feeds = open_feeds(&fleet, 10);
     fleet
         .switch(PlatformSwitch {
             down: true,
--- a/crates/standin/tests/host_faults.rs
+++ b/crates/standin/tests/host_faults.rs
@@ -10,7 +10,7 @@
 use chestnutlb_standin::fleet::Fleet;
 use chestnutlb_wire::packet::write_data;
 use chestnutlb_wire::{PacketHeader, WireHop, WireHost};
-use common::{caller, feed, order, runner, start, starts, word};
+use common::{caller, open_feeds, order, runner, start, starts, word};
 
 const TERM: i32 = signal_hook::consts::SIGTERM;
 const STOP: i32 = signal_hook::consts::SIGSTOP;
@@ -19,11 +19,7 @@
 #[test]
 fn a_host_that_stops_finishes_uploads_and_keeps_feeds() {
     let mut fleet = start("graceful");
-    let mut feeds = caller(&fleet, 1);
-    for id in 0..12 {
-        feeds.add(feed(id));
-    }
-    feeds.run(|feeds| feeds.live_feeds() == 12);
+    let mut feeds = open_feeds(&fleet, 12);
     let mut callers = caller(&fleet, 2);
     for id in 0..9 {
         callers.add(order(id, 0, 2_000, 40_000));
@@ -102,11 +98,7 @@
 #[test]
 fn when_a_side_process_dies_only_its_own_flows_break() {
     let mut fleet = start("side-dies");
-    let mut feeds = caller(&fleet, 1);
-    for id in 0..12 {
-        feeds.add(feed(id));
-    }
-    feeds.run(|feeds| feeds.live_feeds() == 12);
+    let mut feeds = open_feeds(&fleet, 12);
     let flows = |host: &str| fleet.side_status(host).map_or(0, |status| status.flows);
     fleet
         .wait_for("the hosts to count their feeds", || {
@@ -247,11 +239,8 @@
 #[test]
 fn a_second_signal_stops_at_once_and_says_what_was_cut() {
     let mut fleet = start("second-signal");
-    let mut feeds = caller(&fleet, 1);
-    for id in 0..12 {
-        feeds.add(feed(id));
-    }
-    feeds.run(|feeds| feeds.live_feeds() == 12);
+    let feeds = open_feeds(&fleet, 12);
+    assert_eq!(feeds.live_feeds(), 12);
     fleet.signal("feed-1", TERM).unwrap();
     fleet
         .wait_for("feed-1 to leave", || {
