--- a/crates/client/src/manifests.rs
+++ b/crates/client/src/manifests.rs
@@ -8,7 +8,7 @@
 use serde::Serialize;
 
 use chestnutlb_core::{FirmManifest, ObjectVersion};
-use chestnutlb_platform::{CommitOutcome, CurrentManifest, PlatformClient, commit, objects};
+use chestnutlb_store::{CommitOutcome, CurrentManifest, StoreClient, commit, objects};
 use chestnutlb_wire::{DocumentError, WireManifest, parse_json};
 
 use crate::output::{CommandEnd, complain, print};
@@ -159,7 +159,7 @@
                 return CommandEnd::Refused;
             }
         };
-        let client = PlatformClient::new(&self.platform);
+        let client = StoreClient::new(&self.platform);
         match plan(&client, &wire, &manifest) {
             Ok(result) => {
                 print(self.json, &result);
@@ -174,7 +174,7 @@
 }
 
 fn plan(
-    client: &PlatformClient,
+    client: &StoreClient,
     wire: &WireManifest,
     manifest: &FirmManifest,
 ) -> Result<PlanResult, (CommandEnd, String)> {
@@ -206,7 +206,7 @@
                 return CommandEnd::Refused;
             }
         };
-        let client = PlatformClient::new(&self.platform);
+        let client = StoreClient::new(&self.platform);
         let base = match self.base {
             Some(base) => base,
             None => match commit::current(&client, &wire) {
--- a/crates/core/benches/decision.rs
+++ b/crates/core/benches/decision.rs
@@ -34,6 +34,7 @@
         id: format!("firm/service-{service}").parse().unwrap(),
         kind: ServiceKind::Stream,
         address: service_address(service),
+        aliases: Vec::new(),
         datacenters: Vec::new(),
         limits: HostLimits {
             slots: 3,
@@ -95,6 +96,8 @@
                 service: service_address(flow * 7 % (HOSTS / HOSTS_PER_SERVICE)),
             },
             opens,
+            synchronizes: false,
+            finishes: false,
             resets: false,
             sequence: 1,
             acknowledgement: (!opens).then_some(1),
--- /dev/null
+++ b/crates/core/src/carried.rs
@@ -0,0 +1,495 @@
+//! Flows that are carried through unread.
+//!
+//! The two ends of such a flow are the caller and the backend server; nobody
+//! between them may change a byte. The side process reads heads only. From the
+//! packets to and from its backend server it knows which flows live there,
+//! how many requests are at work and how fast they are.
+//!
+//! The backend server outlives its side process. A side process that has been
+//! up for longer than the flow can be old answers for its own backend server;
+//! one that has just started asks it: it delivers the packet once and sees
+//! whether the backend server returns it as unknown.
+
+use std::collections::HashMap;
+use std::num::NonZeroUsize;
+use std::time::Duration;
+
+use lru::LruCache;
+
+use crate::flow::{FlowKey, SegmentFacts};
+use crate::load::HostLoad;
+use crate::units::TimePoint;
+
+/// A backend server that has not answered an opening for this time gets no
+/// copy of it while another host is left: callers send the first copy after
+/// 200 ms.
+pub const OPENING_PATIENCE: Duration = Duration::from_millis(150);
+
+/// A flow is forgotten when it was silent for this time and one end closed it.
+pub const CLOSED_LINGER: Duration = Duration::from_secs(5);
+
+/// An opening is forgotten when it led to no open flow in this time.
+pub const OPENING_LIFETIME: Duration = Duration::from_secs(3);
+
+/// An open flow without a request counts as load for this time: callers that
+/// open a flow send a request at once.
+pub const REQUEST_PATIENCE: Duration = Duration::from_millis(500);
+
+/// Flows that are remembered as unknown to the backend server.
+const STRANGER_LIMIT: NonZeroUsize = NonZeroUsize::new(8192).unwrap();
+
+/// Time constant of the average of requests at work.
+const BUSY_WINDOW: Duration = Duration::from_millis(500);
+
+/// Weight of the newest measurement in the mean service time.
+const SERVICE_WEIGHT: f64 = 0.1;
+
+/// Queue of a backend server behind its slots, in slots, up to which a host
+/// takes an opening that another host could take.
+const EAGER_QUEUE_FACTOR: u16 = 1;
+
+/// Queue behind its slots, in slots, up to which the last host that is asked
+/// takes an opening.
+const LAST_QUEUE_FACTOR: u16 = 3;
+
+/// What a flow's backend server was last seen to do.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum CarriedPhase {
+    /// The caller's opening was delivered.
+    Opening,
+    /// The backend server answered it with this sequence number.
+    Offered(u32),
+    /// Open.
+    Open,
+    /// One end closed or reset it.
+    Closed,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct CarriedFlow {
+    phase: CarriedPhase,
+    // Opened by this process: it counts as load until its first request ends.
+    fresh: bool,
+    caller_closed: bool,
+    server_closed: bool,
+    // What the caller sends next; none if no packet of it was seen.
+    next_sequence: Option<u32>,
+    // When the last packet of a request that has no answer yet was delivered.
+    asked: Option<TimePoint>,
+    // Whether the backend server had a free slot then.
+    unqueued: bool,
+    since: TimePoint,
+    seen: TimePoint,
+}
+
+/// What a side process knows of its backend server besides its flows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct BackendFacts {
+    /// Whether it may get new flows.
+    pub takes: bool,
+    /// Requests that it runs at once.
+    pub slots: u16,
+    /// Most flows that it holds.
+    pub flow_limit: usize,
+    /// Whether it is slow since it has just started.
+    pub cold: bool,
+    /// Whether it started after the side process, which then saw all of its
+    /// flows.
+    pub watched_from_start: bool,
+}
+
+/// How a packet came.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CarriedArrival {
+    /// Whether its plan has another host after this one.
+    pub more_hops: bool,
+    /// Whether the plan names every host that could own the flow.
+    pub complete: bool,
+}
+
+/// What the side process does with a caller's packet.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CarriedVerdict {
+    /// Deliver it.
+    Deliver,
+    /// Deliver an opening.
+    Open,
+    /// Deliver it to see whether the backend server knows the flow.
+    Ask,
+    /// The flow is not here: send the packet to the next host of its plan.
+    PassOn,
+    /// The flow is not here, and the plan has no other host.
+    NotHere,
+    /// Every host refused the opening: refuse it.
+    Refuse,
+}
+
+impl CarriedVerdict {
+    /// Name in logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Deliver => "deliver",
+            Self::Open => "open",
+            Self::Ask => "ask",
+            Self::PassOn => "pass-on",
+            Self::NotHere => "not-here",
+            Self::Refuse => "refuse",
+        }
+    }
+}
+
+/// The flows of one backend server as its side process sees them.
+#[derive(Debug)]
+pub struct CarriedFlows {
+    flows: HashMap<FlowKey, CarriedFlow>,
+    strangers: LruCache<FlowKey, TimePoint>,
+    started: TimePoint,
+    flow_age: Duration,
+    at_work: u16,
+    busy: f64,
+    busy_at: TimePoint,
+    service_ms: f64,
+}
+
+impl CarriedFlows {
+    /// No flows, at the start of the process. Flows are never older than
+    /// `flow_age`.
+    pub fn new(flow_age: Duration, now: TimePoint) -> Self {
+        Self {
+            flows: HashMap::new(),
+            strangers: LruCache::new(STRANGER_LIMIT),
+            started: now,
+            flow_age,
+            at_work: 0,
+            busy: 0.0,
+            busy_at: now,
+            service_ms: 0.0,
+        }
+    }
+
+    /// Flows that are known.
+    pub fn len(&self) -> usize {
+        self.flows.len()
+    }
+
+    /// Whether none is known.
+    pub fn is_empty(&self) -> bool {
+        self.flows.is_empty()
+    }
+
+    /// Requests at the backend server, with openings whose request is on its
+    /// way.
+    pub fn at_work(&self) -> u16 {
+        self.at_work
+    }
+
+    /// What entry VMs are told.
+    pub fn load(&mut self, backend: &BackendFacts, now: TimePoint) -> HostLoad {
+        self.average(now);
+        HostLoad {
+            slots: backend.slots,
+            at_work: self.at_work,
+            busy_hundredths: (self.busy * 100.0).min(f64::from(u16::MAX)) as u16,
+            flows: self.flows.len().min(usize::from(u16::MAX)) as u16,
+            service_us: (self.service_ms * 1000.0) as u32,
+            takes: backend.takes,
+            cold: backend.cold,
+        }
+    }
+
+    /// Judges a caller's packet.
+    pub fn judge(
+        &mut self,
+        segment: &SegmentFacts,
+        arrival: CarriedArrival,
+        backend: &BackendFacts,
+        now: TimePoint,
+    ) -> CarriedVerdict {
+        if segment.opens {
+            return self.judge_opening(segment, arrival, backend, now);
+        }
+        let unseen = self.may_be_unseen(backend, now);
+        match self.flows.get_mut(&segment.key) {
+            Some(flow) => {
+                if let CarriedPhase::Offered(number) = flow.phase {
+                    if segment.acknowledgement != Some(number.wrapping_add(1)) {
+                        // Another host answered the opening first.
+                        return elsewhere(arrival);
+                    }
+                    flow.phase = CarriedPhase::Open;
+                }
+                CarriedVerdict::Deliver
+            }
+            None if segment.resets => elsewhere(arrival),
+            None if unseen && !self.strangers.contains(&segment.key) => {
+                // Until the answer is there, other packets of it walk on.
+                self.strangers.put(segment.key, now);
+                CarriedVerdict::Ask
+            }
+            None => elsewhere(arrival),
+        }
+    }
+
+    // Whether the backend server may have flows that began before this process.
+    fn may_be_unseen(&self, backend: &BackendFacts, now: TimePoint) -> bool {
+        !backend.watched_from_start && now.since(self.started) < self.flow_age
+    }
+
+    fn judge_opening(
+        &mut self,
+        segment: &SegmentFacts,
+        arrival: CarriedArrival,
+        backend: &BackendFacts,
+        now: TimePoint,
+    ) -> CarriedVerdict {
+        if let Some(flow) = self.flows.get(&segment.key) {
+            let unanswered = flow.phase == CarriedPhase::Opening;
+            let silent = unanswered && now.since(flow.since) >= OPENING_PATIENCE;
+            if !silent || !arrival.more_hops {
+                return CarriedVerdict::Deliver;
+            }
+            self.forget(&segment.key);
+            return CarriedVerdict::PassOn;
+        }
+        let queue = if arrival.more_hops {
+            EAGER_QUEUE_FACTOR
+        } else {
+            LAST_QUEUE_FACTOR
+        };
+        let room = backend.slots.saturating_mul(1 + queue);
+        let takes = backend.takes && self.at_work < room && self.flows.len() < backend.flow_limit;
+        match (takes, arrival.more_hops) {
+            (true, _) => CarriedVerdict::Open,
+            (false, true) => CarriedVerdict::PassOn,
+            (false, false) if arrival.complete => CarriedVerdict::Refuse,
+            (false, false) => CarriedVerdict::NotHere,
+        }
+    }
+
+    /// Notes that a caller's packet was delivered.
+    pub fn note_delivered(
+        &mut self,
+        segment: &SegmentFacts,
+        backend: &BackendFacts,
+        now: TimePoint,
+    ) {
+        if segment.opens {
+            if !self.flows.contains_key(&segment.key) {
+                self.strangers.pop(&segment.key);
+                self.insert(segment.key, CarriedPhase::Opening, now);
+                self.add_work(1, now);
+            }
+            return;
+        }
+        let free = self.at_work < backend.slots;
+        let Some(flow) = self.flows.get_mut(&segment.key) else {
+            return;
+        };
+        flow.seen = now;
+        flow.caller_closed |= segment.finishes;
+        if segment.resets {
+            flow.phase = CarriedPhase::Closed;
+            self.end_work(segment.key, now);
+            return;
+        }
+        // A copy of data that was answered already asks for nothing.
+        if segment.payload > 0 && flow.advances(segment) {
+            let began = flow.asked.is_none();
+            flow.asked = Some(now);
+            if began {
+                flow.unqueued = free || flow.fresh;
+                if !flow.fresh {
+                    self.add_work(1, now);
+                }
+            }
+        }
+    }
+
+    fn insert(&mut self, key: FlowKey, phase: CarriedPhase, now: TimePoint) {
+        let flow = CarriedFlow {
+            phase,
+            fresh: phase == CarriedPhase::Opening,
+            caller_closed: false,
+            server_closed: false,
+            next_sequence: None,
+            asked: None,
+            unqueued: false,
+            since: now,
+            seen: now,
+        };
+        self.flows.insert(key, flow);
+    }
+
+    /// Notes a packet that the backend server sent to the caller. `segment`
+    /// has the key of the flow, that is the caller's end first.
+    pub fn note_sent(&mut self, segment: &SegmentFacts, now: TimePoint) {
+        if segment.resets {
+            self.forget_as_closed(segment.key, now);
+            return;
+        }
+        if !self.flows.contains_key(&segment.key) {
+            // It began before this process did.
+            self.strangers.pop(&segment.key);
+            let phase = if segment.synchronizes {
+                CarriedPhase::Offered(segment.sequence)
+            } else {
+                CarriedPhase::Open
+            };
+            self.insert(segment.key, phase, now);
+        }
+        let Some(flow) = self.flows.get_mut(&segment.key) else {
+            return;
+        };
+        flow.seen = now;
+        flow.server_closed |= segment.finishes;
+        if segment.synchronizes {
+            if flow.phase == CarriedPhase::Opening {
+                flow.phase = CarriedPhase::Offered(segment.sequence);
+            }
+            return;
+        }
+        if segment.payload > 0 || segment.finishes {
+            let measured = flow.asked.filter(|_| flow.unqueued && segment.payload > 0);
+            if let Some(asked) = measured {
+                self.measure(now.since(asked));
+            }
+            self.end_work(segment.key, now);
+        }
+    }
+
+    /// Notes that the backend server returned a packet: it does not hold the
+    /// flow, or can't open it. Returns whether the flow was open here before.
+    pub fn note_returned(&mut self, segment: &SegmentFacts, now: TimePoint) -> bool {
+        let was_open = self
+            .flows
+            .get(&segment.key)
+            .is_some_and(|flow| flow.phase == CarriedPhase::Open);
+        self.forget(&segment.key);
+        if !segment.opens {
+            self.strangers.put(segment.key, now);
+        }
+        was_open
+    }
+
+    /// Forgets all flows, as when the backend server has started again.
+    /// Returns how many there were.
+    pub fn clear(&mut self) -> usize {
+        let count = self.flows.len();
+        self.flows.clear();
+        self.strangers.clear();
+        self.at_work = 0;
+        count
+    }
+
+    /// Forgets flows that have ended or been silent for `idle`, and openings
+    /// that led to nothing.
+    pub fn sweep(&mut self, idle: Duration, now: TimePoint) {
+        let ended: Vec<FlowKey> = self
+            .flows
+            .iter()
+            .filter(|(_, flow)| flow.is_over(idle, now))
+            .map(|(key, _)| *key)
+            .collect();
+        for key in ended {
+            self.forget(&key);
+        }
+        let idle_openings: Vec<FlowKey> = self
+            .flows
+            .iter()
+            .filter(|(_, flow)| flow.is_idle_opening(now))
+            .map(|(key, _)| *key)
+            .collect();
+        for key in idle_openings {
+            self.end_work(key, now);
+        }
+    }
+
+    fn forget(&mut self, key: &FlowKey) {
+        if let Some(flow) = self.flows.remove(key)
+            && (flow.fresh || flow.asked.is_some())
+        {
+            self.at_work = self.at_work.saturating_sub(1);
+        }
+    }
+
+    // Late packets of a reset flow still belong to the backend server.
+    fn forget_as_closed(&mut self, key: FlowKey, now: TimePoint) {
+        self.end_work(key, now);
+        if let Some(flow) = self.flows.get_mut(&key) {
+            flow.phase = CarriedPhase::Closed;
+            flow.seen = now;
+        }
+    }
+
+    fn end_work(&mut self, key: FlowKey, now: TimePoint) {
+        let Some(flow) = self.flows.get_mut(&key) else {
+            return;
+        };
+        if flow.fresh || flow.asked.is_some() {
+            flow.fresh = false;
+            flow.asked = None;
+            self.average(now);
+            self.at_work = self.at_work.saturating_sub(1);
+        }
+    }
+
+    fn add_work(&mut self, count: u16, now: TimePoint) {
+        self.average(now);
+        self.at_work = self.at_work.saturating_add(count);
+    }
+
+    fn average(&mut self, now: TimePoint) {
+        let passed = now.since(self.busy_at).as_secs_f64() / BUSY_WINDOW.as_secs_f64();
+        let kept = (-passed).exp();
+        self.busy = self.busy * kept + f64::from(self.at_work) * (1.0 - kept);
+        self.busy_at = now;
+    }
+
+    fn measure(&mut self, service: Duration) {
+        let millis = service.as_secs_f64() * 1000.0;
+        self.service_ms = if self.service_ms == 0.0 {
+            millis
+        } else {
+            self.service_ms + (millis - self.service_ms) * SERVICE_WEIGHT
+        };
+    }
+}
+
+impl CarriedFlow {
+    // Whether the segment carries data that was not seen before.
+    fn advances(&mut self, segment: &SegmentFacts) -> bool {
+        let end = segment.sequence.wrapping_add(segment.payload.into());
+        let new = self
+            .next_sequence
+            .is_none_or(|next| (end.wrapping_sub(next) as i32) > 0);
+        if new {
+            self.next_sequence = Some(end);
+        }
+        new
+    }
+
+    fn is_idle_opening(&self, now: TimePoint) -> bool {
+        self.fresh && self.asked.is_none() && now.since(self.since) >= REQUEST_PATIENCE
+    }
+
+    fn is_over(&self, idle: Duration, now: TimePoint) -> bool {
+        let silence = now.since(self.seen);
+        let closed =
+            self.phase == CarriedPhase::Closed || (self.caller_closed && self.server_closed);
+        match self.phase {
+            CarriedPhase::Opening | CarriedPhase::Offered(_) => {
+                now.since(self.since) >= OPENING_LIFETIME && silence >= OPENING_LIFETIME
+            }
+            _ if closed => silence >= CLOSED_LINGER,
+            _ => silence >= idle,
+        }
+    }
+}
+
+fn elsewhere(arrival: CarriedArrival) -> CarriedVerdict {
+    if arrival.more_hops {
+        CarriedVerdict::PassOn
+    } else {
+        CarriedVerdict::NotHere
+    }
+}
--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -85,6 +85,8 @@
     recent: VecDeque<(DocumentId, ObjectVersion)>,
     jobs: HashMap<ControlJob, TimePoint>,
     suspects: BTreeMap<HostName, ServiceId>,
+    // Hosts as they were heard here, which may be newer than the roster.
+    heard: BTreeMap<HostName, HostRecord>,
     hosts: HashMap<ServiceId, Vec<Arc<HostRecord>>>,
     grants: GrantIndex,
     view: Arc<RoutingView>,
@@ -117,6 +119,7 @@
             recent: VecDeque::new(),
             jobs: HashMap::new(),
             suspects: BTreeMap::new(),
+            heard: BTreeMap::new(),
             hosts: HashMap::new(),
             grants: GrantIndex::default(),
             view: Arc::default(),
@@ -172,14 +175,14 @@
         let mut view = RoutingView::clone(&self.view);
         view.generation = self.documents.generation(DocumentKind::Roster);
         for id in touched {
-            let granted = self
-                .documents
-                .service(id)
-                .filter(|(spec, _)| self.grants.owns(&id.firm, *spec.address.ip()));
+            let granted = self.documents.service(id).filter(|(spec, _)| {
+                let mut addresses = spec.addresses();
+                addresses.all(|address| self.grants.owns(&id.firm, *address.ip()))
+            });
             match granted {
                 Some((spec, version)) => {
-                    let hosts = self.hosts.get(id).map_or(&[][..], Vec::as_slice);
-                    view.put(ServiceView::build(spec, version, hosts, &suspects));
+                    let hosts = self.known_hosts(id);
+                    view.put(ServiceView::build(spec, version, &hosts, &suspects));
                 }
                 None => view.remove(id),
             }
@@ -187,6 +190,47 @@
         self.view = Arc::new(view);
     }
 
+    // The hosts of a service: those of the rosters, as they were heard here if
+    // they were, and those that no roster has yet.
+    fn known_hosts(&self, id: &ServiceId) -> Vec<Arc<HostRecord>> {
+        let listed = self.hosts.get(id).map_or(&[][..], Vec::as_slice);
+        let mut hosts: Vec<Arc<HostRecord>> = listed
+            .iter()
+            .filter(|record| !self.heard.contains_key(&record.name))
+            .cloned()
+            .collect();
+        let heard = self.heard.values().filter(|record| record.service == *id);
+        hosts.extend(heard.cloned().map(Arc::new));
+        hosts.sort_by(|host, other| host.name.cmp(&other.name));
+        hosts
+    }
+
+    // Takes over what hosts said of themselves into the view.
+    fn note_heard(&mut self, now: TimePoint, actions: &mut Vec<ControlAction>) {
+        let heard: BTreeMap<HostName, HostRecord> = self
+            .keeper
+            .heard(now)
+            .map(|record| (record.name.clone(), record.clone()))
+            .collect();
+        if heard == self.heard {
+            return;
+        }
+        let mut touched = BTreeSet::new();
+        for (name, record) in &heard {
+            if self.heard.get(name) != Some(record) {
+                touched.insert(record.service.clone());
+            }
+        }
+        for (name, record) in &self.heard {
+            if heard.get(name) != Some(record) {
+                touched.insert(record.service.clone());
+            }
+        }
+        self.heard = heard;
+        self.refresh_view(&touched);
+        actions.push(ControlAction::Publish);
+    }
+
     // Notes changed hosts; returns the services that a change touches.
     fn touched_services(&mut self, id: &DocumentId, changes: &[ItemChange]) -> BTreeSet<ServiceId> {
         let mut touched = BTreeSet::new();
@@ -282,6 +326,7 @@
             } => {
                 let news = self.on_announced(record, revision, manifest, now);
                 actions.push(ControlAction::Welcome(from, news));
+                self.note_heard(now, &mut actions);
             }
             ControlEvent::Alive {
                 name,
@@ -319,6 +364,7 @@
                 self.end_job(&id);
             }
             ControlEvent::Tick(part) => self.on_tick(part, now, &mut actions),
+            ControlEvent::Seeds(seeds) => self.seeds = seeds,
             ControlEvent::Stop => {
                 self.stopping = true;
                 let edit = MemberEdit::Remove(self.me.clone());
@@ -328,6 +374,17 @@
         actions
     }
 
+    fn reassign_hosts(&mut self) {
+        let (all, rings, me) = (&self.all, &self.rings, &self.me.name);
+        let none = MemberRing::default();
+        self.keeper.reassign(|record| {
+            let ring = rings.get(&record.datacenter).unwrap_or(&none);
+            let keepers = ring.keepers(&record.name, all);
+            let rank = keepers.iter().position(|keeper| keeper.name == *me);
+            rank.map(|rank| rank as u32)
+        });
+    }
+
     fn on_announced(
         &mut self,
         record: HostRecord,
@@ -335,8 +392,11 @@
         manifest: ObjectVersion,
         now: TimePoint,
     ) -> WelcomeNews {
-        let chosen = self.keepers_of(&record);
-        let rank = chosen.iter().position(|entry| entry.name == self.me.name);
+        let chosen = self.listeners_of(&record);
+        let rank = chosen
+            .iter()
+            .take(KEEPERS_PER_HOST)
+            .position(|entry| entry.name == self.me.name);
         let news = WelcomeNews {
             keepers: chosen,
             resend: false,
@@ -399,16 +459,17 @@
         self.progress.insert(name, progress);
     }
 
-    // The entry VMs that look after a host; this one if none is known.
-    fn keepers_of(&self, record: &HostRecord) -> Vec<EntryRecord> {
-        let keepers = match self.rings.get(&record.datacenter) {
-            Some(ring) => ring.keepers(&record.name, &self.all),
-            None => self.all.keepers(&record.name, &self.all),
+    // The entry VMs that a host announces itself to, its keepers first; this one
+    // if none is known.
+    fn listeners_of(&self, record: &HostRecord) -> Vec<EntryRecord> {
+        let listeners = match self.rings.get(&record.datacenter) {
+            Some(ring) => ring.listeners(&record.name, &self.all),
+            None => self.all.listeners(&record.name, &self.all),
         };
-        if keepers.is_empty() {
+        if listeners.is_empty() {
             vec![self.me.clone()]
         } else {
-            keepers.into_iter().cloned().collect()
+            listeners.into_iter().cloned().collect()
         }
     }
 
@@ -504,6 +565,7 @@
         match id.kind {
             DocumentKind::Members => {
                 self.rebuild_rings();
+                self.reassign_hosts();
                 self.adopt_due = true;
             }
             DocumentKind::Roster => self.adopt_due = true,
@@ -590,6 +652,7 @@
         let documents = &self.documents;
         let current = |record: &HostRecord| find_host(documents, record);
         let edits = self.keeper.edits(current, now);
+        self.note_heard(now, actions);
         let mut suspects = BTreeMap::new();
         let mut rosters: BTreeMap<DatacenterName, Vec<RosterEdit>> = BTreeMap::new();
         for edit in edits {
--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -96,6 +96,8 @@
     Wrote(DocumentId),
     /// A timer is due.
     Tick(TimerPart),
+    /// Other entry VMs to begin with came into force.
+    Seeds(Vec<SocketAddrV4>),
     /// The process was asked to stop.
     Stop,
 }
--- a/crates/core/src/flow.rs
+++ b/crates/core/src/flow.rs
@@ -58,6 +58,10 @@
     pub key: FlowKey,
     /// Whether the segment asks to open a flow (SYN without ACK).
     pub opens: bool,
+    /// Whether the segment answers an opening (SYN with ACK).
+    pub synchronizes: bool,
+    /// Whether the sender has nothing more to send (FIN).
+    pub finishes: bool,
     /// Whether the segment is a reset.
     pub resets: bool,
     /// Sequence number.
--- a/crates/core/src/keeper.rs
+++ b/crates/core/src/keeper.rs
@@ -10,13 +10,17 @@
 
 use crate::chart::{HostEvent, HostState};
 use crate::ids::{HostName, Incarnation};
-use crate::members::RANK_DELAY;
+use crate::members::{KEEPERS_PER_HOST, RANK_DELAY};
 use crate::roster::HostRecord;
 use crate::units::TimePoint;
 
 /// A host that is silent for this time gets no new flows.
 pub const SUSPECT_AFTER: Duration = Duration::from_secs(2);
 
+/// A host that is known from the roster only is given this time to be heard:
+/// hosts learn of another keeper with their announcements in full, every 5 s.
+pub const ADOPTION_PATIENCE: Duration = Duration::from_secs(7);
+
 /// A host that is silent for this time is taken off the roster.
 pub const GONE_AFTER: Duration = Duration::from_secs(30);
 
@@ -63,6 +67,17 @@
     rank: u32,
 }
 
+impl HostSighting {
+    fn is_silent(&self, now: TimePoint) -> bool {
+        let patience = if self.revision == HostRevision::UNHEARD {
+            ADOPTION_PATIENCE
+        } else {
+            SUSPECT_AFTER
+        };
+        now.since(self.heard) >= patience
+    }
+}
+
 /// The hosts that one entry VM looks after.
 #[derive(Debug, Default)]
 pub struct HostKeeper {
@@ -133,6 +148,24 @@
         }
     }
 
+    /// Notes that the members changed: `rank` tells the rank of this entry VM for
+    /// a host, none if it is no keeper of it.
+    pub fn reassign(&mut self, rank: impl Fn(&HostRecord) -> Option<u32>) {
+        for sighting in self.sightings.values_mut() {
+            sighting.rank = rank(&sighting.record).unwrap_or(KEEPERS_PER_HOST as u32);
+        }
+    }
+
+    /// Hosts that were heard lately, as they announced themselves.
+    pub fn heard(&self, now: TimePoint) -> impl Iterator<Item = &HostRecord> {
+        self.sightings
+            .values()
+            .filter(move |sighting| {
+                sighting.revision != HostRevision::UNHEARD && !sighting.is_silent(now)
+            })
+            .map(|sighting| &sighting.record)
+    }
+
     /// Edits that the roster needs. `current` finds a host in the roster.
     pub fn edits(
         &mut self,
@@ -145,6 +178,11 @@
         let mut ended = Vec::new();
         for (name, sighting) in &mut self.sightings {
             let in_roster = current(&sighting.record);
+            if sighting.rank as usize >= KEEPERS_PER_HOST && now.since(sighting.heard) >= GONE_AFTER
+            {
+                ended.push(name.clone());
+                continue;
+            }
             if let Some(record) = &in_roster
                 && record.incarnation > sighting.record.incarnation
             {
@@ -162,8 +200,10 @@
                 sighting.differs_since = None;
                 continue;
             }
-            let silent = now.since(sighting.heard) >= SUSPECT_AFTER;
-            if silent && cut_off {
+            // Hosts stop announcing themselves to those who are no keepers of
+            // theirs, so only a keeper takes silence for an end.
+            let stray = sighting.rank as usize >= KEEPERS_PER_HOST;
+            if sighting.is_silent(now) && (cut_off || stray) {
                 continue;
             }
             let since = *sighting.differs_since.get_or_insert(now);
@@ -194,7 +234,7 @@
         let silent = self
             .sightings
             .values()
-            .filter(|sighting| now.since(sighting.heard) >= SUSPECT_AFTER)
+            .filter(|sighting| sighting.is_silent(now))
             .count();
         self.sightings.len() >= CUT_OFF_MIN_HOSTS && silent > self.sightings.len() / CUT_OFF_DIVISOR
     }
@@ -216,7 +256,7 @@
     if silence >= GONE_AFTER {
         return None;
     }
-    if silence >= SUSPECT_AFTER {
+    if sighting.is_silent(now) {
         record.state = record
             .state
             .after(HostEvent::Silent)
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -15,7 +15,10 @@
 //! ```
 
 pub mod admission;
+pub mod backend;
 pub mod budget;
+pub mod carried;
+pub mod carried_routes;
 pub mod chart;
 pub mod control;
 pub mod document;
@@ -24,6 +27,7 @@
 pub mod flow;
 pub mod ids;
 pub mod keeper;
+pub mod load;
 pub mod manifest;
 pub mod members;
 pub mod ownership;
@@ -36,7 +40,10 @@
 pub mod view;
 
 pub use admission::HostAdmission;
+pub use backend::{BackendLife, BackendNews, BackendReport, BackendState};
 pub use budget::RetryBudget;
+pub use carried::{BackendFacts, CarriedArrival, CarriedFlows, CarriedVerdict};
+pub use carried_routes::{CarriedPlan, CarriedRouter};
 pub use chart::{
     FlowEvent, FlowState, HostEvent, HostState, RequestEvent, RequestState, check_charts,
 };
@@ -50,6 +57,7 @@
     ServiceId, ServiceName, ServiceTag,
 };
 pub use keeper::{HostKeeper, HostRevision, RosterEdit};
+pub use load::{HostLoad, LoadBoard};
 pub use manifest::{
     AddressBlock, FirmManifest, ManifestChange, RequestClass, RouteRule, ServiceKind, ServiceSpec,
 };
--- a/crates/core/src/manifest.rs
+++ b/crates/core/src/manifest.rs
@@ -85,6 +85,8 @@
     Stream,
     /// HTTP/1.1 requests.
     Request,
+    /// Flows that end at the backend server itself, carried through unread.
+    Passthrough,
 }
 
 /// How long a request is expected to take.
@@ -154,6 +156,8 @@
     pub kind: ServiceKind,
     /// Where callers reach it.
     pub address: SocketAddrV4,
+    /// Where callers reach it as well.
+    pub aliases: Vec<SocketAddrV4>,
     /// Where its hosts stand.
     pub datacenters: Vec<DatacenterName>,
     /// Limits of each host.
@@ -169,6 +173,11 @@
 }
 
 impl ServiceSpec {
+    /// All addresses of the service.
+    pub fn addresses(&self) -> impl Iterator<Item = SocketAddrV4> {
+        std::iter::once(self.address).chain(self.aliases.iter().copied())
+    }
+
     /// The rule for a request.
     pub fn rule(&self, method: &str, path: &str) -> &RouteRule {
         self.rules
--- a/crates/core/src/members.rs
+++ b/crates/core/src/members.rs
@@ -16,6 +16,10 @@
 /// Entry VMs that a host announces itself to.
 pub const KEEPERS_PER_HOST: usize = 2;
 
+/// Entry VMs that a host announces itself to, its keepers first: those that are
+/// no keepers hear of it without the platform.
+pub const ANNOUNCE_FANOUT: usize = 8;
+
 /// Entry VMs of a data centre that watch the platform.
 pub const WATCHERS_PER_DATACENTER: usize = 2;
 
@@ -136,6 +140,19 @@
         keepers
     }
 
+    /// The entry VMs that a host announces itself to: its keepers, then others of
+    /// `all` by their rank.
+    pub fn listeners<'a>(&'a self, host: &HostName, all: &'a MemberRing) -> Vec<&'a EntryRecord> {
+        let mut listeners = self.keepers(host, all);
+        let subject = HostSeed::of(host.as_str());
+        for entry in all.ranked(subject, ANNOUNCE_FANOUT + KEEPERS_PER_HOST) {
+            if listeners.len() < ANNOUNCE_FANOUT && !listeners.contains(&entry) {
+                listeners.push(entry);
+            }
+        }
+        listeners
+    }
+
     /// Whether the ring has enough entry VMs to look after its own hosts.
     pub fn is_self_sufficient(&self) -> bool {
         self.ring.len() >= KEEPERS_PER_HOST
--- a/crates/core/src/view.rs
+++ b/crates/core/src/view.rs
@@ -169,15 +169,25 @@
     pub fn put(&mut self, service: ServiceView) {
         self.remove(&service.spec.id);
         let service = Arc::new(service);
-        self.by_address
-            .insert(service.spec.address, Arc::clone(&service));
+        for address in service.spec.addresses() {
+            self.by_address.insert(address, Arc::clone(&service));
+        }
         self.by_id.insert(service.spec.id.clone(), service);
     }
 
     /// Takes a service out.
     pub fn remove(&mut self, id: &ServiceId) {
         if let Some(old) = self.by_id.remove(id) {
-            self.by_address.remove(&old.spec.address);
+            for address in old.spec.addresses() {
+                // Another service may have taken the address over.
+                let owned = self
+                    .by_address
+                    .get(&address)
+                    .is_some_and(|service| service.spec.id == *id);
+                if owned {
+                    self.by_address.remove(&address);
+                }
+            }
         }
     }
 
@@ -206,6 +216,11 @@
         lost
     }
 
+    /// All services.
+    pub fn services(&self) -> impl Iterator<Item = &ServiceView> {
+        self.by_id.values().map(Arc::as_ref)
+    }
+
     /// The ids of all services.
     pub fn ids(&self) -> impl Iterator<Item = &ServiceId> {
         self.by_id.keys()
--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -58,6 +58,8 @@
     SegmentFacts {
         key: key(port),
         opens: true,
+        synchronizes: false,
+        finishes: false,
         resets: false,
         sequence: 1,
         acknowledgement: None,
@@ -79,6 +81,7 @@
         id: "dalbit/catalogue".parse().unwrap(),
         kind: ServiceKind::Stream,
         address: key(1).service,
+        aliases: Vec::new(),
         datacenters: vec!["honam-1".parse().unwrap()],
         limits: HostLimits {
             slots: 3,
--- /dev/null
+++ b/crates/daemon/src/carried_side.rs
@@ -0,0 +1,171 @@
+//! The process beside a backend server whose flows are carried through unread:
+//! its threads and what they share.
+
+use std::net::UdpSocket;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::thread::Builder;
+use std::time::Duration;
+
+use compact_str::ToCompactString;
+use crossbeam_channel::{Receiver, RecvTimeoutError};
+
+use chestnutlb_core::{BackendLife, BackendNews, HostState, TimePoint};
+use chestnutlb_wire::status::SideStatus;
+
+use crate::announcer::{HostAnnouncer, SeedList};
+use crate::carried_control::CarriedControl;
+use crate::carried_http::server;
+use crate::carried_packets::CarriedPackets;
+use crate::metrics::CounterSet;
+use crate::packet_form::PacketForm;
+use crate::reload::SettingsFile;
+use crate::settings::{PassthroughSettings, SideSettings};
+use crate::{StopSignal, clock, http};
+
+/// Time that the process goes on after it was asked to stop: late packets of
+/// ended flows still find their backend server.
+const STOP_LINGER: Duration = Duration::from_millis(300);
+
+/// What the threads of the process share.
+#[derive(Debug)]
+pub struct CarriedShared {
+    /// What is counted.
+    pub counters: Arc<CounterSet>,
+    /// Settings of the process.
+    pub settings: Arc<SideSettings>,
+    /// Whether the process was asked to stop.
+    pub stopping: AtomicBool,
+    /// Flows that are known.
+    pub flows: AtomicU64,
+    /// Requests at work.
+    pub at_work: AtomicU64,
+    life: Mutex<BackendLife>,
+    /// Counts the lives of the backend server that were heard of.
+    pub lives: AtomicU64,
+}
+
+impl CarriedShared {
+    fn new(settings: Arc<SideSettings>, counters: Arc<CounterSet>) -> Self {
+        Self {
+            counters,
+            settings,
+            stopping: AtomicBool::new(false),
+            flows: AtomicU64::new(0),
+            at_work: AtomicU64::new(0),
+            life: Mutex::default(),
+            lives: AtomicU64::new(0),
+        }
+    }
+
+    /// The newest that is known of the backend server.
+    pub fn life(&self) -> MutexGuard<'_, BackendLife> {
+        self.life.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Notes that a report or farewell of the backend server changed what is
+    /// known, and logs it.
+    pub fn note_news(&self, news: BackendNews, cause: &str, name: &str) {
+        if news == BackendNews::NewLife {
+            self.lives.fetch_add(1, Ordering::Relaxed);
+        }
+        if news != BackendNews::Same {
+            log::info!(
+                target: "host",
+                backend = name, cause = cause, news:? = news,
+                takes = self.life().takes_flows();
+                "reported"
+            );
+        }
+    }
+
+    /// State of the host for the roster.
+    pub fn state(&self, now: TimePoint) -> HostState {
+        let life = self.life();
+        if life.is_gone() {
+            HostState::Gone
+        } else if !life.takes_flows() {
+            HostState::Leaving
+        } else if life.current().is_none() {
+            HostState::Joining
+        } else if life.is_cold(now) {
+            HostState::Warming
+        } else {
+            HostState::Serving
+        }
+    }
+
+    /// What operators are told.
+    pub fn status(&self) -> SideStatus {
+        SideStatus {
+            name: self.settings.name.to_compact_string(),
+            service: self.settings.service.to_compact_string(),
+            state: self.state(clock::now()).to_compact_string(),
+            manifest: 0,
+            flows: self.flows.load(Ordering::Relaxed),
+            running: self.at_work.load(Ordering::Relaxed),
+            waiting: 0,
+            counters: self.counters.snapshot(),
+        }
+    }
+}
+
+/// Runs the process until it was asked to stop.
+pub fn run(
+    settings: &SideSettings,
+    passthrough: &PassthroughSettings,
+    file: SettingsFile,
+    counters: Arc<CounterSet>,
+    stops: &Receiver<StopSignal>,
+) -> std::io::Result<()> {
+    let packets = UdpSocket::bind(settings.packets)?;
+    let outbound = UdpSocket::bind(passthrough.outbound)?;
+    let announce = UdpSocket::bind(settings.announce)?;
+    let settings = Arc::new(settings.clone());
+    let shared = Arc::new(CarriedShared::new(Arc::clone(&settings), counters));
+    http::start(server(Arc::clone(&shared), settings.status))?;
+
+    let form = PacketForm::new(settings.dialect, settings.callers);
+    let flows = CarriedPackets::new(
+        packets,
+        outbound,
+        form,
+        passthrough.clone(),
+        Arc::clone(&shared),
+        clock::now(),
+    )?;
+    Builder::new()
+        .name("flows".to_owned())
+        .spawn(move || flows.run())?;
+
+    let seeds = SeedList::new(settings.seeds.clone());
+    let reloaded = seeds.clone();
+    file.watch(move |settings| reloaded.set(settings.seeds()))?;
+    let counters = Arc::clone(&shared.counters);
+    let announcer = HostAnnouncer::new(announce, seeds, counters, clock::now())?;
+    let control = CarriedControl::new(announcer, Arc::clone(&shared));
+    Builder::new()
+        .name("control".to_owned())
+        .spawn(move || control.run())?;
+
+    log::info!(
+        target: "process",
+        role = "side", delivery = "passthrough", name:% = settings.name,
+        service:% = settings.service, datacenter:% = settings.datacenter;
+        "started"
+    );
+    if stops.recv().is_err() {
+        return Ok(());
+    }
+    log::info!(target: "process", name:% = settings.name; "stopping");
+    shared.stopping.store(true, Ordering::Relaxed);
+    match stops.recv_timeout(STOP_LINGER) {
+        Ok(_) | Err(RecvTimeoutError::Disconnected) => {
+            log::warn!(target: "process", name:% = settings.name; "stopped at once");
+        }
+        Err(RecvTimeoutError::Timeout) => {
+            log::info!(target: "process", name:% = settings.name; "stopped");
+        }
+    }
+    Ok(())
+}
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -9,14 +9,16 @@
 use crossbeam_channel::{Receiver, bounded};
 
 use chestnutlb_core::{ControlEvent, EntryControl, EntryRecord};
-use chestnutlb_platform::PlatformClient;
+use chestnutlb_platform::PlatformStore;
+use chestnutlb_store::{FeedIndex, StoreCalls, StoreClient};
 
 use crate::entry_control::{ControlLoop, ControlRings, receive_peers};
 use crate::entry_http::{EntryShared, server};
 use crate::entry_packets::PacketLoop;
 use crate::entry_store::{run_pulls, run_store, run_watch};
 use crate::metrics::CounterSet;
-use crate::settings::EntrySettings;
+use crate::reload::SettingsFile;
+use crate::settings::{Dialect, EntrySettings};
 use crate::{StopSignal, clock, http};
 
 const EVENT_RING: usize = 4096;
@@ -29,6 +31,7 @@
 /// Runs an entry VM until it was asked to stop and has stopped.
 pub fn run(
     settings: &EntrySettings,
+    file: SettingsFile,
     counters: Arc<CounterSet>,
     stops: &Receiver<StopSignal>,
 ) -> std::io::Result<()> {
@@ -48,18 +51,12 @@
     let (store_ring, store_jobs) = bounded(JOB_RING);
     let (pull_ring, pull_jobs) = bounded(JOB_RING);
     let (view_ring, views) = bounded(VIEW_RING);
-    let watching = Arc::new(AtomicBool::new(false));
+    // It knows of no other entry VM yet, so the watch falls to it.
+    let watching = Arc::new(AtomicBool::new(true));
 
     http::start(server(Arc::clone(&shared), settings.status))?;
 
-    let packets = PacketLoop::new(
-        packet_socket,
-        settings.packets,
-        settings.fabric,
-        settings.hints,
-        views,
-        Arc::clone(&counters),
-    );
+    let packets = PacketLoop::new(packet_socket, settings, views, Arc::clone(&counters));
     Builder::new()
         .name("packets".to_owned())
         .spawn(move || packets.run())?;
@@ -70,17 +67,21 @@
         .name("peers".to_owned())
         .spawn(move || receive_peers(&socket, &ring, &sharing))?;
 
-    let client = PlatformClient::new(&settings.platform);
+    let client = open_store(settings);
+    let feeds = client.feeds();
     let (ring, counting) = (event_ring.clone(), Arc::clone(&counters));
     Builder::new()
         .name("store".to_owned())
-        .spawn(move || run_store(&client, &store_jobs, &ring, &counting))?;
-
-    let client = PlatformClient::new(&settings.platform);
-    let (ring, counting, on) = (event_ring.clone(), counters, Arc::clone(&watching));
-    Builder::new()
-        .name("watch".to_owned())
-        .spawn(move || run_watch(&client, &on, &ring, &counting))?;
+        .spawn(move || run_store(client.as_ref(), &store_jobs, &ring, &counting))?;
+
+    for feed in (0..feeds).map(FeedIndex) {
+        let client = open_store(settings);
+        let (ring, counting) = (event_ring.clone(), Arc::clone(&counters));
+        let on = Arc::clone(&watching);
+        Builder::new()
+            .name(format!("watch-{}", feed.0))
+            .spawn(move || run_watch(client.as_ref(), feed, &on, &ring, &counting))?;
+    }
 
     let (ring, sharing) = (event_ring.clone(), Arc::clone(&shared));
     Builder::new()
@@ -93,6 +94,11 @@
         me.incarnation.0,
         clock::now(),
     );
+    let ring = event_ring.clone();
+    file.watch(move |settings| {
+        // Should the ring be full, the members that are known serve as well.
+        let _ = ring.try_send(ControlEvent::Seeds(settings.seeds().to_vec()));
+    })?;
     let rings = ControlRings {
         store: store_ring,
         pulls: pull_ring,
@@ -128,3 +134,13 @@
     }
     Ok(())
 }
+
+fn open_store(settings: &EntrySettings) -> Box<dyn StoreCalls> {
+    match settings.dialect {
+        Dialect::Own => Box::new(StoreClient::new(&settings.platform)),
+        Dialect::Platform => {
+            let places = settings.places.clone();
+            Box::new(PlatformStore::new(&settings.platform, places))
+        }
+    }
+}
--- a/crates/daemon/src/entry_http.rs
+++ b/crates/daemon/src/entry_http.rs
@@ -121,15 +121,26 @@
     }
 }
 
-#[get("/health")]
-fn health(shared: &State<Arc<EntryShared>>) -> Status {
-    if shared.stopping.load(Ordering::Relaxed) {
-        Status::ServiceUnavailable
-    } else {
+fn status_of(good: bool) -> Status {
+    if good {
         Status::Ok
+    } else {
+        Status::ServiceUnavailable
     }
 }
 
+#[get("/health")]
+fn health(shared: &State<Arc<EntryShared>>) -> Status {
+    status_of(!shared.stopping.load(Ordering::Relaxed))
+}
+
+// Whether packets are welcome: some service is known, and the process stays.
+#[get("/ready")]
+fn ready(shared: &State<Arc<EntryShared>>) -> Status {
+    let knows_services = read(&shared.view).ids().next().is_some();
+    status_of(knows_services && !shared.stopping.load(Ordering::Relaxed))
+}
+
 #[get("/v1/status")]
 fn status(shared: &State<Arc<EntryShared>>) -> Json<EntryStatus> {
     Json(shared.status())
@@ -164,6 +175,8 @@
         let segment = SegmentFacts {
             key,
             opens,
+            synchronizes: false,
+            finishes: false,
             resets: false,
             sequence: 0,
             acknowledgement: None,
@@ -233,5 +246,5 @@
 pub fn server(shared: Arc<EntryShared>, address: SocketAddrV4) -> Rocket<Build> {
     crate::http::server(address)
         .manage(shared)
-        .mount("/", routes![health, status, explain, pull, slice])
+        .mount("/", routes![health, ready, status, explain, pull, slice])
 }
--- a/crates/daemon/src/entry_packets.rs
+++ b/crates/daemon/src/entry_packets.rs
@@ -1,20 +1,23 @@
 //! The packet thread of an entry VM: from the fabric to side processes.
 
-use std::net::{SocketAddrV4, UdpSocket};
+use std::net::{SocketAddr, SocketAddrV4, UdpSocket};
+use std::num::NonZeroUsize;
 use std::sync::Arc;
 
 use crossbeam_channel::Receiver;
 
-use chestnutlb_core::SegmentFacts;
-use chestnutlb_core::{EntryRouter, HopPlan, PlanSource, RouteDecision, RouteDrop, RoutingView};
-use chestnutlb_wire::packet::{MAX_DATAGRAM_BYTES, write_data, write_probe};
-use chestnutlb_wire::{PacketError, PacketFrame, PacketHeader, WireHop, scan_frame, scan_segment};
+use chestnutlb_core::view::ServiceView;
+use chestnutlb_core::{
+    CarriedPlan, CarriedRouter, EntryRouter, HopPlan, PlanSource, RouteDecision, RouteDrop,
+    RoutingView, SegmentFacts, ServiceKind,
+};
+use chestnutlb_wire::packet::{MAX_DATAGRAM_BYTES, is_frame, write_data, write_probe};
+use chestnutlb_wire::{PacketError, PacketFrame, PacketHeader, WireHop, scan_frame};
 
 use crate::clock;
 use crate::metrics::{Counter, CounterSet};
-
-/// First byte of the system's own datagrams.
-const MAGIC_FIRST: u8 = b'C';
+use crate::packet_form::PacketForm;
+use crate::settings::EntrySettings;
 
 /// Probes that are sent before packets get their turn.
 const PROBE_BATCH: usize = 64;
@@ -24,8 +27,9 @@
 pub struct PacketLoop {
     socket: UdpSocket,
     own: SocketAddrV4,
-    fabric: SocketAddrV4,
+    form: PacketForm,
     router: EntryRouter,
+    carried: CarriedRouter,
     views: Receiver<Arc<RoutingView>>,
     counters: Arc<CounterSet>,
     buffer: Vec<u8>,
@@ -35,17 +39,17 @@
     /// A loop on a bound socket.
     pub fn new(
         socket: UdpSocket,
-        own: SocketAddrV4,
-        fabric: SocketAddrV4,
-        hints: usize,
+        settings: &EntrySettings,
         views: Receiver<Arc<RoutingView>>,
         counters: Arc<CounterSet>,
     ) -> Self {
+        let carried_limit = NonZeroUsize::new(settings.hints).unwrap_or(NonZeroUsize::MIN);
         Self {
             socket,
-            own,
-            fabric,
-            router: EntryRouter::new(hints),
+            own: settings.packets,
+            form: PacketForm::new(settings.dialect, settings.callers),
+            router: EntryRouter::new(settings.hints),
+            carried: CarriedRouter::new(settings.datacenter.clone(), carried_limit),
             views,
             counters,
             buffer: Vec::with_capacity(MAX_DATAGRAM_BYTES),
@@ -62,15 +66,15 @@
             }
             self.send_probes();
             // A timeout lets the loop look for a new view.
-            if let Ok((len, _)) = self.socket.recv_from(&mut datagram) {
-                self.handle(&datagram[..len]);
+            if let Ok((len, SocketAddr::V4(from))) = self.socket.recv_from(&mut datagram) {
+                self.handle(&datagram[..len], from);
             }
         }
     }
 
-    fn handle(&mut self, datagram: &[u8]) {
-        let outcome = if datagram.first() == Some(&MAGIC_FIRST) {
-            self.take_note(datagram)
+    fn handle(&mut self, datagram: &[u8], from: SocketAddrV4) {
+        let outcome = if is_frame(datagram) {
+            self.take_frame(datagram, from)
         } else {
             self.forward(datagram)
         };
@@ -88,31 +92,114 @@
             self.counters.add(Counter::ProbesOut);
             log::info!(target: "route", flow:% = probe.key; "probe");
             // A lost probe is made up for by the next one.
-            let _ = self.socket.send_to(&write_probe(&probe), self.fabric);
+            let target = self.form.caller_target(probe.key);
+            let _ = self.socket.send_to(&write_probe(&probe), target);
         }
     }
 
-    fn take_note(&mut self, datagram: &[u8]) -> Result<(), PacketError> {
+    fn take_frame(&mut self, datagram: &[u8], from: SocketAddrV4) -> Result<(), PacketError> {
         match scan_frame(datagram)? {
             PacketFrame::Note(note) => {
                 self.counters.add(Counter::NotesIn);
-                self.router.learn(note.key(), note.owner());
+                let view = Arc::clone(self.router.view());
+                match view.service_at(note.key().service) {
+                    Some(service) if is_carried(service) => {
+                        self.carried.learn(&view, note.key(), from);
+                    }
+                    _ => self.router.learn(note.key(), note.owner()),
+                }
+                Ok(())
+            }
+            PacketFrame::Load(report) => {
+                self.carried.hear(from, report.into(), clock::now());
                 Ok(())
             }
+            PacketFrame::Returned(packet) => self.reroute(packet, from),
             PacketFrame::Data { .. } => Err(PacketError::Header),
         }
     }
 
     fn forward(&mut self, packet: &[u8]) -> Result<(), PacketError> {
         self.counters.add(Counter::PacketsIn);
-        let segment = scan_segment(packet)?;
-        match self.router.route(&segment, clock::now()) {
-            RouteDecision::Forward(plan) => self.send(&segment, &plan, packet),
-            RouteDecision::Drop(cause) => self.drop_packet(&segment, cause),
+        let segment = self.form.scan_caller(packet)?;
+        let now = clock::now();
+        let view = Arc::clone(self.router.view());
+        match view.service_at(segment.key.service) {
+            Some(service) if is_carried(service) => {
+                let plan = self.carried.route(&view, &segment, now);
+                self.send_carried(&view, &segment, plan, packet);
+            }
+            _ => match self.router.route(&segment, now) {
+                RouteDecision::Forward(plan) => self.send(&segment, &plan, packet),
+                RouteDecision::Drop(cause) => self.drop_packet(&segment, cause),
+            },
         }
         Ok(())
     }
 
+    // The host that was remembered does not know the flow.
+    fn reroute(&mut self, packet: &[u8], from: SocketAddrV4) -> Result<(), PacketError> {
+        self.counters.add(Counter::PacketsRerouted);
+        let segment = self.form.scan_caller(packet)?;
+        let view = Arc::clone(self.router.view());
+        let plan = self.carried.reroute(&view, &segment, from);
+        log::info!(
+            target: "route",
+            flow:% = segment.key, from:% = from, generation = view.generation.0,
+            hops = plan.as_ref().map_or(0, |plan| plan.hops.len());
+            "reroute"
+        );
+        self.send_carried(&view, &segment, plan, packet);
+        Ok(())
+    }
+
+    fn send_carried(
+        &mut self,
+        view: &RoutingView,
+        segment: &SegmentFacts,
+        plan: Result<CarriedPlan, RouteDrop>,
+        packet: &[u8],
+    ) {
+        let plan = match plan {
+            Ok(plan) => plan,
+            Err(cause) => return self.drop_packet(segment, cause),
+        };
+        if segment.opens {
+            self.log_opening(view, segment, &plan);
+        }
+        if plan.source == PlanSource::Hint {
+            self.counters.add(Counter::PacketsHinted);
+        }
+        let header = PacketHeader {
+            tag: plan.tag.0,
+            generation: view.generation.0,
+            complete: plan.complete,
+            entry: (u32::from(*self.own.ip()), self.own.port()),
+            hops: plan.hops.iter().copied().map(WireHop::from).collect(),
+        };
+        write_data(&mut self.buffer, &header, packet);
+        self.send_buffer(plan.hops[0]);
+    }
+
+    fn log_opening(&self, view: &RoutingView, segment: &SegmentFacts, plan: &CarriedPlan) {
+        let report = self.carried.board().report(plan.hops[0], clock::now());
+        log::info!(
+            target: "route",
+            flow:% = segment.key, host:% = plan.hops[0], hops = plan.hops.len(),
+            generation = view.generation.0, complete = plan.complete,
+            at_work = report.map(|(load, _)| load.at_work),
+            report_age_ms = report.map(|(_, age)| age.as_millis() as u64);
+            "open"
+        );
+    }
+
+    fn send_buffer(&self, target: SocketAddrV4) {
+        match self.socket.send_to(&self.buffer, target) {
+            Ok(_) => self.counters.add(Counter::PacketsForwarded),
+            Err(_) => self.counters.add(Counter::PacketsUnsent),
+        }
+    }
+
     fn send(&mut self, segment: &SegmentFacts, plan: &HopPlan, packet: &[u8]) {
         let view = self.router.view();
         let Some(service) = view.service_at(segment.key.service) else {
@@ -151,10 +238,7 @@
             self.counters.add(Counter::PacketsHinted);
         }
         write_data(&mut self.buffer, &header, packet);
-        match self.socket.send_to(&self.buffer, target) {
-            Ok(_) => self.counters.add(Counter::PacketsForwarded),
-            Err(_) => self.counters.add(Counter::PacketsUnsent),
-        }
+        self.send_buffer(target);
     }
 
     fn drop_packet(&self, segment: &SegmentFacts, cause: RouteDrop) {
@@ -165,3 +249,7 @@
         log::info!(target: "route", flow:% = segment.key, cause = cause.as_str(); "drop");
     }
 }
+
+fn is_carried(service: &ServiceView) -> bool {
+    service.spec.kind == ServiceKind::Passthrough
+}
--- a/crates/daemon/src/entry_store.rs
+++ b/crates/daemon/src/entry_store.rs
@@ -8,7 +8,9 @@
 use crossbeam_channel::{Receiver, Sender};
 
 use chestnutlb_core::{ControlEvent, DocumentId, DocumentPatch, ObjectVersion};
-use chestnutlb_platform::{EditOutcome, LoadedDocument, PlatformClient, objects};
+use chestnutlb_store::{
+    EditOutcome, FeedIndex, FeedNews, FeedObject, LoadedDocument, StoreCalls, objects,
+};
 use chestnutlb_wire::StampList;
 use chestnutlb_wire::peer::{
     PullAnswer, PullQuery, core_versions, scan_message, wire_versions, write_message,
@@ -26,6 +28,10 @@
 /// Pause after a call of the platform failed.
 const FAILURE_PAUSE: Duration = Duration::from_millis(500);
 
+/// Pause after a failed call while nothing is known yet: every request waits
+/// for the first answer.
+const START_PAUSE: Duration = Duration::from_millis(150);
+
 /// Pause between two looks at whether to watch.
 const IDLE_PAUSE: Duration = Duration::from_millis(100);
 
@@ -34,7 +40,7 @@
 
 /// The thread that reads and writes documents.
 pub fn run_store(
-    client: &PlatformClient,
+    client: &dyn StoreCalls,
     jobs: &Receiver<StoreJob>,
     events: &Sender<ControlEvent>,
     counters: &CounterSet,
@@ -60,7 +66,7 @@
 
 type JobResult = Result<Option<LoadedDocument>, String>;
 
-fn run_job(client: &PlatformClient, job: StoreJob) -> (DocumentId, JobResult) {
+fn run_job(client: &dyn StoreCalls, job: StoreJob) -> (DocumentId, JobResult) {
     match job {
         StoreJob::Load(id) => {
             let loaded = objects::load(client, &id).map_err(|error| error.to_string());
@@ -86,14 +92,16 @@
     }
 }
 
-/// The thread that watches the platform while it is asked to.
+/// The thread that watches a feed of the platform while it is asked to.
 pub fn run_watch(
-    client: &PlatformClient,
+    client: &dyn StoreCalls,
+    feed: FeedIndex,
     on: &AtomicBool,
     events: &Sender<ControlEvent>,
     counters: &CounterSet,
 ) {
-    let mut after = None;
+    let mut after: Option<ObjectVersion> = None;
+    let mut pause = START_PAUSE;
     loop {
         if !on.load(Ordering::Relaxed) {
             after = None;
@@ -101,15 +109,10 @@
             continue;
         }
         counters.add(Counter::PlatformCalls);
-        let answer = match after {
-            None => client.list(),
-            Some(after) => client.watch(after, WATCH_WAIT),
-        };
-        match answer {
-            Ok(stamps) => {
-                let revision = ObjectVersion(stamps.revision);
-                let stale = after.is_some_and(|after| revision < after);
-                offer(events, listed(&stamps, stale), counters);
+        match client.news(feed, after, WATCH_WAIT) {
+            Ok(news) => {
+                pause = FAILURE_PAUSE;
+                let (revision, stale) = hand_on(news, after, events, counters);
                 after = Some(revision.max(after.unwrap_or_default()));
                 if stale {
                     std::thread::sleep(FAILURE_PAUSE);
@@ -117,14 +120,59 @@
             }
             Err(error) => {
                 counters.add(Counter::PlatformFailed);
-                log::warn!(target: "platform", cause:% = error; "watch failed");
+                log::warn!(target: "platform", feed = feed.0, cause:% = error; "watch failed");
                 after = None;
-                std::thread::sleep(FAILURE_PAUSE);
+                std::thread::sleep(pause);
             }
         }
     }
 }
 
+// Hands news to the control thread. Returns the version that it leads up to,
+// and whether it is older than what was known.
+fn hand_on(
+    news: FeedNews,
+    after: Option<ObjectVersion>,
+    events: &Sender<ControlEvent>,
+    counters: &CounterSet,
+) -> (ObjectVersion, bool) {
+    let is_stale = |revision| after.is_some_and(|after| revision < after);
+    match news {
+        FeedNews::Stamps(stamps) => {
+            let revision = ObjectVersion(stamps.revision);
+            let stale = is_stale(revision);
+            offer(events, listed(&stamps, stale), counters);
+            (revision, stale)
+        }
+        FeedNews::Objects { revision, objects } => {
+            let stale = is_stale(revision);
+            for object in objects {
+                load_object(object, events, counters);
+            }
+            let list = Vec::new();
+            offer(events, ControlEvent::Listed { list, stale }, counters);
+            (revision, stale)
+        }
+    }
+}
+
+fn load_object(object: FeedObject, events: &Sender<ControlEvent>, counters: &CounterSet) {
+    let id = object.id.clone();
+    match objects::parse_feed_object(object) {
+        Ok(LoadedDocument { version, items }) => {
+            offer(
+                events,
+                ControlEvent::Loaded { id, version, items },
+                counters,
+            );
+        }
+        Err(error) => {
+            counters.add(Counter::BodiesBad);
+            log::warn!(target: "platform", document:% = id, cause:% = error; "unreadable");
+        }
+    }
+}
+
 // Objects of other kinds are none of ours.
 fn listed(stamps: &StampList, stale: bool) -> ControlEvent {
     let list = stamps
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -10,9 +10,14 @@
 
 use argh::FromArgs;
 use crossbeam_channel::{Receiver, bounded};
-use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 
+mod announcer;
+mod carried_control;
+mod carried_http;
+mod carried_packets;
+mod carried_side;
 mod clock;
 mod entry;
 mod entry_control;
@@ -23,6 +28,8 @@
 mod http1;
 mod logs;
 mod metrics;
+mod packet_form;
+mod reload;
 mod settings;
 mod side;
 mod side_control;
@@ -34,6 +41,7 @@
 mod side_requests;
 
 use metrics::CounterSet;
+use reload::{ReloadSignal, SettingsFile};
 use settings::DaemonSettings;
 
 /// Exit code when the process can't go on.
@@ -86,7 +94,7 @@
             return ExitCode::from(EXIT_SETTINGS);
         }
     };
-    let outcome = run(&settings, counters);
+    let outcome = run(&settings, options.settings, text, counters);
     if let Err(error) = &outcome {
         log::error!(target: "process", cause:% = error; "failed");
     }
@@ -97,35 +105,50 @@
     }
 }
 
-fn run(settings: &DaemonSettings, counters: Arc<CounterSet>) -> std::io::Result<()> {
-    let stops = watch_signals()?;
+fn run(
+    settings: &DaemonSettings,
+    path: PathBuf,
+    text: String,
+    counters: Arc<CounterSet>,
+) -> std::io::Result<()> {
+    let (stops, reloads) = watch_signals()?;
+    let file = SettingsFile::new(path, text, reloads);
     match settings {
         DaemonSettings::Entry(settings) => {
             if let Some(target) = settings.metrics {
                 metrics::start(target, "chestnutlb.entry", Arc::clone(&counters))?;
             }
-            entry::run(settings, counters, &stops)
+            entry::run(settings, file, counters, &stops)
         }
         DaemonSettings::Side(settings) => {
             if let Some(target) = settings.metrics {
                 metrics::start(target, "chestnutlb.side", Arc::clone(&counters))?;
             }
-            side::run(settings, counters, &stops)
+            match &settings.passthrough {
+                Some(passthrough) => {
+                    carried_side::run(settings, passthrough, file, counters, &stops)
+                }
+                None => side::run(settings, file, counters, &stops),
+            }
         }
     }
 }
 
-fn watch_signals() -> std::io::Result<Receiver<StopSignal>> {
+fn watch_signals() -> std::io::Result<(Receiver<StopSignal>, Receiver<ReloadSignal>)> {
     const SIGNAL_RING: usize = 4;
-    let (ring, stops) = bounded(SIGNAL_RING);
-    let mut signals = Signals::new([SIGTERM, SIGINT])?;
+    let (stop_ring, stops) = bounded(SIGNAL_RING);
+    let (reload_ring, reloads) = bounded(SIGNAL_RING);
+    let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP])?;
     std::thread::Builder::new()
         .name("signals".to_owned())
         .spawn(move || {
-            for _ in &mut signals {
-                // More signals than the ring holds say nothing new.
-                let _ = ring.try_send(StopSignal);
+            for signal in &mut signals {
+                // More signals than a ring holds say nothing new.
+                let _ = match signal {
+                    SIGHUP => reload_ring.try_send(ReloadSignal).is_ok(),
+                    _ => stop_ring.try_send(StopSignal).is_ok(),
+                };
             }
         })?;
-    Ok(stops)
+    Ok((stops, reloads))
 }
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -47,6 +47,8 @@
     PacketsNoHost = "packets.no-host",
     /// Packets that the socket did not take.
     PacketsUnsent = "packets.unsent",
+    /// Packets that a host returned since it does not know their flow.
+    PacketsRerouted = "packets.rerouted",
     /// Notes about owners.
     NotesIn = "notes.in",
     /// Probes to callers of flows that may have lost their owner.
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -8,7 +8,7 @@
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 
-use chestnutlb_core::{DatacenterName, EntryName, HostName, HostWeight, ServiceId};
+use chestnutlb_core::{DatacenterName, EntryName, FlowKey, HostName, HostWeight, ServiceId};
 use chestnutlb_wire::{DocumentError, parse_json, parse_text};
 
 const NAME_FORM: &str = "1 to 63 of a-z, 0-9 and '-'";
@@ -34,7 +34,37 @@
     }
 }
 
-/// What every role has.
+/// Whose forms of packets and calls are spoken with the world around.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Dialect {
+    /// The project's own: IP packets and the project's object API.
+    #[default]
+    Own,
+    /// The users' platform.
+    Platform,
+}
+
+/// How packets reach callers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CallerPath {
+    /// All through the fabric at this address.
+    Fabric(SocketAddrV4),
+    /// Straight to the caller's own address, at this port.
+    Port(u16),
+}
+
+impl CallerPath {
+    /// Where packets to the caller of a flow go.
+    pub fn target(&self, key: FlowKey) -> SocketAddrV4 {
+        match self {
+            Self::Fabric(address) => *address,
+            Self::Port(port) => SocketAddrV4::new(*key.caller.ip(), *port),
+        }
+    }
+}
+
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -42,13 +72,22 @@
     role: CompactString,
     name: CompactString,
     datacenter: CompactString,
+    #[serde(default)]
+    dialect: Dialect,
     packets: CompactString,
     peers: CompactString,
     status: CompactString,
-    fabric: CompactString,
+    #[serde(default)]
+    fabric: Option<CompactString>,
+    #[serde(default)]
+    direct_to_callers: bool,
     platform: CompactString,
     #[serde(default)]
+    places: Vec<CompactString>,
+    #[serde(default)]
     seeds: Vec<CompactString>,
+    #[serde(default)]
+    seeds_port: Option<u16>,
     #[serde(default = "default_hints")]
     hints: usize,
     #[serde(default = "default_linger")]
@@ -75,13 +114,22 @@
     name: CompactString,
     datacenter: CompactString,
     service: CompactString,
+    #[serde(default)]
+    dialect: Dialect,
     packets: CompactString,
     announce: CompactString,
     status: CompactString,
-    fabric: CompactString,
+    #[serde(default)]
+    fabric: Option<CompactString>,
+    #[serde(default)]
+    direct_to_callers: bool,
     seeds: Vec<CompactString>,
+    #[serde(default)]
+    seeds_port: Option<u16>,
     backend: CompactString,
     #[serde(default)]
+    passthrough: Option<WirePassthrough>,
+    #[serde(default)]
     health: Option<CompactString>,
     #[serde(default = "default_weight")]
     weight: u16,
@@ -91,6 +139,32 @@
     log: LogSettings,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct WirePassthrough {
+    outbound: CompactString,
+    #[serde(default = "default_flow_age")]
+    flow_age_ms: u64,
+    #[serde(default = "default_flow_idle")]
+    flow_idle_ms: u64,
+    #[serde(default = "default_flow_limit")]
+    flow_limit: usize,
+}
+
+// A feed may stay open for a day.
+fn default_flow_age() -> u64 {
+    86_400_000
+}
+
+fn default_flow_idle() -> u64 {
+    600_000
+}
+
+fn default_flow_limit() -> usize {
+    2_000
+}
+
 fn default_weight() -> u16 {
     HostWeight::ORDINARY.get()
 }
@@ -108,10 +182,14 @@
     pub peers: SocketAddrV4,
     /// Where it answers over HTTP.
     pub status: SocketAddrV4,
-    /// Where packets to callers go.
-    pub fabric: SocketAddrV4,
+    /// Whose forms are spoken.
+    pub dialect: Dialect,
+    /// How packets reach callers.
+    pub callers: CallerPath,
     /// The platform's address.
     pub platform: CompactString,
+    /// Data centres where hosts may stand, for a platform that does not say.
+    pub places: Vec<CompactString>,
     /// Other entry VMs.
     pub seeds: Vec<SocketAddrV4>,
     /// Most flows that are remembered.
@@ -139,12 +217,17 @@
     pub announce: SocketAddrV4,
     /// Where it answers over HTTP, also relays.
     pub status: SocketAddrV4,
-    /// Where packets to callers go.
-    pub fabric: SocketAddrV4,
+    /// Whose forms are spoken.
+    pub dialect: Dialect,
+    /// How packets reach callers.
+    pub callers: CallerPath,
     /// Entry VMs.
     pub seeds: Vec<SocketAddrV4>,
     /// The backend server.
     pub backend: SocketAddrV4,
+    /// How flows are carried through to the backend server; none if they end
+    /// at the side process.
+    pub passthrough: Option<PassthroughSettings>,
     /// Where the backend server says how it is; none if it doesn't.
     pub health: Option<SocketAddrV4>,
     /// Relative speed.
@@ -155,6 +238,19 @@
     pub log: LogSettings,
 }
 
+/// Settings of a side process that carries flows through.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PassthroughSettings {
+    /// Where the backend server sends its packets to.
+    pub outbound: SocketAddrV4,
+    /// Flows are never older than this.
+    pub flow_age: Duration,
+    /// Flows that are silent for this time may be forgotten.
+    pub flow_idle: Duration,
+    /// Most flows that the backend server holds.
+    pub flow_limit: usize,
+}
+
 /// Settings of either role.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum DaemonSettings {
@@ -165,6 +261,14 @@
 }
 
 impl DaemonSettings {
+    /// Addresses of entry VMs to begin with.
+    pub fn seeds(&self) -> &[SocketAddrV4] {
+        match self {
+            Self::Entry(settings) => &settings.seeds,
+            Self::Side(settings) => &settings.seeds,
+        }
+    }
+
     /// Log settings.
     pub fn log(&self) -> &LogSettings {
         match self {
@@ -221,6 +325,51 @@
         .transpose()
 }
 
+// Some platforms name other ports of the seeds than those that are meant.
+fn parse_seeds(
+    texts: &[CompactString],
+    port: Option<u16>,
+) -> Result<Vec<SocketAddrV4>, DocumentError> {
+    let seeds = parse_list("seeds", texts)?;
+    Ok(seeds
+        .into_iter()
+        .map(|seed| SocketAddrV4::new(*seed.ip(), port.unwrap_or(seed.port())))
+        .collect())
+}
+
+// Callers that are reached directly listen at the same port as this process.
+fn parse_callers(
+    fabric: Option<&CompactString>,
+    direct: bool,
+    packets: &str,
+) -> Result<CallerPath, DocumentError> {
+    match (fabric, direct) {
+        (Some(fabric), false) => parse_text("fabric", fabric, ADDRESS_FORM).map(CallerPath::Fabric),
+        (None, true) => {
+            let own: SocketAddrV4 = parse_text("packets", packets, ADDRESS_FORM)?;
+            Ok(CallerPath::Port(own.port()))
+        }
+        (fabric, direct) => Err(DocumentError::Value(
+            "fabric".to_owned(),
+            format!("fabric {fabric:?} and direct_to_callers {direct}"),
+            "one of the two".to_owned(),
+        )),
+    }
+}
+
+impl TryFrom<&WirePassthrough> for PassthroughSettings {
+    type Error = DocumentError;
+
+    fn try_from(wire: &WirePassthrough) -> Result<Self, DocumentError> {
+        Ok(Self {
+            outbound: parse_text("passthrough.outbound", &wire.outbound, ADDRESS_FORM)?,
+            flow_age: Duration::from_millis(wire.flow_age_ms),
+            flow_idle: Duration::from_millis(wire.flow_idle_ms),
+            flow_limit: wire.flow_limit,
+        })
+    }
+}
+
 fn check_log(log: &LogSettings) -> Result<(), DocumentError> {
     let levels = "error, warn, info, debug or trace";
     parse_text::<log::LevelFilter>("log.level", &log.level, levels)?;
@@ -252,9 +401,11 @@
             packets: parse_text("packets", &wire.packets, ADDRESS_FORM)?,
             peers: parse_text("peers", &wire.peers, ADDRESS_FORM)?,
             status: parse_text("status", &wire.status, ADDRESS_FORM)?,
-            fabric: parse_text("fabric", &wire.fabric, ADDRESS_FORM)?,
+            dialect: wire.dialect,
+            callers: parse_callers(wire.fabric.as_ref(), wire.direct_to_callers, &wire.packets)?,
             platform: wire.platform.clone(),
-            seeds: parse_list("seeds", &wire.seeds)?,
+            places: wire.places.clone(),
+            seeds: parse_seeds(&wire.seeds, wire.seeds_port)?,
             hints: wire.hints,
             stop_linger: Duration::from_millis(wire.stop_linger_ms),
             metrics: parse_option("metrics", wire.metrics.as_ref())?,
@@ -289,8 +440,14 @@
             packets: parse_text("packets", &wire.packets, ADDRESS_FORM)?,
             announce: parse_text("announce", &wire.announce, ADDRESS_FORM)?,
             status: parse_text("status", &wire.status, ADDRESS_FORM)?,
-            fabric: parse_text("fabric", &wire.fabric, ADDRESS_FORM)?,
-            seeds: parse_list("seeds", &wire.seeds)?,
+            dialect: wire.dialect,
+            callers: parse_callers(wire.fabric.as_ref(), wire.direct_to_callers, &wire.packets)?,
+            seeds: parse_seeds(&wire.seeds, wire.seeds_port)?,
+            passthrough: wire
+                .passthrough
+                .as_ref()
+                .map(PassthroughSettings::try_from)
+                .transpose()?,
             backend: parse_text("backend", &wire.backend, ADDRESS_FORM)?,
             health: parse_option("health", wire.health.as_ref())?,
             weight,
--- a/crates/daemon/src/side.rs
+++ b/crates/daemon/src/side.rs
@@ -15,7 +15,9 @@
 use chestnutlb_core::placement::HostSeed;
 use chestnutlb_core::{FlowTable, HostState, Incarnation};
 
+use crate::announcer::SeedList;
 use crate::metrics::{Counter, CounterSet};
+use crate::reload::SettingsFile;
 use crate::settings::SideSettings;
 use crate::side_control::AnnounceLoop;
 use crate::side_events::{SideEvent, SideRing, SideShared};
@@ -36,6 +38,7 @@
 /// Runs a side process until it was asked to stop and its flows have ended.
 pub fn run(
     settings: &SideSettings,
+    file: SettingsFile,
     counters: Arc<CounterSet>,
     stops: &Receiver<StopSignal>,
 ) -> std::io::Result<()> {
@@ -50,10 +53,14 @@
     packet_socket.set_nonblocking(true)?;
     let announce_socket = UdpSocket::bind(settings.announce)?;
 
+    let seeds = SeedList::new(settings.seeds.clone());
+    let reloaded = seeds.clone();
+    file.watch(move |settings| reloaded.set(settings.seeds()))?;
     let announce = AnnounceLoop::new(
         Arc::clone(&settings),
         incarnation,
         announce_socket,
+        seeds,
         Arc::clone(&ring),
         Arc::clone(&shared),
         clock::now(),
--- a/crates/daemon/src/side_control.rs
+++ b/crates/daemon/src/side_control.rs
@@ -8,36 +8,26 @@
 use std::time::Duration;
 
 use chestnutlb_core::{
-    EntryRecord, HostEvent, HostRecord, HostRevision, HostState, Incarnation, ServiceSpec,
-    TimePoint, TimerPart, TimerService, WelcomeNews,
-};
-use chestnutlb_wire::peer::{
-    Announcement, HostAlive, MAX_PEER_DATAGRAM_BYTES, PeerMessage, ServiceSlice, scan_message,
-    write_message,
+    HostEvent, HostRecord, HostState, Incarnation, ObjectVersion, ServiceSpec, TimePoint,
+    TimerPart, TimerService, WelcomeNews,
 };
+use chestnutlb_wire::peer::{ServiceSlice, scan_message};
 
+use crate::announcer::{ANNOUNCE_PERIOD, HostAnnouncer, SeedList};
 use crate::clock;
 use crate::http::read_body;
 use crate::metrics::Counter;
 use crate::settings::SideSettings;
 use crate::side_events::{ServiceNews, SideEvent, SideRing, SideShared};
 
-/// Time between two announcements.
-const ANNOUNCE_PERIOD: Duration = Duration::from_millis(500);
-/// Time between two announcements in full.
-const FULL_PERIOD: Duration = Duration::from_secs(5);
 /// Time between two looks at the backend server.
 const PROBE_PERIOD: Duration = Duration::from_millis(500);
 /// Connections in a row that the backend server may refuse.
 const MAX_MISSED: u32 = 2;
 /// Time for the backend server to say how it is.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
-/// Time to wait for a datagram.
-const RECEIVE_TIMEOUT: Duration = Duration::from_millis(50);
 /// Time for a keeper to answer over HTTP.
 const SLICE_TIMEOUT: Duration = Duration::from_secs(2);
-/// A keeper that is silent for this time is asked for another.
-const KEEPER_SILENCE: Duration = Duration::from_secs(3);
 /// A leaving host stays for this time after the roster shows that it leaves,
 /// so that every entry VM hears of it before the process ends.
 const LEAVE_LINGER: Duration = Duration::from_secs(5);
@@ -57,7 +47,7 @@
 pub struct AnnounceLoop {
     settings: Arc<SideSettings>,
     incarnation: Incarnation,
-    socket: UdpSocket,
+    announcer: HostAnnouncer,
     events: Arc<SideRing>,
     shared: Arc<SideShared>,
     timers: TimerService,
@@ -67,11 +57,6 @@
     drain_grace: Duration,
     leave_shown: Option<TimePoint>,
     missed: u32,
-    announced: Option<HostRecord>,
-    revision: HostRevision,
-    full_due: TimePoint,
-    keepers: Vec<EntryRecord>,
-    heard: Option<TimePoint>,
     slice: Option<u64>,
     agent: ureq::Agent,
 }
@@ -82,18 +67,20 @@
         settings: Arc<SideSettings>,
         incarnation: Incarnation,
         socket: UdpSocket,
+        seeds: SeedList,
         events: Arc<SideRing>,
         shared: Arc<SideShared>,
         now: TimePoint,
     ) -> std::io::Result<Self> {
-        socket.set_read_timeout(Some(RECEIVE_TIMEOUT))?;
+        let counters = Arc::clone(&shared.counters);
+        let announcer = HostAnnouncer::new(socket, seeds, counters, now)?;
         let mut timers = TimerService::default();
         timers.subscribe(TimerPart::Announce, ANNOUNCE_PERIOD, now);
         timers.subscribe(TimerPart::Probe, PROBE_PERIOD, now);
         Ok(Self {
             settings,
             incarnation,
-            socket,
+            announcer,
             events,
             shared,
             timers,
@@ -103,11 +90,6 @@
             drain_grace: Duration::ZERO,
             leave_shown: None,
             missed: 0,
-            announced: None,
-            revision: HostRevision::default(),
-            full_due: now,
-            keepers: Vec::new(),
-            heard: None,
             slice: None,
             agent: ureq::AgentBuilder::new().timeout(SLICE_TIMEOUT).build(),
         })
@@ -231,78 +213,20 @@
             state: self.state,
             held: self.shared.held(),
         };
-        if self.announced.as_ref() != Some(&record) {
-            self.revision.0 += 1;
-            self.full_due = now;
-            self.announced = Some(record.clone());
-        }
-        let manifest = self.shared.manifest.load(Ordering::Relaxed);
-        let message = if self.full_due <= now {
-            self.full_due = now + FULL_PERIOD;
-            PeerMessage::Announce(Announcement {
-                host: (&record).into(),
-                revision: self.revision.0,
-                manifest,
-            })
-        } else {
-            PeerMessage::Alive(HostAlive {
-                name: record.name.into(),
-                incarnation: self.incarnation.0,
-                revision: self.revision.0,
-                manifest,
-            })
-        };
-        let bytes = write_message(&message);
-        let silent = self
-            .heard
-            .is_none_or(|heard| now.since(heard) >= KEEPER_SILENCE);
-        let mut targets: Vec<SocketAddrV4> =
-            self.keepers.iter().map(|keeper| keeper.peers).collect();
-        if silent || targets.is_empty() {
-            targets.extend(self.settings.seeds.iter().copied());
-        }
-        targets.sort_unstable();
-        targets.dedup();
-        for target in targets {
-            // A lost announcement is made up for by the next one.
-            if self.socket.send_to(&bytes, target).is_ok() {
-                self.shared.counters.add(Counter::PeerOut);
-            }
-        }
+        let manifest = ObjectVersion(self.shared.manifest.load(Ordering::Relaxed));
+        self.announcer.announce(record, manifest, now);
     }
 
     fn receive(&mut self, now: TimePoint) {
-        let mut datagram = [0; MAX_PEER_DATAGRAM_BYTES + 1];
-        let Ok((len, from)) = self.socket.recv_from(&mut datagram) else {
-            return;
-        };
-        self.shared.counters.add(Counter::PeerIn);
-        let news = match scan_message(&datagram[..len]) {
-            Ok(PeerMessage::Welcome(reply)) => WelcomeNews::try_from(&reply).ok(),
-            _ => None,
-        };
-        match news {
-            Some(news) => self.welcome(news, now),
-            None => {
-                self.shared.counters.add(Counter::PeerBad);
-                log::info!(target: "peer", from:% = from, bytes = len; "malformed");
-            }
+        if let Some(news) = self.announcer.receive(now) {
+            self.welcome(&news);
         }
     }
 
-    fn welcome(&mut self, news: WelcomeNews, now: TimePoint) {
-        self.heard = Some(now);
-        if news.resend {
-            self.full_due = now;
-            return;
-        }
+    fn welcome(&mut self, news: &WelcomeNews) {
         self.events.push(SideEvent::Heard { fresh: news.fresh });
-        if !news.keepers.is_empty() {
-            self.keepers = news.keepers;
-        }
         if self.slice != Some(news.slice) && news.slice != 0 {
-            let keepers: Vec<_> = self.keepers.iter().map(|keeper| keeper.status).collect();
-            for keeper in keepers {
+            for keeper in self.announcer.keeper_status() {
                 if self.fetch_slice(keeper, news.slice) {
                     return;
                 }
--- a/crates/daemon/src/side_flows.rs
+++ b/crates/daemon/src/side_flows.rs
@@ -337,7 +337,10 @@
             PacketVerdict::Reset => {
                 self.counters.add(Counter::PacketsReset);
                 log::info!(target: "flow", flow:% = segment.key, opens = segment.opens; "reset");
-                self.send_packet(&write_reset(&segment), self.settings.fabric);
+                self.send_packet(
+                    &write_reset(&segment),
+                    self.settings.callers.target(segment.key),
+                );
             }
             PacketVerdict::Drop(cause) => {
                 self.counters.add(match cause {
@@ -443,10 +446,12 @@
             return;
         };
         self.table.insert(key, sent.sequence, now);
-        self.send_packet(&answer, self.settings.fabric);
+        self.send_packet(&answer, self.settings.callers.target(key));
         let work = match self.spec.kind {
             ServiceKind::Stream => FlowWork::Stream(None),
             ServiceKind::Request => FlowWork::Request(RequestFlow::default()),
+            // Settings of this process say that flows end here.
+            ServiceKind::Passthrough => FlowWork::Stream(None),
         };
         let flow = SideFlow {
             stack,
@@ -486,7 +491,7 @@
             if let Some(sent) = scan_sent(&packet) {
                 self.table.note_sent(key, sent.next_sequence);
             }
-            self.send_packet(&packet, self.settings.fabric);
+            self.send_packet(&packet, self.settings.callers.target(key));
         }
         if flow.stack.is_closed() {
             self.end_flow(key, flow, now);
--- a/crates/standin/src/capacity.rs
+++ b/crates/standin/src/capacity.rs
@@ -488,6 +488,8 @@
         let segment = SegmentFacts {
             key: keys[step * 7919 % flows],
             opens: false,
+            synchronizes: false,
+            finishes: false,
             resets: false,
             sequence: 1,
             acknowledgement: Some(2),
--- a/crates/standin/src/capacity_world.rs
+++ b/crates/standin/src/capacity_world.rs
@@ -163,6 +163,8 @@
             service: address(random.random_range(0..services), 7000),
         },
         opens,
+        synchronizes: false,
+        finishes: false,
         resets: false,
         sequence: 1,
         acknowledgement: (!opens).then_some(1),
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -14,7 +14,7 @@
 use serde_json::json;
 
 use chestnutlb_core::{DocumentId, DocumentKind, ObjectVersion};
-use chestnutlb_platform::{PlatformClient, WriteOutcome, objects};
+use chestnutlb_store::{StoreCalls, StoreClient, WriteOutcome, objects};
 use chestnutlb_wire::status::{EntryStatus, SideStatus};
 use chestnutlb_wire::{WireHost, WireRoster};
 
@@ -208,8 +208,8 @@
     }
 
     /// A client of the platform.
-    pub fn client(&self) -> PlatformClient {
-        PlatformClient::new(&format!("http://{}", self.platform))
+    pub fn client(&self) -> StoreClient {
+        StoreClient::new(&format!("http://{}", self.platform))
     }
 
     /// Waits until `ready` says yes.
--- a/crates/standin/src/spread.rs
+++ b/crates/standin/src/spread.rs
@@ -6,7 +6,7 @@
 
 use serde::Serialize;
 
-use chestnutlb_platform::{CommitOutcome, commit};
+use chestnutlb_store::{CommitOutcome, commit};
 use chestnutlb_wire::{WireManifest, parse_json};
 
 use crate::fleet::{Fleet, FleetError};
--- a/crates/platform/src/client.rs
+++ b/crates/store/src/client.rs
@@ -9,13 +9,15 @@
 use chestnutlb_core::{DocumentId, ObjectVersion};
 use chestnutlb_wire::{ObjectReply, StampList, WriteReply};
 
+use crate::calls::{FeedIndex, FeedNews, StoreCalls};
+
 /// Time for a call other than a watch.
 pub const CALL_TIMEOUT: Duration = Duration::from_secs(3);
 
 quick_error! {
     /// Why a call gave no answer.
     #[derive(Debug, Clone, PartialEq, Eq)]
-    pub enum PlatformError {
+    pub enum StoreError {
         /// The platform was not reached, or its answer was lost.
         Unreachable(text: String) {
             display("the platform does not answer: {}", text)
@@ -39,17 +41,17 @@
     /// The object had another version; nothing was written.
     Conflict(ObjectVersion),
     /// It may have taken effect or not.
-    Unsure(PlatformError),
+    Unsure(StoreError),
 }
 
 /// A client of the object API.
 #[derive(Debug, Clone)]
-pub struct PlatformClient {
+pub struct StoreClient {
     base: CompactString,
     agent: ureq::Agent,
 }
 
-impl PlatformClient {
+impl StoreClient {
     /// A client of the platform at `base`, like `http://10.0.0.1:7100`.
     pub fn new(base: &str) -> Self {
         Self {
@@ -64,21 +66,54 @@
         format!("{}/v1/objects/{}/{}", self.base, id.kind.as_str(), id.name)
     }
 
-    /// Reads an object; none if it does not exist.
-    pub fn read(&self, id: &DocumentId) -> Result<Option<ObjectReply>, PlatformError> {
+    /// Lists all objects.
+    pub fn list(&self) -> Result<StampList, StoreError> {
+        let call = self.agent.get(&format!("{}/v1/objects", self.base));
+        read_stamps(call.timeout(CALL_TIMEOUT))
+    }
+
+    /// Waits for a version above `after`, for `wait` at most.
+    pub fn watch(&self, after: ObjectVersion, wait: Duration) -> Result<StampList, StoreError> {
+        let call = self
+            .agent
+            .get(&format!("{}/v1/watch", self.base))
+            .query("after", &after.to_string())
+            .query("wait_ms", &wait.as_millis().to_string());
+        read_stamps(call.timeout(wait + CALL_TIMEOUT))
+    }
+}
+
+impl StoreCalls for StoreClient {
+    fn feeds(&self) -> usize {
+        1
+    }
+
+    fn news(
+        &self,
+        _feed: FeedIndex,
+        after: Option<ObjectVersion>,
+        wait: Duration,
+    ) -> Result<FeedNews, StoreError> {
+        match after {
+            None => self.list(),
+            Some(after) => self.watch(after, wait),
+        }
+        .map(FeedNews::Stamps)
+    }
+
+    fn read(&self, id: &DocumentId) -> Result<Option<ObjectReply>, StoreError> {
         let call = self.agent.get(&self.path(id)).timeout(CALL_TIMEOUT);
         match call.call() {
             Ok(answer) => answer
                 .into_json()
                 .map(Some)
-                .map_err(|error| PlatformError::Form(error.to_string())),
+                .map_err(|error| StoreError::Form(error.to_string())),
             Err(ureq::Error::Status(404, _)) => Ok(None),
-            Err(error) => Err(call_error(error)),
+            Err(error) => Err(error.into()),
         }
     }
 
-    /// Writes an object if it has the version `expected`, zero for none.
-    pub fn write(
+    fn write(
         &self,
         id: &DocumentId,
         expected: ObjectVersion,
@@ -92,43 +127,29 @@
         match call.send_json(value) {
             Ok(answer) => match answer.into_json::<WriteReply>() {
                 Ok(reply) => WriteOutcome::Written(ObjectVersion(reply.version)),
-                Err(error) => WriteOutcome::Unsure(PlatformError::Form(error.to_string())),
+                Err(error) => WriteOutcome::Unsure(StoreError::Form(error.to_string())),
             },
             Err(ureq::Error::Status(409, answer)) => match answer.into_json::<WriteReply>() {
                 Ok(reply) => WriteOutcome::Conflict(ObjectVersion(reply.version)),
-                Err(error) => WriteOutcome::Unsure(PlatformError::Form(error.to_string())),
+                Err(error) => WriteOutcome::Unsure(StoreError::Form(error.to_string())),
             },
-            Err(error) => WriteOutcome::Unsure(call_error(error)),
+            Err(error) => WriteOutcome::Unsure(error.into()),
         }
     }
-
-    /// Lists all objects.
-    pub fn list(&self) -> Result<StampList, PlatformError> {
-        let call = self.agent.get(&format!("{}/v1/objects", self.base));
-        read_stamps(call.timeout(CALL_TIMEOUT))
-    }
-
-    /// Waits for a version above `after`, for `wait` at most.
-    pub fn watch(&self, after: ObjectVersion, wait: Duration) -> Result<StampList, PlatformError> {
-        let call = self
-            .agent
-            .get(&format!("{}/v1/watch", self.base))
-            .query("after", &after.to_string())
-            .query("wait_ms", &wait.as_millis().to_string());
-        read_stamps(call.timeout(wait + CALL_TIMEOUT))
-    }
 }
 
-fn read_stamps(call: ureq::Request) -> Result<StampList, PlatformError> {
+fn read_stamps(call: ureq::Request) -> Result<StampList, StoreError> {
     call.call()
-        .map_err(call_error)?
+        .map_err(StoreError::from)?
         .into_json()
-        .map_err(|error| PlatformError::Form(error.to_string()))
+        .map_err(|error| StoreError::Form(error.to_string()))
 }
 
-fn call_error(error: ureq::Error) -> PlatformError {
-    match error {
-        ureq::Error::Status(code, _) => PlatformError::Status(code),
-        ureq::Error::Transport(transport) => PlatformError::Unreachable(transport.to_string()),
+impl From<ureq::Error> for StoreError {
+    fn from(error: ureq::Error) -> Self {
+        match error {
+            ureq::Error::Status(code, _) => Self::Status(code),
+            ureq::Error::Transport(transport) => Self::Unreachable(transport.to_string()),
+        }
     }
 }
--- a/crates/platform/src/commit.rs
+++ b/crates/store/src/commit.rs
@@ -12,7 +12,8 @@
 use chestnutlb_wire::object::EARLIER_COMMITS;
 use chestnutlb_wire::{DocumentError, ManifestObject, WireManifest};
 
-use crate::client::{PlatformClient, PlatformError, WriteOutcome};
+use crate::calls::StoreCalls;
+use crate::client::{StoreClient, StoreError, WriteOutcome};
 use crate::objects::load_grants;
 
 /// Attempts at a write whose answer was lost.
@@ -56,7 +57,7 @@
     /// The platform has no grants of addresses yet.
     NoGrants,
     /// Nobody can tell, since the platform does not answer.
-    Unsure(PlatformError),
+    Unsure(StoreError),
 }
 
 fn manifest_id(manifest: &WireManifest) -> DocumentId {
@@ -65,13 +66,13 @@
 
 /// Reads the manifest of the same firm.
 pub fn current(
-    client: &PlatformClient,
+    client: &StoreClient,
     manifest: &WireManifest,
-) -> Result<CurrentManifest, PlatformError> {
+) -> Result<CurrentManifest, StoreError> {
     match client.read(&manifest_id(manifest))? {
         Some(reply) => {
             let object = serde_json::from_value(reply.value)
-                .map_err(|error| PlatformError::Form(error.to_string()))?;
+                .map_err(|error| StoreError::Form(error.to_string()))?;
             Ok(CurrentManifest {
                 version: ObjectVersion(reply.version),
                 object: Some(object),
@@ -101,7 +102,7 @@
 
 /// Commits a manifest if the platform's has the version `expected`.
 pub fn commit(
-    client: &PlatformClient,
+    client: &StoreClient,
     manifest: &WireManifest,
     expected: ObjectVersion,
     commit_id: &str,
@@ -110,7 +111,7 @@
         Ok(checked) => checked,
         Err(error) => return CommitOutcome::Refused(error),
     };
-    let mut trouble = PlatformError::Status(0);
+    let mut trouble = StoreError::Status(0);
     for attempt in 0..MAX_ATTEMPTS {
         if attempt > 0 {
             std::thread::sleep(ATTEMPT_PAUSE * attempt);
@@ -124,7 +125,7 @@
 }
 
 fn try_commit(
-    client: &PlatformClient,
+    client: &StoreClient,
     manifest: &WireManifest,
     checked: &FirmManifest,
     expected: ObjectVersion,
@@ -156,7 +157,7 @@
     let object = next_object(current.object, manifest, commit_id);
     let value = match serde_json::to_value(&object) {
         Ok(value) => value,
-        Err(error) => return CommitOutcome::Unsure(PlatformError::Form(error.to_string())),
+        Err(error) => return CommitOutcome::Unsure(StoreError::Form(error.to_string())),
     };
     match client.write(&manifest_id(manifest), expected, &value) {
         WriteOutcome::Written(version) => CommitOutcome::Committed(version),
@@ -176,7 +177,7 @@
 // The version that stood in the way may come from an earlier attempt of this
 // commit that was still under way.
 fn after_conflict(
-    client: &PlatformClient,
+    client: &StoreClient,
     manifest: &WireManifest,
     expected: ObjectVersion,
     found: ObjectVersion,
--- a/crates/platform/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -3,20 +3,22 @@
 //!
 //! ```no_run
 //! use chestnutlb_core::{DocumentId, DocumentKind};
-//! use chestnutlb_platform::PlatformClient;
+//! use chestnutlb_store::{StoreCalls, StoreClient};
 //!
-//! let client = PlatformClient::new("http://127.0.0.1:7100");
+//! let client = StoreClient::new("http://127.0.0.1:7100");
 //! let roster = DocumentId::new(DocumentKind::Roster, "honam-1");
 //! if let Some(reply) = client.read(&roster)? {
 //!     println!("version {}", reply.version);
 //! }
-//! # Ok::<(), chestnutlb_platform::PlatformError>(())
+//! # Ok::<(), chestnutlb_store::StoreError>(())
 //! ```
 
+pub mod calls;
 pub mod client;
 pub mod commit;
 pub mod objects;
 
-pub use client::{PlatformClient, PlatformError, WriteOutcome};
+pub use calls::{FeedIndex, FeedNews, FeedObject, StoreCalls};
+pub use client::{StoreClient, StoreError, WriteOutcome};
 pub use commit::{CommitOutcome, CommitPlan, CurrentManifest};
 pub use objects::{EditOutcome, LoadedDocument};
--- a/crates/platform/src/objects.rs
+++ b/crates/store/src/objects.rs
@@ -11,16 +11,17 @@
     ManifestObject, ObjectReply, WireEntry, WireGrants, WireHost, WireItem, WireMembers, WireRoster,
 };
 
-use crate::client::{PlatformClient, PlatformError, WriteOutcome};
+use crate::calls::{FeedObject, StoreCalls};
+use crate::client::{StoreError, WriteOutcome};
 
 /// Conflicts after which a change is left to its next attempt.
 const MAX_CONFLICTS: usize = 5;
 
-fn form(error: impl std::fmt::Display) -> PlatformError {
-    PlatformError::Form(error.to_string())
+fn form(error: impl std::fmt::Display) -> StoreError {
+    StoreError::Form(error.to_string())
 }
 
-fn parse<T: DeserializeOwned>(value: serde_json::Value) -> Result<T, PlatformError> {
+fn parse<T: DeserializeOwned>(value: serde_json::Value) -> Result<T, StoreError> {
     serde_json::from_value(value).map_err(form)
 }
 
@@ -30,7 +31,7 @@
 pub fn parse_items(
     kind: DocumentKind,
     value: serde_json::Value,
-) -> Result<Vec<DocumentItem>, PlatformError> {
+) -> Result<Vec<DocumentItem>, StoreError> {
     let wire: Vec<WireItem> = match kind {
         DocumentKind::Manifest => {
             let object: ManifestObject = parse(value)?;
@@ -65,11 +66,19 @@
     pub items: Vec<DocumentItem>,
 }
 
+/// Takes an object of a feed apart.
+pub fn parse_feed_object(object: FeedObject) -> Result<LoadedDocument, StoreError> {
+    Ok(LoadedDocument {
+        version: object.version,
+        items: parse_items(object.id.kind, object.value?)?,
+    })
+}
+
 /// Reads a document; none if it does not exist.
 pub fn load(
-    client: &PlatformClient,
+    client: &dyn StoreCalls,
     id: &DocumentId,
-) -> Result<Option<LoadedDocument>, PlatformError> {
+) -> Result<Option<LoadedDocument>, StoreError> {
     let Some(reply) = client.read(id)? else {
         return Ok(None);
     };
@@ -87,11 +96,11 @@
     /// Others kept changing it.
     Conflict,
     /// It may have taken effect or not.
-    Unsure(PlatformError),
+    Unsure(StoreError),
 }
 
 /// Changes a roster.
-pub fn edit_roster(client: &PlatformClient, id: &DocumentId, edits: &[RosterEdit]) -> EditOutcome {
+pub fn edit_roster(client: &dyn StoreCalls, id: &DocumentId, edits: &[RosterEdit]) -> EditOutcome {
     edit(client, id, |value| {
         let mut roster: WireRoster = value.map_or(Ok(WireRoster::default()), parse)?;
         for edit in edits {
@@ -119,7 +128,7 @@
 }
 
 /// Changes the entry VMs of a data centre.
-pub fn edit_members(client: &PlatformClient, id: &DocumentId, edits: &[MemberEdit]) -> EditOutcome {
+pub fn edit_members(client: &dyn StoreCalls, id: &DocumentId, edits: &[MemberEdit]) -> EditOutcome {
     edit(client, id, |value| {
         let mut members: WireMembers = value.map_or(Ok(WireMembers::default()), parse)?;
         for edit in edits {
@@ -145,9 +154,9 @@
 }
 
 fn edit(
-    client: &PlatformClient,
+    client: &dyn StoreCalls,
     id: &DocumentId,
-    change: impl Fn(Option<serde_json::Value>) -> Result<serde_json::Value, PlatformError>,
+    change: impl Fn(Option<serde_json::Value>) -> Result<serde_json::Value, StoreError>,
 ) -> EditOutcome {
     for _ in 0..MAX_CONFLICTS {
         let current = match client.read(id) {
@@ -182,7 +191,7 @@
 }
 
 /// The grants of addresses; none if the platform has none.
-pub fn load_grants(client: &PlatformClient) -> Result<Option<WireGrants>, PlatformError> {
+pub fn load_grants(client: &dyn StoreCalls) -> Result<Option<WireGrants>, StoreError> {
     match client.read(&grants_id())? {
         Some(reply) => parse(reply.value).map(Some),
         None => Ok(None),
--- a/crates/wire/src/manifest.rs
+++ b/crates/wire/src/manifest.rs
@@ -3,6 +3,7 @@
 //! Every error names the place in the document, what was found there and what
 //! is allowed.
 
+use std::collections::HashMap;
 use std::net::SocketAddrV4;
 use std::str::FromStr;
 use std::sync::Arc;
@@ -90,6 +91,28 @@
     Stream,
     /// HTTP/1.1 requests.
     Request,
+    /// Flows that end at the backend server itself.
+    Passthrough,
+}
+
+impl From<WireKind> for ServiceKind {
+    fn from(wire: WireKind) -> Self {
+        match wire {
+            WireKind::Stream => Self::Stream,
+            WireKind::Request => Self::Request,
+            WireKind::Passthrough => Self::Passthrough,
+        }
+    }
+}
+
+impl From<ServiceKind> for WireKind {
+    fn from(kind: ServiceKind) -> Self {
+        match kind {
+            ServiceKind::Stream => Self::Stream,
+            ServiceKind::Request => Self::Request,
+            ServiceKind::Passthrough => Self::Passthrough,
+        }
+    }
 }
 
 /// The classes of requests.
@@ -114,6 +137,9 @@
     pub kind: WireKind,
     /// Where callers reach it.
     pub address: CompactString,
+    /// Where callers reach it as well.
+    #[serde(default)]
+    pub aliases: Vec<CompactString>,
     /// Where its hosts stand.
     pub datacenters: Vec<CompactString>,
     /// Limits of each host.
@@ -297,19 +323,26 @@
     }
 }
 
+fn parse_service_address(path: &str, text: &str) -> Result<SocketAddrV4, DocumentError> {
+    let address: SocketAddrV4 = parse_text(path, text, ADDRESS_FORM)?;
+    if address.port() == 0 {
+        return Err(value_error(path, address, "a port from 1 to 65535"));
+    }
+    Ok(address)
+}
+
 impl WireService {
     /// Checks one service; `path` is its place in the document.
     pub fn check(&self, firm: &FirmName, path: &str) -> Result<ServiceSpec, DocumentError> {
         let place = |field: &str| format!("{path}.{field}");
         let name = parse_text(&place("name"), &self.name, NAME_FORM)?;
-        let address: SocketAddrV4 = parse_text(&place("address"), &self.address, ADDRESS_FORM)?;
-        if address.port() == 0 {
-            return Err(value_error(
-                &place("address"),
-                address,
-                "a port from 1 to 65535",
-            ));
-        }
+        let address = parse_service_address(&place("address"), &self.address)?;
+        let aliases = self
+            .aliases
+            .iter()
+            .enumerate()
+            .map(|(index, text)| parse_service_address(&place(&format!("aliases[{index}]")), text))
+            .collect::<Result<Vec<_>, _>>()?;
         if self.datacenters.is_empty() {
             return Err(value_error(
                 &place("datacenters"),
@@ -337,11 +370,9 @@
                 firm: firm.clone(),
                 service: name,
             },
-            kind: match self.kind {
-                WireKind::Stream => ServiceKind::Stream,
-                WireKind::Request => ServiceKind::Request,
-            },
+            kind: self.kind.into(),
             address,
+            aliases,
             datacenters,
             limits: self.limits.check(&place("limits"))?,
             timing: self.timing.check(&place("timing"))?,
@@ -358,11 +389,13 @@
         let millis = |span: Duration| span.as_millis() as u64;
         Self {
             name: spec.id.service.clone().into(),
-            kind: match spec.kind {
-                ServiceKind::Stream => WireKind::Stream,
-                ServiceKind::Request => WireKind::Request,
-            },
+            kind: spec.kind.into(),
             address: spec.address.to_compact_string(),
+            aliases: spec
+                .aliases
+                .iter()
+                .map(ToCompactString::to_compact_string)
+                .collect(),
             datacenters: spec.datacenters.iter().cloned().map(Into::into).collect(),
             limits: WireLimits {
                 slots: spec.limits.slots as u64,
@@ -393,6 +426,7 @@
             return Err(value_error("services", wire.services.len(), &allowed));
         }
         let mut services: Vec<ServiceSpec> = Vec::with_capacity(wire.services.len());
+        let mut owners: HashMap<SocketAddrV4, ServiceId> = HashMap::new();
         for (index, service) in wire.services.iter().enumerate() {
             let path = format!("services[{index}]");
             let spec = service.check(&firm, &path)?;
@@ -401,10 +435,16 @@
                     let place = format!("{path}.name");
                     return Err(value_error(&place, &service.name, "a name used once"));
                 }
-                if earlier.address == spec.address {
-                    let place = format!("{path}.address");
-                    let allowed = format!("an address other than that of {}", earlier.id);
-                    return Err(value_error(&place, spec.address, &allowed));
+            }
+            for address in spec.addresses() {
+                if let Some(owner) = owners.insert(address, spec.id.clone()) {
+                    let place = if address == spec.address {
+                        format!("{path}.address")
+                    } else {
+                        format!("{path}.aliases")
+                    };
+                    let allowed = format!("an address other than that of {owner}");
+                    return Err(value_error(&place, address, &allowed));
                 }
             }
             services.push(spec);
@@ -465,10 +505,12 @@
             .collect();
         let allowed = own.iter().map(ToString::to_string).collect::<Vec<_>>();
         for (index, spec) in manifest.services.iter().enumerate() {
-            if !own.iter().any(|block| block.contains(*spec.address.ip())) {
+            let granted =
+                |address: &SocketAddrV4| own.iter().any(|block| block.contains(*address.ip()));
+            if let Some(stray) = spec.addresses().find(|address| !granted(address)) {
                 return Err(value_error(
                     &format!("services[{index}].address"),
-                    spec.address,
+                    stray,
                     &format!("an address of {}: [{}]", manifest.firm, allowed.join(", ")),
                 ));
             }
--- a/crates/wire/src/packet.rs
+++ b/crates/wire/src/packet.rs
@@ -13,7 +13,9 @@
 use serde::{Deserialize, Serialize};
 
 use chestnutlb_core::entry::FlowProbe;
-use chestnutlb_core::{FlowKey, HostRecord, Incarnation, ObjectVersion, SegmentFacts, ServiceTag};
+use chestnutlb_core::{
+    FlowKey, HostLoad, HostRecord, Incarnation, ObjectVersion, SegmentFacts, ServiceTag,
+};
 
 /// Version of this form.
 pub const PACKET_VERSION: u8 = 1;
@@ -59,7 +61,8 @@
     }
 }
 
-/// One hop of a plan.
+/// One hop of a plan. Hosts of carried flows have no incarnation: the flows
+/// outlive the side process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
 pub struct WireHop {
@@ -83,6 +86,16 @@
     }
 }
 
+impl From<SocketAddrV4> for WireHop {
+    fn from(target: SocketAddrV4) -> Self {
+        Self {
+            address: u32::from(*target.ip()),
+            port: target.port(),
+            incarnation: 0,
+        }
+    }
+}
+
 impl From<&HostRecord> for WireHop {
     fn from(record: &HostRecord) -> Self {
         Self {
@@ -164,6 +177,54 @@
     }
 }
 
+/// A host's load on the wire.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct LoadReport {
+    /// Requests that its backend server runs at once.
+    pub slots: u16,
+    /// Requests at work or queued.
+    pub at_work: u16,
+    /// The same in hundredths, averaged.
+    pub busy_hundredths: u16,
+    /// Open flows.
+    pub flows: u16,
+    /// Mean time of a request that did not wait, in microseconds.
+    pub service_us: u32,
+    /// Whether it opens flows.
+    pub takes: bool,
+    /// Whether its backend server has just started.
+    pub cold: bool,
+}
+
+impl From<HostLoad> for LoadReport {
+    fn from(load: HostLoad) -> Self {
+        Self {
+            slots: load.slots,
+            at_work: load.at_work,
+            busy_hundredths: load.busy_hundredths,
+            flows: load.flows,
+            service_us: load.service_us,
+            takes: load.takes,
+            cold: load.cold,
+        }
+    }
+}
+
+impl From<LoadReport> for HostLoad {
+    fn from(report: LoadReport) -> Self {
+        Self {
+            slots: report.slots,
+            at_work: report.at_work,
+            busy_hundredths: report.busy_hundredths,
+            flows: report.flows,
+            service_us: report.service_us,
+            takes: report.takes,
+            cold: report.cold,
+        }
+    }
+}
+
 /// A datagram that was read.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum PacketFrame<'a> {
@@ -178,10 +239,17 @@
     },
     /// A note about an owner.
     Note(OwnerNote),
+    /// A caller's packet that comes back to the entry VM: the host that it
+    /// remembered does not know the flow.
+    Returned(&'a [u8]),
+    /// A host's load.
+    Load(LoadReport),
 }
 
 const KIND_DATA: u8 = 1;
 const KIND_NOTE: u8 = 2;
+const KIND_RETURNED: u8 = 3;
+const KIND_LOAD: u8 = 4;
 
 fn write_frame<T: Serialize>(buffer: &mut Vec<u8>, kind: u8, header: &T) {
     buffer.clear();
@@ -205,6 +273,17 @@
     write_frame(buffer, KIND_NOTE, note);
 }
 
+/// Writes a packet that comes back to the entry VM.
+pub fn write_returned(buffer: &mut Vec<u8>, inner: &[u8]) {
+    write_frame(buffer, KIND_RETURNED, &());
+    buffer.extend_from_slice(inner);
+}
+
+/// Writes a report of a host's load.
+pub fn write_load(buffer: &mut Vec<u8>, report: &LoadReport) {
+    write_frame(buffer, KIND_LOAD, report);
+}
+
 /// Moves a data packet to its next hop.
 pub fn advance(datagram: &mut [u8]) {
     if let Some(position) = datagram.get_mut(POSITION_OFFSET) {
@@ -212,6 +291,12 @@
     }
 }
 
+/// Whether a datagram is one of the system's own. Its first bytes are those of
+/// no IPv4 packet.
+pub fn is_frame(datagram: &[u8]) -> bool {
+    datagram.starts_with(&[MAGIC[0], MAGIC[1], PACKET_VERSION])
+}
+
 /// Reads a datagram.
 pub fn scan_frame(datagram: &[u8]) -> Result<PacketFrame<'_>, PacketError> {
     let prefix = datagram.get(..PREFIX_BYTES).ok_or(PacketError::Truncated)?;
@@ -245,6 +330,10 @@
         KIND_NOTE => rmp_serde::from_slice(header)
             .map(PacketFrame::Note)
             .map_err(|_| PacketError::Header),
+        KIND_RETURNED => Ok(PacketFrame::Returned(inner)),
+        KIND_LOAD => rmp_serde::from_slice(header)
+            .map(PacketFrame::Load)
+            .map_err(|_| PacketError::Header),
         _ => Err(PacketError::Header),
     }
 }
@@ -266,6 +355,8 @@
             service: SocketAddrV4::new(header.destination_addr(), tcp.destination_port()),
         },
         opens: tcp.syn() && !tcp.ack(),
+        synchronizes: tcp.syn() && tcp.ack(),
+        finishes: tcp.fin(),
         resets: tcp.rst(),
         sequence: tcp.sequence_number(),
         acknowledgement: tcp.ack().then(|| tcp.acknowledgment_number()),
@@ -273,6 +364,49 @@
     })
 }
 
+const TYPE_OF_SERVICE_OFFSET: usize = 1;
+const CHECKSUM_OFFSET: usize = 10;
+
+/// Type of service of a packet that a backend server returns: it does not
+/// hold the flow, or can't open it.
+pub const RETURNED_TYPE_OF_SERVICE: u8 = 0x04;
+
+/// Whether a backend server returned this IP packet of a caller.
+pub fn is_returned(packet: &[u8]) -> bool {
+    packet.get(TYPE_OF_SERVICE_OFFSET) == Some(&RETURNED_TYPE_OF_SERVICE)
+}
+
+/// Makes a returned IP packet what its sender wrote.
+pub fn clear_returned(packet: &mut [u8]) {
+    set_type_of_service(packet, 0);
+}
+
+/// Marks a caller's IP packet as returned.
+pub fn mark_returned(packet: &mut [u8]) {
+    set_type_of_service(packet, RETURNED_TYPE_OF_SERVICE);
+}
+
+fn set_type_of_service(packet: &mut [u8], value: u8) {
+    let Some(head) = packet.get_mut(..CHECKSUM_OFFSET + 2) else {
+        return;
+    };
+    let old = u16::from_be_bytes([head[0], head[1]]);
+    head[TYPE_OF_SERVICE_OFFSET] = value;
+    let new = u16::from_be_bytes([head[0], head[1]]);
+    let sum = u16::from_be_bytes([head[CHECKSUM_OFFSET], head[CHECKSUM_OFFSET + 1]]);
+    let sum = updated_checksum(sum, old, new).to_be_bytes();
+    head[CHECKSUM_OFFSET..].copy_from_slice(&sum);
+}
+
+// RFC 1624, equation 3.
+fn updated_checksum(sum: u16, old: u16, new: u16) -> u16 {
+    let mut total = u32::from(!sum) + u32::from(!old) + u32::from(new);
+    while total > 0xffff {
+        total = (total & 0xffff) + (total >> 16);
+    }
+    !(total as u16)
+}
+
 const TIME_TO_LIVE: u8 = 64;
 
 // From the service to the caller.
--- a/crates/wire/tests/datagrams.rs
+++ b/crates/wire/tests/datagrams.rs
@@ -45,6 +45,8 @@
             service: address("10.20.0.1:7000"),
         },
         opens: true,
+        synchronizes: false,
+        finishes: false,
         resets: false,
         sequence: 41,
         acknowledgement: None,
