Data never goes to a host that has not answered the opening

A side process whose backend server had been given an opening and had not answered it took data of that flow for its own, so a hint to it kept three and more packets from the owner. Change: only a backend server that answered, and whose answer the caller acknowledges, owns the flow; a reset by one at which the flow was never open is withheld. Test: core/tests/carrying.rs, an_unanswered_opening_takes_no_data_of_the_flow fails with the guard taken out, passes with it.

--- a/crates/core/src/carried.rs
+++ b/crates/core/src/carried.rs
@@ -138,6 +138,15 @@
     }
 }
 
+/// What the side process does with a packet of its backend server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SentVerdict {
+    /// Send it to the caller.
+    Forward,
+    /// Drop it.
+    Withhold,
+}
+
 /// The flows of one backend server as its side process sees them.
 #[derive(Debug)]
 pub struct CarriedFlows {
@@ -211,11 +220,10 @@
         let unseen = self.may_be_unseen(backend, now);
         match self.flows.get_mut(&segment.key) {
             Some(flow) => {
-                if let CarriedPhase::Offered(number) = flow.phase {
-                    if segment.acknowledgement != Some(number.wrapping_add(1)) {
-                        // Another host answered the opening first.
-                        return elsewhere(arrival);
-                    }
+                if flow.is_opened_elsewhere(segment) {
+                    return elsewhere(arrival);
+                }
+                if let CarriedPhase::Offered(_) = flow.phase {
                     flow.phase = CarriedPhase::Open;
                 }
                 CarriedVerdict::Deliver
@@ -320,12 +328,12 @@
         self.flows.insert(key, flow);
     }
 
-    /// Notes a packet that the backend server sent to the caller. `segment`
-    /// has the key of the flow, that is the caller's end first.
-    pub fn note_sent(&mut self, segment: &SegmentFacts, now: TimePoint) {
+    /// Notes a packet that the backend server sent to the caller, and tells
+    /// whether the caller may get it. `segment` has the key of the flow, that is
+    /// the caller's end first.
+    pub fn note_sent(&mut self, segment: &SegmentFacts, now: TimePoint) -> SentVerdict {
         if segment.resets {
-            self.forget_as_closed(segment.key, now);
-            return;
+            return self.note_reset(segment.key, now);
         }
         if !self.flows.contains_key(&segment.key) {
             // It began before this process did.
@@ -338,7 +346,7 @@
             self.insert(segment.key, phase, now);
         }
         let Some(flow) = self.flows.get_mut(&segment.key) else {
-            return;
+            return SentVerdict::Forward;
         };
         flow.seen = now;
         flow.server_closed |= segment.finishes;
@@ -346,7 +354,7 @@
             if flow.phase == CarriedPhase::Opening {
                 flow.phase = CarriedPhase::Offered(segment.sequence);
             }
-            return;
+            return SentVerdict::Forward;
         }
         if segment.payload > 0 || segment.finishes {
             let measured = flow.asked.filter(|_| flow.unqueued && segment.payload > 0);
@@ -355,6 +363,23 @@
             }
             self.end_work(segment.key, now);
         }
+        SentVerdict::Forward
+    }
+
+    // A reset by a backend server at which the flow was not opened would break
+    // the flow that the caller opened elsewhere.
+    fn note_reset(&mut self, key: FlowKey, now: TimePoint) -> SentVerdict {
+        match self.flows.get(&key).map(|flow| flow.phase) {
+            Some(CarriedPhase::Open | CarriedPhase::Closed) => {
+                self.forget_as_closed(key, now);
+                SentVerdict::Forward
+            }
+            Some(CarriedPhase::Opening | CarriedPhase::Offered(_)) | None => {
+                self.forget(&key);
+                self.strangers.put(key, now);
+                SentVerdict::Withhold
+            }
+        }
     }
 
     /// Notes that the backend server returned a packet: it does not hold the
@@ -456,6 +481,18 @@
 }
 
 impl CarriedFlow {
+    // Whether the caller speaks to another host that answered its opening: this
+    // one's answer is not the one that it acknowledges, or is still to come.
+    fn is_opened_elsewhere(&self, segment: &SegmentFacts) -> bool {
+        match self.phase {
+            CarriedPhase::Opening => true,
+            CarriedPhase::Offered(number) => {
+                segment.acknowledgement != Some(number.wrapping_add(1))
+            }
+            CarriedPhase::Open | CarriedPhase::Closed => false,
+        }
+    }
+
     // Whether the segment carries data that was not seen before.
     fn advances(&mut self, segment: &SegmentFacts) -> bool {
         let end = segment.sequence.wrapping_add(segment.payload.into());
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -42,7 +42,7 @@
 pub use admission::HostAdmission;
 pub use backend::{BackendLife, BackendNews, BackendReport, BackendState};
 pub use budget::RetryBudget;
-pub use carried::{BackendFacts, CarriedArrival, CarriedFlows, CarriedVerdict};
+pub use carried::{BackendFacts, CarriedArrival, CarriedFlows, CarriedVerdict, SentVerdict};
 pub use carried_routes::{CarriedPlan, CarriedRouter};
 pub use chart::{
     FlowEvent, FlowState, HostEvent, HostState, RequestEvent, RequestState, check_charts,
--- a/crates/core/tests/carrying.rs
+++ b/crates/core/tests/carrying.rs
@@ -6,7 +6,8 @@
 use std::time::Duration;
 
 use chestnutlb_core::{
-    BackendFacts, CarriedArrival, CarriedFlows, CarriedVerdict, SegmentFacts, TimePoint,
+    BackendFacts, CarriedArrival, CarriedFlows, CarriedVerdict, SegmentFacts, SentVerdict,
+    TimePoint,
 };
 
 use common::{data, key, syn};
@@ -181,3 +182,36 @@
     let verdict = flows.judge(&syn(2), partial, &leaving, now);
     assert_eq!(verdict, CarriedVerdict::NotHere, "others may take it");
 }
+
+#[test]
+fn an_unanswered_opening_takes_no_data_of_the_flow() {
+    let now = TimePoint(1_000);
+    let mut flows = CarriedFlows::new(DAY, now);
+    let facts = backend();
+    flows.note_delivered(&syn(1), &facts, now);
+    // The backend server is silent; a copy of the opening went elsewhere.
+    for _ in 0..3 {
+        let verdict = flows.judge(&data(1, 9_000), last_hop(), &facts, now);
+        assert_eq!(verdict, CarriedVerdict::NotHere);
+    }
+}
+
+#[test]
+fn a_reset_of_a_flow_that_was_opened_elsewhere_is_withheld() {
+    let now = TimePoint(1_000);
+    let mut flows = CarriedFlows::new(DAY, now);
+    let reset = SegmentFacts {
+        resets: true,
+        ..answer(1, 0)
+    };
+    assert_eq!(flows.note_sent(&reset, now), SentVerdict::Withhold);
+    flows.note_delivered(&syn(1), &backend(), now);
+    flows.note_sent(&handshake(1), now);
+    assert_eq!(flows.note_sent(&reset, now), SentVerdict::Withhold);
+    open(&mut flows, 2, now);
+    let reset = SegmentFacts {
+        resets: true,
+        ..answer(2, 0)
+    };
+    assert_eq!(flows.note_sent(&reset, now), SentVerdict::Forward);
+}
--- a/crates/daemon/src/carried_packets.rs
+++ b/crates/daemon/src/carried_packets.rs
@@ -15,7 +15,7 @@
 
 use chestnutlb_core::{
     BackendFacts, CarriedArrival, CarriedFlows, CarriedVerdict, FlowKey, HostLoad, Incarnation,
-    SegmentFacts, ServiceTag, TimePoint,
+    SegmentFacts, SentVerdict, ServiceTag, TimePoint,
 };
 use chestnutlb_wire::packet::{
     MAX_DATAGRAM_BYTES, OwnerNote, advance, write_load, write_note, write_returned,
@@ -24,6 +24,7 @@
 
 use crate::carried_side::CarriedShared;
 use crate::clock;
+use crate::flow_log::FlowLog;
 use crate::metrics::Counter;
 use crate::packet_form::PacketForm;
 use crate::settings::PassthroughSettings;
@@ -85,6 +86,7 @@
     steady_due: TimePoint,
     sweep_due: TimePoint,
     lives: u64,
+    flow_log: FlowLog,
     buffer: Vec<u8>,
 }
 
@@ -123,6 +125,7 @@
             steady_due: now,
             sweep_due: now + SWEEP_PERIOD,
             lives: 0,
+            flow_log: FlowLog::default(),
             buffer: Vec::with_capacity(MAX_DATAGRAM_BYTES),
         })
     }
@@ -371,11 +374,18 @@
             return;
         }
         match self.form.scan_backend(packet) {
-            Ok(segment) => {
-                self.flows.note_sent(&segment, now);
-                let target = self.form.caller_target(segment.key);
-                send(&self.packets, packet, target, &self.shared);
-            }
+            Ok(segment) => match self.flows.note_sent(&segment, now) {
+                SentVerdict::Forward => {
+                    let target = self.form.caller_target(segment.key);
+                    send(&self.packets, packet, target, &self.shared);
+                }
+                SentVerdict::Withhold => {
+                    self.shared.counters.add(Counter::ResetsWithheld);
+                    if self.logs(segment.key) {
+                        log::info!(target: "flow", flow:% = segment.key; "reset withheld");
+                    }
+                }
+            },
             Err(error) => {
                 self.shared.counters.add(Counter::PacketsBad);
                 log::info!(target: "flow", cause:% = error, bytes = packet.len(); "backend drop");
@@ -392,12 +402,14 @@
         };
         let was_open = self.flows.note_returned(&segment, now);
         let walk = self.walks.pop(&segment.key);
-        log::info!(
-            target: "flow",
-            flow:% = segment.key, opens = segment.opens, was_open = was_open,
-            next:? = walk.as_ref().and_then(|walk| walk.next);
-            "returned by the backend"
-        );
+        if self.logs(segment.key) {
+            log::info!(
+                target: "flow",
+                flow:% = segment.key, opens = segment.opens, was_open = was_open,
+                next:? = walk.as_ref().and_then(|walk| walk.next);
+                "returned by the backend"
+            );
+        }
         if let Some(walk) = walk {
             let verdict = match walk.next {
                 Some(_) => CarriedVerdict::PassOn,
@@ -408,14 +420,20 @@
         }
     }
 
+    fn logs(&mut self, key: FlowKey) -> bool {
+        let counters = &self.shared.counters;
+        self.flow_log.admits(key, counters, clock::now())
+    }
+
     fn log_verdict(
-        &self,
+        &mut self,
         segment: &SegmentFacts,
         verdict: CarriedVerdict,
         header: &PacketHeader,
         position: usize,
     ) {
-        if verdict == CarriedVerdict::Deliver {
+        // Ordinary packets of open flows are counted, not logged.
+        if verdict == CarriedVerdict::Deliver || !self.logs(segment.key) {
             return;
         }
         log::info!(
--- a/crates/daemon/src/entry_packets.rs
+++ b/crates/daemon/src/entry_packets.rs
@@ -15,6 +15,7 @@
 use chestnutlb_wire::{PacketError, PacketFrame, PacketHeader, WireHop, scan_frame};
 
 use crate::clock;
+use crate::flow_log::FlowLog;
 use crate::metrics::{Counter, CounterSet};
 use crate::packet_form::PacketForm;
 use crate::settings::EntrySettings;
@@ -30,6 +31,7 @@
     form: PacketForm,
     router: EntryRouter,
     carried: CarriedRouter,
+    flow_log: FlowLog,
     views: Receiver<Arc<RoutingView>>,
     counters: Arc<CounterSet>,
     buffer: Vec<u8>,
@@ -50,6 +52,7 @@
             form: PacketForm::new(settings.dialect, settings.callers),
             router: EntryRouter::new(settings.hints),
             carried: CarriedRouter::new(settings.datacenter.clone(), carried_limit),
+            flow_log: FlowLog::default(),
             views,
             counters,
             buffer: Vec::with_capacity(MAX_DATAGRAM_BYTES),
@@ -143,12 +146,14 @@
         let segment = self.form.scan_caller(packet)?;
         let view = Arc::clone(self.router.view());
         let plan = self.carried.reroute(&view, &segment, from);
-        log::info!(
-            target: "route",
-            flow:% = segment.key, from:% = from, generation = view.generation.0,
-            hops = plan.as_ref().map_or(0, |plan| plan.hops.len());
-            "reroute"
-        );
+        if self.logs(&segment) {
+            log::info!(
+                target: "route",
+                flow:% = segment.key, from:% = from, generation = view.generation.0,
+                hops = plan.as_ref().map_or(0, |plan| plan.hops.len());
+                "reroute"
+            );
+        }
         self.send_carried(&view, &segment, plan, packet);
         Ok(())
     }
@@ -164,7 +169,7 @@
             Ok(plan) => plan,
             Err(cause) => return self.drop_packet(segment, cause),
         };
-        if segment.opens {
+        if segment.opens && self.logs(segment) {
             self.log_opening(view, segment, &plan);
         }
         if plan.source == PlanSource::Hint {
@@ -181,6 +186,11 @@
         self.send_buffer(plan.hops[0]);
     }
 
+    fn logs(&mut self, segment: &SegmentFacts) -> bool {
+        self.flow_log
+            .admits(segment.key, &self.counters, clock::now())
+    }
+
     fn log_opening(&self, view: &RoutingView, segment: &SegmentFacts, plan: &CarriedPlan) {
         let report = self.carried.board().report(plan.hops[0], clock::now());
         log::info!(
@@ -241,12 +251,14 @@
         self.send_buffer(target);
     }
 
-    fn drop_packet(&self, segment: &SegmentFacts, cause: RouteDrop) {
+    fn drop_packet(&mut self, segment: &SegmentFacts, cause: RouteDrop) {
         self.counters.add(match cause {
             RouteDrop::NoService => Counter::PacketsNoService,
             RouteDrop::NoHost => Counter::PacketsNoHost,
         });
-        log::info!(target: "route", flow:% = segment.key, cause = cause.as_str(); "drop");
+        if self.logs(segment) {
+            log::info!(target: "route", flow:% = segment.key, cause = cause.as_str(); "drop");
+        }
     }
 }
 
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -24,6 +24,7 @@
 mod entry_http;
 mod entry_packets;
 mod entry_store;
+mod flow_log;
 mod http;
 mod http1;
 mod logs;
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -75,6 +75,8 @@
     BodiesBad = "http.bad-body",
     /// Items that found a ring full.
     RingFull = "ring.full",
+    /// Log lines about flows that are not in the sample.
+    LogSampledOut = "log.sampled-out",
     /// Log lines that found the ring full.
     LogDropped = "log.dropped",
     /// Packets that a side process delivered to a flow.
@@ -85,6 +87,8 @@
     PacketsMisdirected = "packets.misdirected",
     /// Packets whose walk found no owner.
     PacketsNoOwner = "packets.no-owner",
+    /// Resets of a backend server at which the flow was not open.
+    ResetsWithheld = "resets.withheld",
     /// Packets answered with a reset.
     PacketsReset = "packets.reset",
     /// Flows opened.
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -158,6 +158,17 @@
     Err(std::io::ErrorKind::AddrInUse.into())
 }
 
+/// Sends a signal to a process, by its id.
+pub fn send_signal(id: u32, signal: i32) -> FleetResult<()> {
+    let flag = format!("-{signal}");
+    let status = Command::new("kill").args([flag, id.to_string()]).status()?;
+    if status.success() {
+        Ok(())
+    } else {
+        Err(FleetError::Wrong(format!("signal {signal} to {id} failed")))
+    }
+}
+
 impl Fleet {
     /// Starts platform and fabric. `binaries` is the folder of the programs,
     /// `logs` the one for what they print.
@@ -495,16 +506,7 @@
             .processes
             .get(name)
             .ok_or(FleetError::Wrong(format!("no process {name}")))?;
-        let id = child.id().to_string();
-        let flag = format!("-{signal}");
-        let status = Command::new("kill")
-            .args([flag.as_str(), id.as_str()])
-            .status()?;
-        if status.success() {
-            Ok(())
-        } else {
-            Err(FleetError::Wrong(format!("kill {flag} of {name} failed")))
-        }
+        send_signal(child.id(), signal)
     }
 
     /// Asks a process to stop and waits for its end; returns its exit code.
