Fewer store calls, patient openings, a specification of carried flows

Change: one watcher a data centre; a write starts from what was seen last and reads only after a conflict; a roster says nothing of warming up; longer waits of watches. An opening is refused with its third copy, and never at an address known for less than 15 s. `chestnutlb story` tells a flow from logs. A host learns at once what its own announcement changed: the traced cause of a_syn_whose_plan_knows_only_a_leaving_host_goes_on_to_others failing three times, which knew its neighbours only 500 ms later and reset the opening. Ruled out: delaying every roster write by 600 ms (three tests of the keeper expect ends at once; reverted).

--- a/crates/client/src/main.rs
+++ b/crates/client/src/main.rs
@@ -7,10 +7,12 @@
 mod manifests;
 mod output;
 mod running;
+mod story;
 
 use manifests::{CommitOptions, PlanOptions, ValidateOptions};
 use output::CommandEnd;
 use running::{ExplainOptions, StatusOptions, WaitOptions};
+use story::StoryOptions;
 
 /// Commits manifests and shows what is in force.
 #[derive(Debug)]
@@ -30,6 +32,7 @@
     Status(StatusOptions),
     Wait(WaitOptions),
     Explain(ExplainOptions),
+    Story(StoryOptions),
 }
 
 fn main() -> ExitCode {
@@ -46,6 +49,7 @@
         ClientCommand::Status(options) => options.run(),
         ClientCommand::Wait(options) => options.run(),
         ClientCommand::Explain(options) => options.run(),
+        ClientCommand::Story(options) => options.run(),
     };
     end.into()
 }
--- a/crates/client/tests/commands.rs
+++ b/crates/client/tests/commands.rs
@@ -44,3 +44,30 @@
     let unsure = run(&["plan", "--platform", silent, "examples/dalbit.json"]);
     assert!(unsure.ends_with("exit 3\n"), "{unsure}");
 }
+
+#[test]
+fn the_story_of_a_flow_is_told_in_order_though_clocks_differ() {
+    let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
+    let flow = "10.9.0.1:1>10.20.0.1:7000";
+    let line = |time: &str, part: &str, event: &str| {
+        format!(
+            r#"{{"time":"2026-12-04T10:00:{time}Z","level":"info","part":"{part}","event":"{event}","flow":"{flow}"}}"#
+        )
+    };
+    let entry = folder.join("entry-1.log");
+    let text = [line("02.000", "route", "open"), "garbage".to_owned()];
+    std::fs::write(&entry, text.join("\n")).unwrap();
+    // This host's clock is 1.5 s behind.
+    let host = folder.join("feed-1.log");
+    let text = [
+        line("00.500", "flow", "judged"),
+        line("00.700", "flow", "returned by the backend"),
+    ];
+    std::fs::write(&host, text.join("\n")).unwrap();
+    let (entry, host) = (entry.to_string_lossy(), host.to_string_lossy());
+    let told = run(&["story", "--flow", flow, &host, &entry]);
+    let (_, told) = told.split_once('\n').unwrap();
+    insta::assert_snapshot!(told);
+    let none = run(&["story", "--flow", "10.9.0.1:2>10.20.0.1:7000", &entry]);
+    assert!(none.ends_with("exit 1\n"), "{none}");
+}
--- a/crates/core/src/carried.rs
+++ b/crates/core/src/carried.rs
@@ -138,6 +138,42 @@
     }
 }
 
+/// What a side process knows of the flow of a packet that opens nothing.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum FlowKnowledge {
+    /// It is open at the backend server, or has just ended there.
+    Owned,
+    /// The backend server got the opening and has not answered it.
+    Unanswered,
+    /// The backend server answered the opening, but the caller acknowledges
+    /// another host's answer.
+    OfferedElsewhere,
+    /// The backend server does not hold it, or was asked already.
+    Stranger,
+    /// It may be older than this process.
+    Unseen,
+}
+
+/// The verdict on a caller's packet that opens nothing.
+pub fn judge_data(knowledge: FlowKnowledge, arrival: CarriedArrival) -> CarriedVerdict {
+    match knowledge {
+        FlowKnowledge::Owned => CarriedVerdict::Deliver,
+        FlowKnowledge::Unseen => CarriedVerdict::Ask,
+        FlowKnowledge::Unanswered | FlowKnowledge::OfferedElsewhere | FlowKnowledge::Stranger => {
+            elsewhere(arrival)
+        }
+    }
+}
+
+/// The verdict on a reset by the backend server. One at which the flow was not
+/// opened would break the flow that the caller opened elsewhere.
+pub fn judge_reset(knowledge: FlowKnowledge) -> SentVerdict {
+    match knowledge {
+        FlowKnowledge::Owned => SentVerdict::Forward,
+        _ => SentVerdict::Withhold,
+    }
+}
+
 /// What the side process does with a packet of its backend server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum SentVerdict {
@@ -217,24 +253,44 @@
         if segment.opens {
             return self.judge_opening(segment, arrival, backend, now);
         }
-        let unseen = self.may_be_unseen(backend, now);
-        match self.flows.get_mut(&segment.key) {
-            Some(flow) => {
-                if flow.is_opened_elsewhere(segment) {
-                    return elsewhere(arrival);
-                }
+        let knowledge = self.knowledge(segment, backend, now);
+        let verdict = judge_data(knowledge, arrival);
+        match (verdict, self.flows.get_mut(&segment.key)) {
+            (CarriedVerdict::Deliver, Some(flow)) => {
                 if let CarriedPhase::Offered(_) = flow.phase {
                     flow.phase = CarriedPhase::Open;
                 }
-                CarriedVerdict::Deliver
             }
-            None if segment.resets => elsewhere(arrival),
-            None if unseen && !self.strangers.contains(&segment.key) => {
-                // Until the answer is there, other packets of it walk on.
+            // Until the answer is there, other packets of it walk on.
+            (CarriedVerdict::Ask, _) => {
                 self.strangers.put(segment.key, now);
-                CarriedVerdict::Ask
             }
-            None => elsewhere(arrival),
+            _ => {}
+        }
+        verdict
+    }
+
+    fn knowledge(
+        &self,
+        segment: &SegmentFacts,
+        backend: &BackendFacts,
+        now: TimePoint,
+    ) -> FlowKnowledge {
+        match self.flows.get(&segment.key).map(|flow| flow.phase) {
+            Some(CarriedPhase::Opening) => FlowKnowledge::Unanswered,
+            Some(CarriedPhase::Offered(number)) => {
+                if segment.acknowledgement == Some(number.wrapping_add(1)) {
+                    FlowKnowledge::Owned
+                } else {
+                    FlowKnowledge::OfferedElsewhere
+                }
+            }
+            Some(CarriedPhase::Open | CarriedPhase::Closed) => FlowKnowledge::Owned,
+            None if segment.resets || self.strangers.contains(&segment.key) => {
+                FlowKnowledge::Stranger
+            }
+            None if self.may_be_unseen(backend, now) => FlowKnowledge::Unseen,
+            None => FlowKnowledge::Stranger,
         }
     }
 
@@ -366,20 +422,21 @@
         SentVerdict::Forward
     }
 
-    // A reset by a backend server at which the flow was not opened would break
-    // the flow that the caller opened elsewhere.
     fn note_reset(&mut self, key: FlowKey, now: TimePoint) -> SentVerdict {
-        match self.flows.get(&key).map(|flow| flow.phase) {
-            Some(CarriedPhase::Open | CarriedPhase::Closed) => {
-                self.forget_as_closed(key, now);
-                SentVerdict::Forward
-            }
-            Some(CarriedPhase::Opening | CarriedPhase::Offered(_)) | None => {
+        let knowledge = match self.flows.get(&key).map(|flow| flow.phase) {
+            Some(CarriedPhase::Open | CarriedPhase::Closed) => FlowKnowledge::Owned,
+            Some(CarriedPhase::Opening | CarriedPhase::Offered(_)) => FlowKnowledge::Unanswered,
+            None => FlowKnowledge::Stranger,
+        };
+        let verdict = judge_reset(knowledge);
+        match verdict {
+            SentVerdict::Forward => self.forget_as_closed(key, now),
+            SentVerdict::Withhold => {
                 self.forget(&key);
                 self.strangers.put(key, now);
-                SentVerdict::Withhold
             }
         }
+        verdict
     }
 
     /// Notes that the backend server returned a packet: it does not hold the
@@ -481,18 +538,6 @@
 }
 
 impl CarriedFlow {
-    // Whether the caller speaks to another host that answered its opening: this
-    // one's answer is not the one that it acknowledges, or is still to come.
-    fn is_opened_elsewhere(&self, segment: &SegmentFacts) -> bool {
-        match self.phase {
-            CarriedPhase::Opening => true,
-            CarriedPhase::Offered(number) => {
-                segment.acknowledgement != Some(number.wrapping_add(1))
-            }
-            CarriedPhase::Open | CarriedPhase::Closed => false,
-        }
-    }
-
     // Whether the segment carries data that was not seen before.
     fn advances(&mut self, segment: &SegmentFacts) -> bool {
         let end = segment.sequence.wrapping_add(segment.payload.into());
--- a/crates/core/src/carried_routes.rs
+++ b/crates/core/src/carried_routes.rs
@@ -7,8 +7,10 @@
 //! know the flow it returns the packet, and the packet walks all hosts that
 //! may hold it. What is remembered only shortens the way.
 
+use std::collections::HashMap;
 use std::net::SocketAddrV4;
 use std::num::NonZeroUsize;
+use std::time::Duration;
 
 use lru::LruCache;
 
@@ -34,10 +36,20 @@
     pub source: PlanSource,
 }
 
+/// Copies of an opening that find every host full before the next one is
+/// refused. Callers send copies after 200 and 600 ms, in which time a full host
+/// works off its queue; the last copy is refused rather than left to time out.
+const PATIENT_OPENINGS: u8 = 2;
+
+/// An address that has been known for less than this time refuses nothing: a
+/// refusal would look as if the address were still unknown.
+const SETTLING_TIME: Duration = Duration::from_secs(15);
+
 #[derive(Debug, Clone, Copy)]
 struct CarriedMemory {
     tag: ServiceTag,
     host: SocketAddrV4,
+    openings: u8,
 }
 
 /// Routes packets of carried flows.
@@ -46,6 +58,7 @@
     here: DatacenterName,
     board: LoadBoard,
     flows: LruCache<FlowKey, CarriedMemory>,
+    known_since: HashMap<SocketAddrV4, TimePoint>,
 }
 
 impl CarriedRouter {
@@ -56,9 +69,26 @@
             here,
             board: LoadBoard::default(),
             flows: LruCache::new(flow_limit),
+            known_since: HashMap::new(),
         }
     }
 
+    /// Notes a new view: which addresses it has.
+    pub fn note_view(&mut self, view: &RoutingView, now: TimePoint) {
+        self.known_since
+            .retain(|address, _| view.service_at(*address).is_some());
+        for address in view.services().flat_map(|service| service.spec.addresses()) {
+            self.known_since.entry(address).or_insert(now);
+        }
+        self.board.expire(now);
+    }
+
+    fn is_settled(&self, address: SocketAddrV4, now: TimePoint) -> bool {
+        self.known_since
+            .get(&address)
+            .is_some_and(|since| now.since(*since) >= SETTLING_TIME)
+    }
+
     /// What hosts reported.
     pub fn board(&self) -> &LoadBoard {
         &self.board
@@ -72,8 +102,13 @@
     /// Notes that a host said it owns the flow.
     pub fn learn(&mut self, view: &RoutingView, key: FlowKey, host: SocketAddrV4) {
         if let Some(service) = view.service_at(key.service) {
-            let tag = service.tag;
-            self.flows.put(key, CarriedMemory { tag, host });
+            let openings = self.flows.peek(&key).map_or(0, |known| known.openings);
+            let memory = CarriedMemory {
+                tag: service.tag,
+                host,
+                openings,
+            };
+            self.flows.put(key, memory);
         }
     }
 
@@ -136,6 +171,7 @@
             .map(|host| (self.cost(host, now), host.record.packets))
             .collect();
         ranked.sort_by(|(cost, _), (other, _)| cost.total_cmp(other));
+        let openings = known.map_or(0, |memory| memory.openings);
         let known = known.map(|memory| memory.host);
         let mut hops: Vec<SocketAddrV4> = Vec::with_capacity(PLAN_HOPS);
         hops.extend(known.filter(|host| ranked.iter().any(|(_, other)| other == host)));
@@ -151,12 +187,14 @@
         let memory = CarriedMemory {
             tag: service.tag,
             host: first,
+            openings: openings.saturating_add(1),
         };
         self.flows.put(key, memory);
+        let refusable = openings >= PATIENT_OPENINGS && self.is_settled(key.service, now);
         let takers = service.hosts().iter().filter(|host| host.takes_flows());
         Ok(CarriedPlan {
             tag: service.tag,
-            complete: hops.len() == takers.count(),
+            complete: refusable && hops.len() == takers.count(),
             hops,
             source: PlanSource::Chain,
         })
@@ -193,6 +231,7 @@
         let memory = CarriedMemory {
             tag: service.tag,
             host: first,
+            openings: 0,
         };
         self.flows.put(key, memory);
         Ok(CarriedPlan {
--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -324,9 +324,8 @@
                 manifest,
                 from,
             } => {
-                let news = self.on_announced(record, revision, manifest, now);
+                let news = self.on_announced(record, revision, manifest, now, &mut actions);
                 actions.push(ControlAction::Welcome(from, news));
-                self.note_heard(now, &mut actions);
             }
             ControlEvent::Alive {
                 name,
@@ -391,17 +390,13 @@
         revision: HostRevision,
         manifest: ObjectVersion,
         now: TimePoint,
+        actions: &mut Vec<ControlAction>,
     ) -> WelcomeNews {
         let chosen = self.listeners_of(&record);
         let rank = chosen
             .iter()
             .take(KEEPERS_PER_HOST)
             .position(|entry| entry.name == self.me.name);
-        let news = WelcomeNews {
-            keepers: chosen,
-            resend: false,
-            ..self.welcome(&record.service, now)
-        };
         // A host that doesn't know its keepers yet is looked after by all.
         let rank = rank.unwrap_or(KEEPERS_PER_HOST) as u32;
         if record.state == HostState::Gone {
@@ -409,8 +404,15 @@
         } else {
             self.note_progress(record.name.clone(), record.service.clone(), manifest, now);
         }
+        let service = record.service.clone();
         self.keeper.hear(record, revision, rank, now);
-        news
+        // The host is to learn at once what it changed.
+        self.note_heard(now, actions);
+        WelcomeNews {
+            keepers: chosen,
+            resend: false,
+            ..self.welcome(&service, now)
+        }
     }
 
     fn on_alive(
--- a/crates/core/src/keeper.rs
+++ b/crates/core/src/keeper.rs
@@ -264,6 +264,12 @@
     }
     match record.state {
         HostState::Gone | HostState::Joining => None,
+        // Warming up is a matter between the host and those that it announces
+        // itself to; it is not worth a second write.
+        HostState::Warming => {
+            record.state = HostState::Serving;
+            Some(record)
+        }
         _ => Some(record),
     }
 }
--- a/crates/core/src/members.rs
+++ b/crates/core/src/members.rs
@@ -20,8 +20,9 @@
 /// no keepers hear of it without the platform.
 pub const ANNOUNCE_FANOUT: usize = 8;
 
-/// Entry VMs of a data centre that watch the platform.
-pub const WATCHERS_PER_DATACENTER: usize = 2;
+/// Entry VMs of a data centre that watch the platform. Those of other data
+/// centres stand in for one that is cut off: changes spread to all.
+pub const WATCHERS_PER_DATACENTER: usize = 1;
 
 /// Entry VMs that each one exchanges heartbeats with, in each direction.
 pub const NEIGHBOURS: usize = 3;
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -67,20 +67,21 @@
         .name("peers".to_owned())
         .spawn(move || receive_peers(&socket, &ring, &sharing))?;
 
-    let client = open_store(settings);
-    let feeds = client.feeds();
-    let (ring, counting) = (event_ring.clone(), Arc::clone(&counters));
-    Builder::new()
-        .name("store".to_owned())
-        .spawn(move || run_store(client.as_ref(), &store_jobs, &ring, &counting))?;
-
-    for feed in (0..feeds).map(FeedIndex) {
-        let client = open_store(settings);
+    let mut clients = open_stores(settings).into_iter();
+    if let Some(client) = clients.next() {
+        let (ring, counting) = (event_ring.clone(), Arc::clone(&counters));
+        Builder::new()
+            .name("store".to_owned())
+            .spawn(move || run_store(client.as_ref(), &store_jobs, &ring, &counting))?;
+    }
+    for (feed, client) in clients.enumerate() {
         let (ring, counting) = (event_ring.clone(), Arc::clone(&counters));
         let on = Arc::clone(&watching);
         Builder::new()
-            .name(format!("watch-{}", feed.0))
-            .spawn(move || run_watch(client.as_ref(), feed, &on, &ring, &counting))?;
+            .name(format!("watch-{feed}"))
+            .spawn(move || {
+                run_watch(client.as_ref(), FeedIndex(feed), &on, &ring, &counting);
+            })?;
     }
 
     let (ring, sharing) = (event_ring.clone(), Arc::clone(&shared));
@@ -135,12 +136,20 @@
     Ok(())
 }
 
-fn open_store(settings: &EntrySettings) -> Box<dyn StoreCalls> {
+// One client for each thread that calls the store; they share what they saw.
+fn open_stores(settings: &EntrySettings) -> Vec<Box<dyn StoreCalls>> {
     match settings.dialect {
-        Dialect::Own => Box::new(StoreClient::new(&settings.platform)),
+        Dialect::Own => share_store(&StoreClient::new(&settings.platform)),
         Dialect::Platform => {
             let places = settings.places.clone();
-            Box::new(PlatformStore::new(&settings.platform, places))
+            share_store(&PlatformStore::new(&settings.platform, places))
         }
     }
 }
+
+fn share_store<T: StoreCalls + Clone + 'static>(client: &T) -> Vec<Box<dyn StoreCalls>> {
+    let threads = client.feeds() + 1;
+    (0..threads)
+        .map(|_| Box::new(client.clone()) as Box<dyn StoreCalls>)
+        .collect()
+}
--- a/crates/daemon/src/entry_packets.rs
+++ b/crates/daemon/src/entry_packets.rs
@@ -65,7 +65,9 @@
         loop {
             // Only the newest view matters.
             if let Some(view) = self.views.try_iter().last() {
-                self.router.replace_view(view, clock::now());
+                let now = clock::now();
+                self.carried.note_view(&view, now);
+                self.router.replace_view(view, now);
             }
             self.send_probes();
             // A timeout lets the loop look for a new view.
--- a/crates/daemon/src/entry_store.rs
+++ b/crates/daemon/src/entry_store.rs
@@ -22,9 +22,6 @@
 use crate::http::read_body;
 use crate::metrics::{Counter, CounterSet, offer};
 
-/// Longest wait of one watch.
-const WATCH_WAIT: Duration = Duration::from_secs(2);
-
 /// Pause after a call of the platform failed.
 const FAILURE_PAUSE: Duration = Duration::from_millis(500);
 
@@ -102,6 +99,7 @@
 ) {
     let mut after: Option<ObjectVersion> = None;
     let mut pause = START_PAUSE;
+    let wait = client.watch_wait(feed);
     loop {
         if !on.load(Ordering::Relaxed) {
             after = None;
@@ -109,7 +107,7 @@
             continue;
         }
         counters.add(Counter::PlatformCalls);
-        match client.news(feed, after, WATCH_WAIT) {
+        match client.news(feed, after, wait) {
             Ok(news) => {
                 pause = FAILURE_PAUSE;
                 let (revision, stale) = hand_on(news, after, events, counters);
--- a/crates/spec/src/lib.rs
+++ b/crates/spec/src/lib.rs
@@ -16,6 +16,7 @@
 //! assert!(matches!(result, SearchResult::Holds { .. }));
 //! ```
 
+pub mod carried;
 mod checker;
 pub mod commits;
 pub mod flows;
--- a/crates/spec/tests/properties.rs
+++ b/crates/spec/tests/properties.rs
@@ -1,6 +1,7 @@
 //! Every property holds in all states; without its guard it does not, and the
 //! shortest way there is kept.
 
+use chestnutlb_spec::carried::{CarriedMutation, CarriedSpec};
 use chestnutlb_spec::commits::{CommitMutation, CommitSpec};
 use chestnutlb_spec::flows::{FlowMutation, FlowSpec};
 use chestnutlb_spec::relays::{RelayMutation, RelaySpec};
@@ -25,6 +26,46 @@
     search(CommitSpec::start(), |state| state.next(mutation), right)
 }
 
+fn carried(mutation: CarriedMutation, right: impl Fn(&CarriedSpec) -> bool) -> SearchResult {
+    search(CarriedSpec::start(), |state| state.next(mutation), right)
+}
+
+#[test]
+fn carried_flows_hold() {
+    let all = |state: &CarriedSpec| {
+        state.strangers_are_asked_once() && state.no_foreign_reset() && state.owner_is_found()
+    };
+    insta::assert_snapshot!(describe("carried", &carried(CarriedMutation::None, all)));
+}
+
+#[test]
+fn carried_flows_without_a_guard_break() {
+    let once = CarriedSpec::strangers_are_asked_once;
+    let results = [
+        describe(
+            "an unanswered opening owns",
+            &carried(CarriedMutation::OpeningOwns, once),
+        ),
+        describe(
+            "any answer owns",
+            &carried(CarriedMutation::AnyAnswerOwns, once),
+        ),
+        describe("asked again", &carried(CarriedMutation::AskAgain, once)),
+        describe(
+            "every reset is forwarded",
+            &carried(
+                CarriedMutation::ResetsForwarded,
+                CarriedSpec::no_foreign_reset,
+            ),
+        ),
+        describe(
+            "never asked",
+            &carried(CarriedMutation::NeverAsks, CarriedSpec::owner_is_found),
+        ),
+    ];
+    insta::assert_snapshot!(results.join("\n"));
+}
+
 #[test]
 fn flows_hold() {
     let none = FlowMutation::None;
--- a/crates/store/src/calls.rs
+++ b/crates/store/src/calls.rs
@@ -56,6 +56,15 @@
         wait: Duration,
     ) -> Result<FeedNews, StoreError>;
 
+    /// The object as it was last seen in the news or a write, without a call;
+    /// it may be outdated, which a conditional write finds out.
+    fn recall(&self, _id: &DocumentId) -> Option<ObjectReply> {
+        None
+    }
+
+    /// Longest wait of one watch of a feed.
+    fn watch_wait(&self, feed: FeedIndex) -> Duration;
+
     /// Reads an object; none if it does not exist.
     fn read(&self, id: &DocumentId) -> Result<Option<ObjectReply>, StoreError>;
 
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -14,6 +14,9 @@
 /// Time for a call other than a watch.
 pub const CALL_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Longest wait of one watch; a lost connection is noticed within this time.
+const WATCH_WAIT: Duration = Duration::from_secs(2);
+
 quick_error! {
     /// Why a call gave no answer.
     #[derive(Debug, Clone, PartialEq, Eq)]
@@ -88,6 +91,10 @@
         1
     }
 
+    fn watch_wait(&self, _feed: FeedIndex) -> Duration {
+        WATCH_WAIT
+    }
+
     fn news(
         &self,
         _feed: FeedIndex,
--- a/crates/store/src/objects.rs
+++ b/crates/store/src/objects.rs
@@ -158,10 +158,15 @@
     id: &DocumentId,
     change: impl Fn(Option<serde_json::Value>) -> Result<serde_json::Value, StoreError>,
 ) -> EditOutcome {
+    // What was seen last saves a call; a conflict shows that it is outdated.
+    let mut recalled = client.recall(id);
     for _ in 0..MAX_CONFLICTS {
-        let current = match client.read(id) {
-            Ok(current) => current,
-            Err(error) => return EditOutcome::Unsure(error),
+        let current = match recalled.take() {
+            Some(known) => Some(known),
+            None => match client.read(id) {
+                Ok(current) => current,
+                Err(error) => return EditOutcome::Unsure(error),
+            },
         };
         let (version, value) = match current {
             Some(ObjectReply { version, value }) => (ObjectVersion(version), Some(value)),
