Rank down hosts whose answers look like failures; fewer store calls again

(3) When all start at once, every entry VM watched the project's own objects and was woken by every write of the others. Change: (1) a side process learns from the first packet of answers how long they usually are at an address; the share of much shorter ones is reported and costs up to 300 ms in the ranking. (3) Own objects are watched 2 s after the first news. Ruled out: judging by time alone (answers in less than 0.35 of the median): in core/tests/placing.rs it hit hosts that are merely fast. Tests: core/tests/answers.rs, placing.rs (a_host_that_fails_at_once...), keeping.rs (a_listener_that_becomes_a_keeper...).

--- a/crates/core/src/carried.rs
+++ b/crates/core/src/carried.rs
@@ -16,6 +16,7 @@
 
 use lru::LruCache;
 
+use crate::answers::AnswerWatch;
 use crate::flow::{FlowKey, SegmentFacts};
 use crate::load::HostLoad;
 use crate::units::TimePoint;
@@ -194,6 +195,7 @@
     busy: f64,
     busy_at: TimePoint,
     service_ms: f64,
+    answers: AnswerWatch,
 }
 
 impl CarriedFlows {
@@ -209,6 +211,7 @@
             busy: 0.0,
             busy_at: now,
             service_ms: 0.0,
+            answers: AnswerWatch::default(),
         }
     }
 
@@ -237,6 +240,7 @@
             busy_hundredths: (self.busy * 100.0).min(f64::from(u16::MAX)) as u16,
             flows: self.flows.len().min(usize::from(u16::MAX)) as u16,
             service_us: (self.service_ms * 1000.0) as u32,
+            failing_percent: self.answers.failing_percent(),
             takes: backend.takes,
             cold: backend.cold,
         }
@@ -413,6 +417,9 @@
             return SentVerdict::Forward;
         }
         if segment.payload > 0 || segment.finishes {
+            if flow.asked.is_some() && segment.payload > 0 {
+                self.answers.note(segment.key.service, segment.payload);
+            }
             let measured = flow.asked.filter(|_| flow.unqueued && segment.payload > 0);
             if let Some(asked) = measured {
                 self.measure(now.since(asked));
@@ -458,6 +465,7 @@
     pub fn clear(&mut self) -> usize {
         let count = self.flows.len();
         self.flows.clear();
+        self.answers = AnswerWatch::default();
         self.strangers.clear();
         self.at_work = 0;
         count
--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -346,14 +346,14 @@
                 for patch in patches {
                     let id = patch.id.clone();
                     if let Some(changes) = self.documents.get_mut(&id).apply(patch) {
-                        self.on_changed(id, &changes, &mut actions);
+                        self.on_changed(id, &changes, now, &mut actions);
                     }
                 }
             }
             ControlEvent::Loaded { id, version, items } => {
                 self.end_job(&id);
                 if let Some(changes) = self.documents.get_mut(&id).replace(version, items) {
-                    self.on_changed(id, &changes, &mut actions);
+                    self.on_changed(id, &changes, now, &mut actions);
                 }
             }
             ControlEvent::Listed { list, stale } => {
@@ -373,15 +373,18 @@
         actions
     }
 
-    fn reassign_hosts(&mut self) {
+    fn reassign_hosts(&mut self, now: TimePoint) {
         let (all, rings, me) = (&self.all, &self.rings, &self.me.name);
         let none = MemberRing::default();
-        self.keeper.reassign(|record| {
-            let ring = rings.get(&record.datacenter).unwrap_or(&none);
-            let keepers = ring.keepers(&record.name, all);
-            let rank = keepers.iter().position(|keeper| keeper.name == *me);
-            rank.map(|rank| rank as u32)
-        });
+        self.keeper.reassign(
+            |record| {
+                let ring = rings.get(&record.datacenter).unwrap_or(&none);
+                let keepers = ring.keepers(&record.name, all);
+                let rank = keepers.iter().position(|keeper| keeper.name == *me);
+                rank.map(|rank| rank as u32)
+            },
+            now,
+        );
     }
 
     fn on_announced(
@@ -559,6 +562,7 @@
         &mut self,
         id: DocumentId,
         changes: &[ItemChange],
+        now: TimePoint,
         actions: &mut Vec<ControlAction>,
     ) {
         self.end_job(&id);
@@ -567,7 +571,7 @@
         match id.kind {
             DocumentKind::Members => {
                 self.rebuild_rings();
-                self.reassign_hosts();
+                self.reassign_hosts(now);
                 self.adopt_due = true;
             }
             DocumentKind::Roster => self.adopt_due = true,
@@ -723,7 +727,11 @@
             return;
         }
         let members = self.members_id();
-        let listed = self.all.find(&self.me.name) == Some(&self.me);
+        // A restart in place changes nothing for the others.
+        let listed = self
+            .all
+            .find(&self.me.name)
+            .is_some_and(|known| (known.peers, known.status) == (self.me.peers, self.me.status));
         if !listed && self.claim_document(&members, now) {
             let edit = MemberEdit::Put(self.me.clone());
             actions.push(ControlAction::WriteMembers(members, vec![edit]));
--- a/crates/core/src/keeper.rs
+++ b/crates/core/src/keeper.rs
@@ -150,9 +150,16 @@
 
     /// Notes that the members changed: `rank` tells the rank of this entry VM for
     /// a host, none if it is no keeper of it.
-    pub fn reassign(&mut self, rank: impl Fn(&HostRecord) -> Option<u32>) {
+    pub fn reassign(&mut self, rank: impl Fn(&HostRecord) -> Option<u32>, now: TimePoint) {
         for sighting in self.sightings.values_mut() {
+            let was_stray = sighting.rank as usize >= KEEPERS_PER_HOST;
             sighting.rank = rank(&sighting.record).unwrap_or(KEEPERS_PER_HOST as u32);
+            // A host that stopped announcing itself here has yet to learn that
+            // it should again.
+            if was_stray && sighting.is_silent(now) {
+                sighting.revision = HostRevision::UNHEARD;
+                sighting.heard = now;
+            }
         }
     }
 
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -15,6 +15,7 @@
 //! ```
 
 pub mod admission;
+pub mod answers;
 pub mod backend;
 pub mod budget;
 pub mod carried;
--- a/crates/core/src/load.rs
+++ b/crates/core/src/load.rs
@@ -31,6 +31,11 @@
 /// hosts of equal speed and no queue are used alike.
 const BUSY_WEIGHT: f64 = 0.5;
 
+/// By this much faster the others have to be for a host to be asked all of
+/// whose answers look like failures. Failing costs little time, so such a host
+/// would else draw all callers to itself.
+pub const FAILING_PENALTY: Duration = Duration::from_millis(300);
+
 /// A cold host takes this much longer.
 const COLD_FACTOR: f64 = 1.6;
 
@@ -48,6 +53,8 @@
     /// Mean time of a request that did not wait, in microseconds; zero if
     /// none was seen.
     pub service_us: u32,
+    /// Share of its latest answers that look like failures.
+    pub failing_percent: u8,
     /// Whether it opens flows.
     pub takes: bool,
     /// Whether its backend server is slow since it has just started.
@@ -98,6 +105,7 @@
                 busy_hundredths: 0,
                 flows: 0,
                 service_us: 0,
+                failing_percent: 0,
                 takes: true,
                 cold: false,
             },
@@ -140,6 +148,10 @@
         if cold {
             cost *= COLD_FACTOR;
         }
+        if let Some(entry) = entry {
+            let share = f64::from(entry.load.failing_percent) / 100.0;
+            cost += share * FAILING_PENALTY.as_secs_f64() * 1000.0;
+        }
         if place.datacenter != here {
             cost += REMOTE_PENALTY.as_secs_f64() * 1000.0;
         }
--- a/crates/core/tests/keeping.rs
+++ b/crates/core/tests/keeping.rs
@@ -2,12 +2,14 @@
 
 mod common;
 
-use chestnutlb_core::keeper::{GONE_AFTER, SUSPECT_AFTER};
+use chestnutlb_core::keeper::{ADOPTION_PATIENCE, GONE_AFTER, SUSPECT_AFTER};
 use chestnutlb_core::{
     HostKeeper, HostRecord, HostRevision, HostState, Incarnation, RosterEdit, TimePoint,
 };
 use common::host;
 
+const ADOPTION_PATIENCE_MS: u64 = ADOPTION_PATIENCE.as_millis() as u64;
+
 fn describe(edits: &[RosterEdit]) -> Vec<String> {
     edits
         .iter()
@@ -135,3 +137,27 @@
             .is_none()
     );
 }
+
+#[test]
+fn a_listener_that_becomes_a_keeper_gives_the_host_time_to_learn_of_it() {
+    let mut keeper = HostKeeper::default();
+    let serving = host(1, HostState::Serving);
+    let listener = 2;
+    keeper.edits(|_| None, TimePoint(0));
+    keeper.hear(serving.clone(), HostRevision(1), listener, TimePoint(100));
+    let roster = [serving];
+    // It no longer announces itself here, which is no news of its own.
+    let edits = silence(&mut keeper, &roster, 200, 5_000);
+    assert_eq!(describe(&edits), [""; 0]);
+    keeper.reassign(|_| Some(0), TimePoint(5_000));
+    let edits = silence(
+        &mut keeper,
+        &roster,
+        5_200,
+        5_000 + ADOPTION_PATIENCE_MS - 400,
+    );
+    assert_eq!(describe(&edits), [""; 0]);
+    let silent = 5_000 + ADOPTION_PATIENCE_MS + 200;
+    let edits = silence(&mut keeper, &roster, silent - 400, silent);
+    assert_eq!(describe(&edits), ["put host-1 suspect"]);
+}
--- a/crates/core/tests/placing.rs
+++ b/crates/core/tests/placing.rs
@@ -51,6 +51,7 @@
             busy_hundredths: (self.running * 100) as u16,
             flows: 0,
             service_us: (self.service_ms * 1000.0) as u32,
+            failing_percent: 0,
             takes: true,
             cold: false,
         }
@@ -234,3 +235,29 @@
     }
     insta::assert_snapshot!(lines.join("\n"));
 }
+
+#[test]
+fn a_host_that_fails_at_once_draws_no_callers() {
+    let here: DatacenterName = "honam-1".parse().unwrap();
+    let now = TimePoint(1_000);
+    let mut board = LoadBoard::default();
+    let report = |service_us: u32, at_work: u16, failing_percent: u8| HostLoad {
+        at_work,
+        service_us,
+        failing_percent,
+        ..Host::default().report()
+    };
+    for host in 0..4 {
+        board.hear(address(host), report(22_000, 5, 0), now);
+    }
+    board.hear(address(4), report(3_000, 0, 90), now);
+    let cost = |host: usize| {
+        let place = RankedPlace {
+            packets: address(host),
+            datacenter: &here,
+            cold: false,
+        };
+        board.cost(&place, &here, now)
+    };
+    assert!((0..4).all(|host| cost(host) < cost(4)));
+}
--- a/crates/daemon/src/entry_store.rs
+++ b/crates/daemon/src/entry_store.rs
@@ -29,6 +29,14 @@
 /// for the first answer.
 const START_PAUSE: Duration = Duration::from_millis(150);
 
+/// Time after the first news of the project's own objects before they are
+/// watched: when all start at once, each writes to them, and who is to watch is
+/// known only then. Until then peers tell each other.
+const SETTLE_PAUSE: Duration = Duration::from_secs(2);
+
+/// The feed of the operators' objects.
+const OPERATORS_FEED: FeedIndex = FeedIndex(0);
+
 /// Pause between two looks at whether to watch.
 const IDLE_PAUSE: Duration = Duration::from_millis(100);
 
@@ -111,6 +119,9 @@
             Ok(news) => {
                 pause = FAILURE_PAUSE;
                 let (revision, stale) = hand_on(news, after, events, counters);
+                if after.is_none() && feed != OPERATORS_FEED {
+                    std::thread::sleep(SETTLE_PAUSE);
+                }
                 after = Some(revision.max(after.unwrap_or_default()));
                 if stale {
                     std::thread::sleep(FAILURE_PAUSE);
--- a/crates/wire/src/packet.rs
+++ b/crates/wire/src/packet.rs
@@ -191,6 +191,8 @@
     pub flows: u16,
     /// Mean time of a request that did not wait, in microseconds.
     pub service_us: u32,
+    /// Share of its latest answers that look like failures.
+    pub failing_percent: u8,
     /// Whether it opens flows.
     pub takes: bool,
     /// Whether its backend server has just started.
@@ -205,6 +207,7 @@
             busy_hundredths: load.busy_hundredths,
             flows: load.flows,
             service_us: load.service_us,
+            failing_percent: load.failing_percent,
             takes: load.takes,
             cold: load.cold,
         }
@@ -219,6 +222,7 @@
             busy_hundredths: report.busy_hundredths,
             flows: report.flows,
             service_us: report.service_us,
+            failing_percent: report.failing_percent.min(100),
             takes: report.takes,
             cold: report.cold,
         }
