Metrics as text with latency histograms; verdicts in a module of their own

Change: GET /metrics at the status address of every process: counters, and histograms of openings, answers and the age of reports. The pure verdicts on carried packets moved to carried_verdict.rs, unchanged. Ruled out: a listener of its own for metrics, one more port and thread a process. Test: standin/tests/passthrough.rs, counters_and_times_are_served_as_text.

--- a/crates/core/src/carried.rs
+++ b/crates/core/src/carried.rs
@@ -17,6 +17,9 @@
 use lru::LruCache;
 
 use crate::answers::AnswerWatch;
+use crate::carried_verdict::{
+    CarriedArrival, CarriedVerdict, FlowKnowledge, SentVerdict, judge_data, judge_reset,
+};
 use crate::flow::{FlowKey, SegmentFacts};
 use crate::load::HostLoad;
 use crate::units::TimePoint;
@@ -99,89 +102,13 @@
     pub watched_from_start: bool,
 }
 
-/// How a packet came.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct CarriedArrival {
-    /// Whether its plan has another host after this one.
-    pub more_hops: bool,
-    /// Whether the plan names every host that could own the flow.
-    pub complete: bool,
-}
-
-/// What the side process does with a caller's packet.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum CarriedVerdict {
-    /// Deliver it.
-    Deliver,
-    /// Deliver an opening.
-    Open,
-    /// Deliver it to see whether the backend server knows the flow.
-    Ask,
-    /// The flow is not here: send the packet to the next host of its plan.
-    PassOn,
-    /// The flow is not here, and the plan has no other host.
-    NotHere,
-    /// Every host refused the opening: refuse it.
-    Refuse,
-}
-
-impl CarriedVerdict {
-    /// Name in logs.
-    pub fn as_str(self) -> &'static str {
-        match self {
-            Self::Deliver => "deliver",
-            Self::Open => "open",
-            Self::Ask => "ask",
-            Self::PassOn => "pass-on",
-            Self::NotHere => "not-here",
-            Self::Refuse => "refuse",
-        }
-    }
-}
-
-/// What a side process knows of the flow of a packet that opens nothing.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub enum FlowKnowledge {
-    /// It is open at the backend server, or has just ended there.
-    Owned,
-    /// The backend server got the opening and has not answered it.
-    Unanswered,
-    /// The backend server answered the opening, but the caller acknowledges
-    /// another host's answer.
-    OfferedElsewhere,
-    /// The backend server does not hold it, or was asked already.
-    Stranger,
-    /// It may be older than this process.
-    Unseen,
-}
-
-/// The verdict on a caller's packet that opens nothing.
-pub fn judge_data(knowledge: FlowKnowledge, arrival: CarriedArrival) -> CarriedVerdict {
-    match knowledge {
-        FlowKnowledge::Owned => CarriedVerdict::Deliver,
-        FlowKnowledge::Unseen => CarriedVerdict::Ask,
-        FlowKnowledge::Unanswered | FlowKnowledge::OfferedElsewhere | FlowKnowledge::Stranger => {
-            elsewhere(arrival)
-        }
-    }
-}
-
-/// The verdict on a reset by the backend server. One at which the flow was not
-/// opened would break the flow that the caller opened elsewhere.
-pub fn judge_reset(knowledge: FlowKnowledge) -> SentVerdict {
-    match knowledge {
-        FlowKnowledge::Owned => SentVerdict::Forward,
-        _ => SentVerdict::Withhold,
-    }
-}
-
-/// What the side process does with a packet of its backend server.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum SentVerdict {
-    /// Send it to the caller.
-    Forward,
-    /// Drop it.
-    Withhold,
+/// What a packet of the backend server ended, if anything.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct SentTiming {
+    /// Time since the opening that it answers.
+    pub opening: Option<Duration>,
+    /// Time since the last packet of the request that it answers.
+    pub answer: Option<Duration>,
 }
 
 /// The flows of one backend server as its side process sees them.
@@ -196,6 +123,7 @@
     busy_at: TimePoint,
     service_ms: f64,
     answers: AnswerWatch,
+    timing: SentTiming,
 }
 
 impl CarriedFlows {
@@ -212,6 +140,7 @@
             busy_at: now,
             service_ms: 0.0,
             answers: AnswerWatch::default(),
+            timing: SentTiming::default(),
         }
     }
 
@@ -231,6 +160,11 @@
         self.at_work
     }
 
+    /// What the last packet of the backend server ended.
+    pub fn timing(&self) -> SentTiming {
+        self.timing
+    }
+
     /// What entry VMs are told.
     pub fn load(&mut self, backend: &BackendFacts, now: TimePoint) -> HostLoad {
         self.average(now);
@@ -392,6 +326,7 @@
     /// whether the caller may get it. `segment` has the key of the flow, that is
     /// the caller's end first.
     pub fn note_sent(&mut self, segment: &SegmentFacts, now: TimePoint) -> SentVerdict {
+        self.timing = SentTiming::default();
         if segment.resets {
             return self.note_reset(segment.key, now);
         }
@@ -413,11 +348,13 @@
         if segment.synchronizes {
             if flow.phase == CarriedPhase::Opening {
                 flow.phase = CarriedPhase::Offered(segment.sequence);
+                self.timing.opening = Some(now.since(flow.since));
             }
             return SentVerdict::Forward;
         }
         if segment.payload > 0 || segment.finishes {
-            if flow.asked.is_some() && segment.payload > 0 {
+            if let Some(asked) = flow.asked.filter(|_| segment.payload > 0) {
+                self.timing.answer = Some(now.since(asked));
                 self.answers.note(segment.key.service, segment.payload);
             }
             let measured = flow.asked.filter(|_| flow.unqueued && segment.payload > 0);
@@ -575,11 +512,3 @@
         }
     }
 }
-
-fn elsewhere(arrival: CarriedArrival) -> CarriedVerdict {
-    if arrival.more_hops {
-        CarriedVerdict::PassOn
-    } else {
-        CarriedVerdict::NotHere
-    }
-}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod budget;
 pub mod carried;
 pub mod carried_routes;
+pub mod carried_verdict;
 pub mod chart;
 pub mod control;
 pub mod document;
@@ -43,8 +44,9 @@
 pub use admission::HostAdmission;
 pub use backend::{BackendLife, BackendNews, BackendReport, BackendState};
 pub use budget::RetryBudget;
-pub use carried::{BackendFacts, CarriedArrival, CarriedFlows, CarriedVerdict, SentVerdict};
+pub use carried::{BackendFacts, CarriedFlows, SentTiming};
 pub use carried_routes::{CarriedPlan, CarriedRouter};
+pub use carried_verdict::{CarriedArrival, CarriedVerdict, SentVerdict};
 pub use chart::{
     FlowEvent, FlowState, HostEvent, HostState, RequestEvent, RequestState, check_charts,
 };
--- a/crates/daemon/src/carried_http.rs
+++ b/crates/daemon/src/carried_http.rs
@@ -25,6 +25,11 @@
     }
 }
 
+#[get("/metrics")]
+fn metrics(shared: &State<Arc<CarriedShared>>) -> String {
+    shared.counters.text()
+}
+
 #[get("/v1/status")]
 fn status(shared: &State<Arc<CarriedShared>>) -> Json<SideStatus> {
     Json(shared.status())
@@ -82,5 +87,5 @@
 pub fn server(shared: Arc<CarriedShared>, address: SocketAddrV4) -> Rocket<Build> {
     crate::http::server(address)
         .manage(shared)
-        .mount("/", routes![health, status, report, farewell])
+        .mount("/", routes![health, metrics, status, report, farewell])
 }
--- a/crates/daemon/src/carried_packets.rs
+++ b/crates/daemon/src/carried_packets.rs
@@ -15,7 +15,7 @@
 
 use chestnutlb_core::{
     BackendFacts, CarriedArrival, CarriedFlows, CarriedVerdict, FlowKey, HostLoad, Incarnation,
-    SegmentFacts, SentVerdict, ServiceTag, TimePoint,
+    SegmentFacts, SentTiming, SentVerdict, ServiceTag, TimePoint,
 };
 use chestnutlb_wire::packet::{
     MAX_DATAGRAM_BYTES, OwnerNote, advance, write_load, write_note, write_returned,
@@ -25,7 +25,7 @@
 use crate::carried_side::CarriedShared;
 use crate::clock;
 use crate::flow_log::FlowLog;
-use crate::metrics::Counter;
+use crate::metrics::{Counter, Timing};
 use crate::packet_form::PacketForm;
 use crate::settings::PassthroughSettings;
 
@@ -381,6 +381,7 @@
         match self.form.scan_backend(packet) {
             Ok(segment) => match self.flows.note_sent(&segment, now) {
                 SentVerdict::Forward => {
+                    self.note_timing(self.flows.timing());
                     let target = self.form.caller_target(segment.key);
                     send(&self.packets, packet, target, &self.shared);
                 }
@@ -398,6 +399,16 @@
         }
     }
 
+    fn note_timing(&self, timing: SentTiming) {
+        let counters = &self.shared.counters;
+        if let Some(span) = timing.opening {
+            counters.time(Timing::Opening, span);
+        }
+        if let Some(span) = timing.answer {
+            counters.time(Timing::Answer, span);
+        }
+    }
+
     // The backend server does not hold the flow, or can't open it.
     fn take_returned(&mut self, packet: &mut [u8], now: TimePoint) {
         self.form.clear_returned(packet);
--- a/crates/daemon/src/entry_http.rs
+++ b/crates/daemon/src/entry_http.rs
@@ -141,6 +141,11 @@
     status_of(knows_services && !shared.stopping.load(Ordering::Relaxed))
 }
 
+#[get("/metrics")]
+fn metrics(shared: &State<Arc<EntryShared>>) -> String {
+    shared.counters.text()
+}
+
 #[get("/v1/status")]
 fn status(shared: &State<Arc<EntryShared>>) -> Json<EntryStatus> {
     Json(shared.status())
@@ -244,7 +249,8 @@
 
 /// The server of an entry VM.
 pub fn server(shared: Arc<EntryShared>, address: SocketAddrV4) -> Rocket<Build> {
-    crate::http::server(address)
-        .manage(shared)
-        .mount("/", routes![health, ready, status, explain, pull, slice])
+    crate::http::server(address).manage(shared).mount(
+        "/",
+        routes![health, ready, metrics, status, explain, pull, slice],
+    )
 }
--- a/crates/daemon/src/entry_packets.rs
+++ b/crates/daemon/src/entry_packets.rs
@@ -3,20 +3,21 @@
 use std::net::{SocketAddr, SocketAddrV4, UdpSocket};
 use std::num::NonZeroUsize;
 use std::sync::Arc;
+use std::time::Duration;
 
 use crossbeam_channel::Receiver;
 
 use chestnutlb_core::view::ServiceView;
 use chestnutlb_core::{
-    CarriedPlan, CarriedRouter, EntryRouter, HopPlan, PlanSource, RouteDecision, RouteDrop,
-    RoutingView, SegmentFacts, ServiceKind,
+    CarriedPlan, CarriedRouter, EntryRouter, HopPlan, HostLoad, PlanSource, RouteDecision,
+    RouteDrop, RoutingView, SegmentFacts, ServiceKind,
 };
 use chestnutlb_wire::packet::{MAX_DATAGRAM_BYTES, is_frame, write_data, write_probe};
 use chestnutlb_wire::{PacketError, PacketFrame, PacketHeader, WireHop, scan_frame};
 
 use crate::clock;
 use crate::flow_log::FlowLog;
-use crate::metrics::{Counter, CounterSet};
+use crate::metrics::{Counter, CounterSet, Timing};
 use crate::packet_form::PacketForm;
 use crate::settings::EntrySettings;
 
@@ -171,8 +172,14 @@
             Ok(plan) => plan,
             Err(cause) => return self.drop_packet(segment, cause),
         };
-        if segment.opens && self.logs(segment) {
-            self.log_opening(view, segment, &plan);
+        if segment.opens {
+            let report = self.carried.board().report(plan.hops[0], clock::now());
+            if let Some((_, age)) = report {
+                self.counters.time(Timing::ReportAge, age);
+            }
+            if self.logs(segment) {
+                log_opening(view, segment, &plan, report);
+            }
         }
         if plan.source == PlanSource::Hint {
             self.counters.add(Counter::PacketsHinted);
@@ -193,18 +200,6 @@
             .admits(segment.key, &self.counters, clock::now())
     }
 
-    fn log_opening(&self, view: &RoutingView, segment: &SegmentFacts, plan: &CarriedPlan) {
-        let report = self.carried.board().report(plan.hops[0], clock::now());
-        log::info!(
-            target: "route",
-            flow:% = segment.key, host:% = plan.hops[0], hops = plan.hops.len(),
-            generation = view.generation.0, complete = plan.complete,
-            at_work = report.map(|(load, _)| load.at_work),
-            report_age_ms = report.map(|(_, age)| age.as_millis() as u64);
-            "open"
-        );
-    }
-
     fn send_buffer(&self, target: SocketAddrV4) {
         match self.socket.send_to(&self.buffer, target) {
             Ok(_) => self.counters.add(Counter::PacketsForwarded),
@@ -264,6 +259,22 @@
     }
 }
 
+fn log_opening(
+    view: &RoutingView,
+    segment: &SegmentFacts,
+    plan: &CarriedPlan,
+    report: Option<(HostLoad, Duration)>,
+) {
+    log::info!(
+        target: "route",
+        flow:% = segment.key, host:% = plan.hops[0], hops = plan.hops.len(),
+        generation = view.generation.0, complete = plan.complete,
+        at_work = report.map(|(load, _)| load.at_work),
+        report_age_ms = report.map(|(_, age)| age.as_millis() as u64);
+        "open"
+    );
+}
+
 fn is_carried(service: &ServiceView) -> bool {
     service.spec.kind == ServiceKind::Passthrough
 }
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -1,15 +1,18 @@
-//! Counters, kept in memory for the status page and sent as StatsD metrics.
+//! Counters and latency histograms, kept in memory, served as text and sent as
+//! StatsD metrics.
 
 use std::collections::BTreeMap;
+use std::fmt::Write;
 use std::net::{SocketAddr, UdpSocket};
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread::JoinHandle;
 use std::time::Duration;
 
 use cadence::{Counted, StatsdClient, UdpMetricSink};
 use compact_str::CompactString;
 use crossbeam_channel::Sender;
+use hdrhistogram::Histogram;
 
 /// Time between two sendings of metrics.
 const METRICS_PERIOD: Duration = Duration::from_secs(1);
@@ -115,16 +118,52 @@
     RelaysRefused = "relays.refused",
 }
 
-/// All counters of a process.
+/// What is timed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Timing {
+    /// From an opening's delivery to the backend server's answer.
+    Opening,
+    /// From the last packet of a request to the first of its answer.
+    Answer,
+    /// Age of the report by which an opening was placed.
+    ReportAge,
+}
+
+impl Timing {
+    /// Everything that is timed.
+    pub const ALL: &'static [Timing] = &[Timing::Opening, Timing::Answer, Timing::ReportAge];
+
+    /// Its name.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Opening => "opening",
+            Self::Answer => "answer",
+            Self::ReportAge => "report_age",
+        }
+    }
+}
+
+/// Longest time that a histogram tells apart: callers have given up by then.
+const LONGEST_TIMING: Duration = Duration::from_secs(60);
+
+/// Significant digits of a histogram.
+const TIMING_DIGITS: u8 = 2;
+
+/// Quantiles that are served.
+const QUANTILES: [f64; 4] = [0.5, 0.9, 0.99, 0.999];
+
+/// All counters and timings of a process.
 #[derive(Debug)]
 pub struct CounterSet {
     values: Vec<AtomicU64>,
+    timings: Vec<Mutex<Option<Histogram<u64>>>>,
 }
 
 impl Default for CounterSet {
     fn default() -> Self {
         Self {
             values: Counter::ALL.iter().map(|_| AtomicU64::new(0)).collect(),
+            timings: Timing::ALL.iter().map(|_| Mutex::default()).collect(),
         }
     }
 }
@@ -145,6 +184,45 @@
         self.values[counter as usize].load(Ordering::Relaxed)
     }
 
+    /// Adds a time; one that is too long counts as the longest.
+    pub fn time(&self, timing: Timing, span: Duration) {
+        let millis = span.min(LONGEST_TIMING).as_millis() as u64;
+        let mut slot = lock(&self.timings[timing as usize]);
+        if slot.is_none() {
+            let longest = LONGEST_TIMING.as_millis() as u64;
+            // These bounds are constants that the library accepts.
+            *slot = Histogram::new_with_bounds(1, longest, TIMING_DIGITS).ok();
+        }
+        if let Some(histogram) = slot.as_mut() {
+            histogram.saturating_record(millis.max(1));
+        }
+    }
+
+    /// Counters and timings as text, a line each: `name value`, and
+    /// `name_ms{quantile="0.99"} value` with `name_count`.
+    pub fn text(&self) -> String {
+        let mut text = String::new();
+        for counter in Counter::ALL {
+            let name = counter.as_str().replace(['.', '-'], "_");
+            // Writing to a string can't fail.
+            let _ = writeln!(text, "chestnutlb_{name} {}", self.get(*counter));
+        }
+        for timing in Timing::ALL {
+            let name = timing.as_str();
+            if let Some(histogram) = lock(&self.timings[*timing as usize]).as_ref() {
+                for quantile in QUANTILES {
+                    let value = histogram.value_at_quantile(quantile);
+                    let _ = writeln!(
+                        text,
+                        "chestnutlb_{name}_ms{{quantile=\"{quantile}\"}} {value}"
+                    );
+                }
+                let _ = writeln!(text, "chestnutlb_{name}_count {}", histogram.len());
+            }
+        }
+        text
+    }
+
     /// All values that are not zero.
     pub fn snapshot(&self) -> BTreeMap<CompactString, u64> {
         Counter::ALL
@@ -155,6 +233,10 @@
     }
 }
 
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// Sends an item to a ring without waiting; an item that finds it full is
 /// dropped and counted. Returns whether it was taken.
 pub fn offer<T>(ring: &Sender<T>, item: T, counters: &CounterSet) -> bool {
--- a/crates/daemon/src/side_http.rs
+++ b/crates/daemon/src/side_http.rs
@@ -43,6 +43,11 @@
     }
 }
 
+#[get("/metrics")]
+fn metrics(routes: &State<SideRoutes>) -> String {
+    routes.shared.counters.text()
+}
+
 #[get("/v1/status")]
 fn status(routes: &State<SideRoutes>) -> Json<SideStatus> {
     let shared = &routes.shared;
@@ -84,5 +89,5 @@
 pub fn server(routes: SideRoutes, address: SocketAddrV4) -> Rocket<Build> {
     crate::http::server(address)
         .manage(routes)
-        .mount("/", routes![health, status, relay, cancel])
+        .mount("/", routes![health, metrics, status, relay, cancel])
 }
--- a/crates/spec/src/carried.rs
+++ b/crates/spec/src/carried.rs
@@ -7,7 +7,7 @@
 
 use std::collections::BTreeSet;
 
-use chestnutlb_core::carried::{FlowKnowledge, judge_data, judge_reset};
+use chestnutlb_core::carried_verdict::{FlowKnowledge, judge_data, judge_reset};
 use chestnutlb_core::{CarriedArrival, CarriedVerdict, SentVerdict};
 
 use crate::checker::SpecStep;
--- a/crates/standin/tests/passthrough.rs
+++ b/crates/standin/tests/passthrough.rs
@@ -252,6 +252,21 @@
     assert_eq!(receive(&world.backend), kept.data);
 }
 
+#[test]
+fn counters_and_times_are_served_as_text() {
+    let world = World::start("carried-metrics");
+    world.report("ready", 1);
+    open(&world, &handshake(4006));
+    let (status, text) = call(world.status, "GET", "/metrics", "").unwrap();
+    assert_eq!(status, 200);
+    assert!(text.contains("chestnutlb_packets_owned 2\n"), "{text}");
+    assert!(text.contains("chestnutlb_opening_count 1\n"), "{text}");
+    assert!(
+        text.contains("chestnutlb_opening_ms{quantile=\"0.99\"}"),
+        "{text}"
+    );
+}
+
 #[test]
 fn a_reload_signal_does_not_end_the_process() {
     let mut world = World::start("carried-reload");
