--- a/crates/daemon/src/entry_store.rs
+++ b/crates/daemon/src/entry_store.rs
@@ -25,9 +25,10 @@
 /// Pause after a call of the platform failed.
 const FAILURE_PAUSE: Duration = Duration::from_millis(500);
 
-/// Pause after a failed call while nothing is known yet: every request waits
-/// for the first answer.
-const START_PAUSE: Duration = Duration::from_millis(150);
+/// Pause after the first failed call of a watch: a single one is mostly a
+/// connection that was cut, and changes may have been missed. While nothing is
+/// known yet, every request waits for the first answer.
+const FIRST_PAUSE: Duration = Duration::from_millis(150);
 
 /// Time after the first news of the project's own objects before they are
 /// watched: when all start at once, each writes to them, and who is to watch is
@@ -106,7 +107,8 @@
     counters: &CounterSet,
 ) {
     let mut after: Option<ObjectVersion> = None;
-    let mut pause = START_PAUSE;
+    let mut pause = FIRST_PAUSE;
+    let mut known = false;
     let wait = client.watch_wait(feed);
     loop {
         if !on.load(Ordering::Relaxed) {
@@ -117,7 +119,8 @@
         counters.add(Counter::PlatformCalls);
         match client.news(feed, after, wait) {
             Ok(news) => {
-                pause = FAILURE_PAUSE;
+                pause = FIRST_PAUSE;
+                known = true;
                 let (revision, stale) = hand_on(news, after, events, counters);
                 if after.is_none() && feed != OPERATORS_FEED {
                     std::thread::sleep(SETTLE_PAUSE);
@@ -132,6 +135,9 @@
                 log::warn!(target: "platform", feed = feed.0, cause:% = error; "watch failed");
                 after = None;
                 std::thread::sleep(pause);
+                if known {
+                    pause = FAILURE_PAUSE;
+                }
             }
         }
     }
