Pulls from peers on fresh connections; a failed pull is retried at once

Each pull went out on a pooled connection that the peer had closed meanwhile, failed with a reset, and the document stayed claimed for 3 s; the next pull met another peer's closed connection. Change: pulls use no pooled connection, a failed pull frees its documents, so the next heartbeat (500 ms) asks again; a pull may take 1 s, not 2.

--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -350,6 +350,15 @@
                     }
                 }
             }
+            ControlEvent::PullFailed(wanted) => {
+                // The next heartbeat may ask another peer at once.
+                if wanted.is_empty() {
+                    self.jobs.remove(&ControlJob::Repair);
+                }
+                for id in &wanted {
+                    self.end_job(id);
+                }
+            }
             ControlEvent::Loaded { id, version, items } => {
                 self.end_job(&id);
                 if let Some(changes) = self.documents.get_mut(&id).replace(version, items) {
--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -76,6 +76,9 @@
     Heard(HeartbeatNews),
     /// A peer answered a pull.
     Pulled(Vec<DocumentPatch>),
+    /// A peer did not answer a pull for these documents, for all if the list is
+    /// empty.
+    PullFailed(Vec<DocumentId>),
     /// The platform answered a read.
     Loaded {
         /// The document.
--- a/crates/core/tests/spreading.rs
+++ b/crates/core/tests/spreading.rs
@@ -121,6 +121,23 @@
     assert_eq!((pulls(first), pulls(again), pulls(later)), (1, 0, 1));
 }
 
+#[test]
+fn a_pull_that_failed_is_tried_again_with_the_next_heartbeat() {
+    let mut control = control();
+    let news = heartbeat(&control, vec![(roster_id(), ObjectVersion(4))]);
+    let pulls = |actions: Vec<ControlAction>| {
+        let is_pull = |action: &ControlAction| matches!(action, ControlAction::Pull(..));
+        actions.iter().any(is_pull)
+    };
+    assert!(pulls(
+        control.handle(ControlEvent::Heard(news.clone()), TimePoint(0))
+    ));
+    control.handle(ControlEvent::PullFailed(vec![roster_id()]), TimePoint(100));
+    assert!(pulls(
+        control.handle(ControlEvent::Heard(news), TimePoint(500))
+    ));
+}
+
 #[test]
 fn knowledge_is_fresh_only_by_the_platform_or_an_equal_peer() {
     let mut control = control();
--- a/crates/daemon/src/entry_store.rs
+++ b/crates/daemon/src/entry_store.rs
@@ -42,7 +42,7 @@
 const IDLE_PAUSE: Duration = Duration::from_millis(100);
 
 /// Time for a peer to answer a pull.
-const PULL_TIMEOUT: Duration = Duration::from_secs(2);
+const PULL_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// The thread that reads and writes documents.
 pub fn run_store(
@@ -212,7 +212,11 @@
     events: &Sender<ControlEvent>,
     shared: &Arc<EntryShared>,
 ) {
-    let agent = ureq::AgentBuilder::new().timeout(PULL_TIMEOUT).build();
+    // Pulls are rare, and an idle connection may have been closed or cut.
+    let agent = ureq::AgentBuilder::new()
+        .timeout(PULL_TIMEOUT)
+        .max_idle_connections(0)
+        .build();
     for job in jobs {
         shared.counters.add(Counter::Pulls);
         match pull(&agent, &job, shared) {
@@ -221,6 +225,8 @@
             }
             Err(cause) => {
                 log::warn!(target: "peer", peer:% = job.peer, cause = cause.as_str(); "pull failed");
+                let wanted = job.wanted.into_iter().map(|(id, _)| id).collect();
+                offer(events, ControlEvent::PullFailed(wanted), &shared.counters);
             }
         }
     }
