A test that shows how a manifest is held up by other documents

Change: core/tests/spreading.rs plays two entry VMs while eight other documents keep changing; the manifest never arrives in 5 s.

--- a/crates/core/tests/spreading.rs
+++ b/crates/core/tests/spreading.rs
@@ -298,3 +298,57 @@
     control.handle(grants(4, 1), TimePoint(0));
     assert_eq!(describe(&control).len(), 1);
 }
+
+// What a peer answers to a pull: what is wanted, everything if nothing is named.
+fn answer_pull(ahead: &EntryControl, wanted: &[(DocumentId, ObjectVersion)]) -> ControlEvent {
+    let documents = ahead.documents();
+    let patches = documents.iter().filter_map(|(id, document)| {
+        let named = wanted.iter().find(|(known, _)| known == id);
+        match named {
+            Some((_, since)) => document.patch(id, *since),
+            None if wanted.is_empty() => document.patch(id, ObjectVersion(0)),
+            None => None,
+        }
+    });
+    ControlEvent::Pulled(patches.collect())
+}
+
+#[test]
+fn a_manifest_arrives_though_all_other_documents_keep_changing() {
+    const OTHERS: usize = 8;
+    // A configuration has to be in force within this time.
+    const IN_FORCE_MS: u64 = 5_000;
+    let manifest = DocumentId::new(DocumentKind::Manifest, "dalbit");
+    let mut ahead = control();
+    let mut late = EntryControl::new(entry(2, "honam-1"), Vec::new(), 2, TimePoint(0));
+    let load = |id: DocumentId, version: u64| ControlEvent::Loaded {
+        id,
+        version: ObjectVersion(version),
+        items: Vec::new(),
+    };
+    ahead.handle(load(manifest.clone(), 1), TimePoint(0));
+    let mut version = 1;
+    for at in (500..=IN_FORCE_MS).step_by(500) {
+        let now = TimePoint(at);
+        for number in 0..OTHERS {
+            version += 1;
+            let name = format!("honam-{number}");
+            let id = DocumentId::new(DocumentKind::Roster, &name);
+            ahead.handle(load(id, version), now);
+        }
+        // An entry VM that knows nobody answers a heartbeat with its own.
+        let stranger = heartbeat(&late, Vec::new());
+        let answers = ahead.handle(ControlEvent::Heard(stranger), now);
+        for action in answers {
+            let ControlAction::Heartbeat(_, news) = action else {
+                continue;
+            };
+            for action in late.handle(ControlEvent::Heard(news), now) {
+                if let ControlAction::Pull(_, wanted) = action {
+                    late.handle(answer_pull(&ahead, &wanted), now);
+                }
+            }
+        }
+    }
+    assert_eq!(late.documents().version(&manifest), ObjectVersion(1));
+}
