A lasting difference is repaired by a pull of all that differs

Cause: heartbeats name the 8 documents that changed last, and a node that finds something newer there pulls just that. With nine or more documents, as four data centres make, a manifest that is crowded out was never pulled while the others kept changing. Ruled out: naming more documents (moves the limit, costs bytes at every heartbeat); manifests first (200 firms at the target crowd each other out too). Change: 1.5 s after it last equalled a peer, a node pulls everything that differs, at most once in that time. Before: a_manifest_arrives_though_all_other_documents_keep_changing fails.

--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -44,6 +44,10 @@
 /// Time between looks at what is missing.
 pub const REPAIR_PERIOD: Duration = Duration::from_millis(1000);
 
+/// A difference from every peer that lasts for this time is repaired by a pull of
+/// all that differs: what heartbeats name may be crowded out by later changes.
+pub const REPAIR_AFTER: Duration = Duration::from_millis(1500);
+
 /// Time after which an unanswered pull or write may be tried again.
 pub const JOB_TIMEOUT: Duration = Duration::from_secs(3);
 
@@ -94,6 +98,8 @@
     rings: BTreeMap<DatacenterName, MemberRing>,
     adopt_due: bool,
     confirmed: Option<TimePoint>,
+    // When this entry VM last knew all that a peer knew, or asked for it.
+    level: TimePoint,
     watching: bool,
     stopping: bool,
     random: StdRng,
@@ -127,6 +133,7 @@
             rings: BTreeMap::new(),
             adopt_due: false,
             confirmed: None,
+            level: now,
             watching: false,
             stopping: false,
             random: StdRng::seed_from_u64(seed),
@@ -494,10 +501,26 @@
         self.watch.hear(news.entry.name.clone(), now);
         self.silent_entries.remove(&news.entry.name);
         if news.summary == self.documents.summary() {
+            self.level = now;
             let confirmed = TimePoint(now.0.saturating_sub(news.age.as_millis() as u64));
             self.confirmed = self.confirmed.max(Some(confirmed));
             return;
         }
+        self.pull_newer(&news, now, actions);
+        if self.all.find(&news.entry.name).is_none() {
+            // It may be new and know nobody else.
+            actions.push(ControlAction::Heartbeat(news.entry.peers, self.news(now)));
+        }
+    }
+
+    // Pulls what the heartbeat names, or everything that differs if it names
+    // nothing new or the difference has lasted.
+    fn pull_newer(
+        &mut self,
+        news: &HeartbeatNews,
+        now: TimePoint,
+        actions: &mut Vec<ControlAction>,
+    ) {
         let newer: Vec<_> = news
             .recent
             .iter()
@@ -505,23 +528,20 @@
             .filter(|(_, version, own)| version > own)
             .map(|(id, _, own)| (id, own))
             .collect();
-        if newer.is_empty() {
-            // The difference is older than what the heartbeat names.
+        let lasting = now.since(self.level) >= REPAIR_AFTER;
+        if newer.is_empty() || lasting {
             if self.claim_job(ControlJob::Repair, now) {
+                self.level = now;
                 actions.push(ControlAction::Pull(news.entry.status, Vec::new()));
             }
-        } else {
-            let wanted: Vec<_> = newer
-                .into_iter()
-                .filter(|(id, _)| self.claim_document(id, now))
-                .collect();
-            if !wanted.is_empty() {
-                actions.push(ControlAction::Pull(news.entry.status, wanted));
-            }
+            return;
         }
-        if self.all.find(&news.entry.name).is_none() {
-            // It may be new and know nobody else.
-            actions.push(ControlAction::Heartbeat(news.entry.peers, self.news(now)));
+        let wanted: Vec<_> = newer
+            .into_iter()
+            .filter(|(id, _)| self.claim_document(id, now))
+            .collect();
+        if !wanted.is_empty() {
+            actions.push(ControlAction::Pull(news.entry.status, wanted));
         }
     }
 
