A fault soak of the real programs, drawn from a seed

Change: chestnutlb-standin soak. A plan of overlapping series is drawn from the seed: SIGKILL, SIGTERM, SIGSTOP and SIGHUP to entry VMs and side processes, a loopback proxy before the platform and the backend servers (delay, reset, one way, silent), the platform down, slow, stale or losing answers, lossy and repeating fabric, commits. Callers use open flows throughout. What they got is compared with what backend servers did and with the logs: no order twice, 'not run' true, flows break only with the host that owns them, no version falls within one life, and after 12 s all is served again. Ruled out: shifting clocks from outside (needs privileges; the core's tests play that); cuts between peers by proxy (their addresses are the ones they announce). The logs of a backend server's reports now name count and start.

--- a/crates/daemon/src/carried_side.rs
+++ b/crates/daemon/src/carried_side.rs
@@ -69,14 +69,19 @@
         if news == BackendNews::NewLife {
             self.lives.fetch_add(1, Ordering::Relaxed);
         }
-        if news != BackendNews::Same {
-            log::info!(
-                target: "host",
-                backend = name, cause = cause, news:? = news,
-                takes = self.life().takes_flows();
-                "reported"
-            );
+        if news == BackendNews::Same {
+            return;
         }
+        let life = self.life();
+        let newest = life.current();
+        log::info!(
+            target: "host",
+            backend = name, cause = cause, news:? = news, takes = life.takes_flows(),
+            sequence = newest.map(|report| report.sequence),
+            born_ms = newest.map(|report| report.born_ms),
+            known_from_start = life.is_known_from_start();
+            "reported"
+        );
     }
 
     /// State of the host for the roster.
--- a/crates/standin/src/caller.rs
+++ b/crates/standin/src/caller.rs
@@ -62,6 +62,8 @@
         lines: u64,
         /// The server that it came from.
         server: String,
+        /// Time since the last line.
+        silent: Duration,
     },
     /// The flow was refused before anything was sent.
     Refused,
@@ -76,6 +78,8 @@
 pub struct CallerResult {
     /// Number of the task.
     pub id: usize,
+    /// The flow.
+    pub flow: FlowKey,
     /// How it ended.
     pub end: CallerEnd,
     /// Time from its start to its end.
@@ -93,6 +97,7 @@
     sent: usize,
     received: Vec<u8>,
     lines: u64,
+    last_line: Instant,
     server: String,
     ending: bool,
     done: Option<Instant>,
@@ -238,6 +243,7 @@
             sent: 0,
             received: Vec::new(),
             lines: 0,
+            last_line: Instant::now(),
             server: String::new(),
             ending: false,
             done: None,
@@ -293,6 +299,10 @@
         if let Some(end) = end {
             self.results.push(CallerResult {
                 id: flow.task.id,
+                flow: FlowKey {
+                    caller: SocketAddrV4::new(self.address, port),
+                    service: flow.task.service,
+                },
                 end,
                 took: flow.begun.elapsed(),
                 at: self.elapsed(),
@@ -387,11 +397,13 @@
             }
             self.server = server.to_owned();
             self.lines += 1;
+            self.last_line = Instant::now();
         }
         if self.ending {
             return Some(CallerEnd::FeedHeld {
                 lines: self.lines,
                 server: self.server.clone(),
+                silent: self.last_line.elapsed(),
             });
         }
         self.scan_end(ended)
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -2,7 +2,7 @@
 //! Used by the tryout, the load tool and the tests.
 
 use std::collections::BTreeMap;
-use std::fs::File;
+use std::fs::{File, OpenOptions};
 use std::net::{Ipv4Addr, SocketAddrV4, TcpListener, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Output, Stdio};
@@ -20,6 +20,7 @@
 
 use crate::fabric::{FabricEntry, FabricFaults, FabricPlan};
 use crate::platform::PlatformSwitch;
+use crate::proxy::{LinkFault, LinkProxy};
 use crate::small_http;
 
 /// Longest wait for a condition; far above what any needs.
@@ -120,6 +121,10 @@
     backends: BTreeMap<String, BackendPorts>,
     sides: BTreeMap<String, SidePorts>,
     faults: FabricFaults,
+    links: BTreeMap<String, LinkProxy>,
+    /// Whether processes that are started from now on reach the platform and
+    /// their backend servers through proxies.
+    pub linked: bool,
     /// Where entry VMs that are started from now on send their metrics.
     pub metrics: Option<SocketAddrV4>,
     /// The platform's address.
@@ -182,6 +187,8 @@
             backends: BTreeMap::new(),
             sides: BTreeMap::new(),
             faults: FabricFaults::default(),
+            links: BTreeMap::new(),
+            linked: false,
             metrics: None,
             platform: free_address()?,
             fabric: free_address()?,
@@ -206,8 +213,22 @@
     }
 
     fn spawn(&mut self, name: &str, program: &str, arguments: &[&str]) -> FleetResult<()> {
+        let log = File::create(self.log_path(name))?;
+        self.spawn_logged(name, program, arguments, log)
+    }
+
+    fn log_path(&self, name: &str) -> PathBuf {
+        self.logs.join(format!("{name}.log"))
+    }
+
+    fn spawn_logged(
+        &mut self,
+        name: &str,
+        program: &str,
+        arguments: &[&str],
+        log: File,
+    ) -> FleetResult<()> {
         let _guard = PORT_LOCK.lock().unwrap_or_else(PoisonError::into_inner);
-        let log = File::create(self.logs.join(format!("{name}.log")))?;
         let child = Command::new(self.binaries.join(program))
             .args(arguments)
             .stdin(Stdio::null())
@@ -309,10 +330,46 @@
     }
 
     fn spawn_daemon(&mut self, name: &str, settings: &serde_json::Value) -> FleetResult<()> {
-        let path = self.logs.join(format!("{name}.json"));
+        let path = self.settings_path(name);
         std::fs::write(&path, settings.to_string())?;
-        let path = path.to_string_lossy().into_owned();
-        self.spawn(name, "chestnutlbd", &["--settings", &path])
+        self.spawn(
+            name,
+            "chestnutlbd",
+            &["--settings", &path.to_string_lossy()],
+        )
+    }
+
+    fn settings_path(&self, name: &str) -> PathBuf {
+        self.logs.join(format!("{name}.json"))
+    }
+
+    /// Starts a daemon again with its settings, at the same addresses; it goes on
+    /// in the same log.
+    pub fn respawn(&mut self, name: &str) -> FleetResult<()> {
+        let path = self.settings_path(name);
+        let log = OpenOptions::new().append(true).open(self.log_path(name))?;
+        let arguments = ["--settings", &path.to_string_lossy()];
+        self.spawn_logged(name, "chestnutlbd", &arguments, log)
+    }
+
+    // The address through which `name` reaches `target`.
+    fn link_to(&mut self, name: &str, target: SocketAddrV4) -> FleetResult<SocketAddrV4> {
+        if !self.linked {
+            return Ok(target);
+        }
+        let proxy = LinkProxy::start(free_address()?, target)?;
+        let address = proxy.address;
+        self.links.insert(name.to_owned(), proxy);
+        Ok(address)
+    }
+
+    /// Harms the link of an entry VM to the platform, or of a side process to its
+    /// backend server.
+    pub fn set_link(&self, name: &str, fault: LinkFault) -> FleetResult<()> {
+        let link = self.links.get(name);
+        let link = link.ok_or(FleetError::Wrong(format!("no link of {name}")))?;
+        link.set(fault);
+        Ok(())
     }
 
     /// Starts an entry VM and lets the fabric know.
@@ -323,6 +380,7 @@
             status: free_address()?,
         };
         let seeds: Vec<_> = self.entries.values().map(|entry| entry.peers).collect();
+        let platform = self.link_to(name, self.platform)?;
         let settings = json!({
             "role": "entry",
             "name": name,
@@ -331,7 +389,7 @@
             "peers": ports.peers,
             "status": ports.status,
             "fabric": self.fabric,
-            "platform": format!("http://{}", self.platform),
+            "platform": format!("http://{platform}"),
             "seeds": seeds,
             "metrics": self.metrics,
         });
@@ -385,6 +443,7 @@
             status: free_address()?,
         };
         let seeds: Vec<_> = self.entries.values().map(|entry| entry.peers).collect();
+        let backend = self.link_to(&plan.name, ports.work)?;
         let settings = json!({
             "role": "side",
             "name": plan.name,
@@ -395,7 +454,7 @@
             "status": side.status,
             "fabric": self.fabric,
             "seeds": seeds,
-            "backend": ports.work,
+            "backend": backend,
             "health": ports.health,
             "weight": plan.weight,
         });
@@ -426,6 +485,11 @@
         serde_json::from_str(&body).ok()
     }
 
+    /// Names of the entry VMs.
+    pub fn entries(&self) -> Vec<String> {
+        self.entries.keys().cloned().collect()
+    }
+
     /// Names of the hosts.
     pub fn hosts(&self) -> Vec<String> {
         self.backends.keys().cloned().collect()
@@ -486,7 +550,8 @@
             .collect()
     }
 
-    fn platform_versions(&self) -> Vec<(DocumentId, u64)> {
+    /// The version of each document on the platform.
+    pub fn platform_versions(&self) -> Vec<(DocumentId, u64)> {
         let stamps = self.client().list().unwrap_or_default();
         stamps
             .objects
@@ -535,6 +600,11 @@
         }
     }
 
+    /// Whether a process was started and has not been seen to end.
+    pub fn is_running(&self, name: &str) -> bool {
+        self.processes.contains_key(name)
+    }
+
     /// Whether a process has ended.
     pub fn has_ended(&mut self, name: &str) -> bool {
         match self.processes.get_mut(name) {
@@ -543,6 +613,19 @@
         }
     }
 
+    /// The exit code of a process that has ended since it was last asked; the
+    /// inner one is none if a signal ended it.
+    pub fn take_end(&mut self, name: &str) -> FleetResult<Option<Option<i32>>> {
+        let Some(child) = self.processes.get_mut(name) else {
+            return Ok(None);
+        };
+        let status = child.try_wait()?;
+        if status.is_some() {
+            self.processes.remove(name);
+        }
+        Ok(status.map(|status| status.code()))
+    }
+
     /// Ends a process at once.
     pub fn kill(&mut self, name: &str) -> FleetResult<()> {
         if let Some(mut child) = self.processes.remove(name) {
@@ -573,7 +656,7 @@
 
     /// What a process printed.
     pub fn log(&self, name: &str) -> String {
-        std::fs::read_to_string(self.logs.join(format!("{name}.log"))).unwrap_or_default()
+        std::fs::read_to_string(self.log_path(name)).unwrap_or_default()
     }
 }
 
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -9,9 +9,11 @@
 
 use chestnutlb_standin::backend::BackendPlan;
 use chestnutlb_standin::crest::SwingPlan;
+use chestnutlb_standin::soak::SoakOrder;
+use chestnutlb_standin::soak_plan::SoakShape;
 use chestnutlb_standin::tryout::{TryoutPlan, program_folder};
 use chestnutlb_standin::{
-    backend, capacity, capacity_tables, crest, fabric, platform, spread, tryout, waiting,
+    backend, capacity, capacity_tables, crest, fabric, platform, soak, spread, tryout, waiting,
 };
 
 /// Stand-ins of the systems around chestnutlb.
@@ -34,6 +36,7 @@
     Spread(SpreadOptions),
     Waiting(WaitingOptions),
     Crest(CrestOptions),
+    Soak(SoakOptions),
 }
 
 /// the platform's object API
@@ -185,6 +188,37 @@
     manifest: PathBuf,
 }
 
+/// real processes under faults that are drawn from a seed
+#[derive(Debug)]
+#[derive(FromArgs)]
+#[argh(subcommand, name = "soak")]
+struct SoakOptions {
+    /// first seed; drawn if left out
+    #[argh(option)]
+    seed: Option<u64>,
+    /// seeds, one after the other
+    #[argh(option, default = "1")]
+    count: u64,
+    /// seconds with faults
+    #[argh(option, default = "15")]
+    seconds: u64,
+    /// entry VMs
+    #[argh(option, default = "4")]
+    entries: usize,
+    /// hosts of each of two services
+    #[argh(option, default = "3")]
+    hosts: usize,
+    /// folder for logs
+    #[argh(option, default = "PathBuf::from(\"target/soak\")")]
+    logs: PathBuf,
+    /// folder of the example manifests
+    #[argh(option, default = "PathBuf::from(\"examples\")")]
+    manifests: PathBuf,
+    /// print JSON lines
+    #[argh(switch)]
+    json: bool,
+}
+
 fn main() -> ExitCode {
     let options: StandinOptions = argh::from_env();
     let outcome = match options.command {
@@ -203,6 +237,7 @@
         StandinCommand::Spread(options) => run_spread(&options),
         StandinCommand::Waiting(options) => run_waiting(&options),
         StandinCommand::Crest(options) => run_crest(&options),
+        StandinCommand::Soak(options) => run_soak(&options),
     };
     match outcome {
         Ok(()) => ExitCode::SUCCESS,
@@ -302,3 +337,36 @@
         Err("something did not hold".to_owned())
     }
 }
+
+// Each seed has a folder for its logs, so that a failure can be traced.
+fn run_soak(options: &SoakOptions) -> Result<(), String> {
+    let first = options.seed.unwrap_or_else(|| rand::random::<u32>().into());
+    let mut failed = Vec::new();
+    for seed in first..first + options.count {
+        let order = SoakOrder {
+            binaries: program_folder().map_err(|error| error.to_string())?,
+            logs: options.logs.join(format!("seed-{seed}")),
+            manifests: options.manifests.clone(),
+            seed,
+            shape: SoakShape {
+                entries: options.entries,
+                hosts: options.hosts,
+                harm: Duration::from_secs(options.seconds),
+            },
+        };
+        let report = soak::run(&order).map_err(|error| format!("seed {seed}: {error}"))?;
+        if options.json {
+            print_line(&report)?;
+        } else {
+            println!("{report}");
+        }
+        if !report.holds() {
+            failed.push(seed);
+        }
+    }
+    if failed.is_empty() {
+        Ok(())
+    } else {
+        Err(format!("something did not hold with seeds {failed:?}"))
+    }
+}
