--- a/crates/core/src/backend.rs
+++ b/crates/core/src/backend.rs
@@ -4,6 +4,8 @@
 //! address. The start of the backend server tells its lives apart, a count
 //! orders the reports of one life; an older report changes nothing.
 
+use std::time::Duration;
+
 use compact_str::CompactString;
 
 use crate::units::TimePoint;
@@ -12,6 +14,11 @@
 /// started: it counts from one, and an early report may have been lost.
 const FIRST_SEQUENCE_LIMIT: u64 = 2;
 
+/// A backend server that started by at most this much before its side process was
+/// never served by an earlier one: processes start again half a second after their
+/// end at the soonest.
+pub const START_SLACK: Duration = Duration::from_millis(200);
+
 /// What a backend server wants.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum BackendState {
@@ -41,6 +48,24 @@
     pub cold_ms: u64,
 }
 
+/// When a report arrived.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ReportTiming {
+    /// When it arrived.
+    pub now: TimePoint,
+    /// How old the backend server was then by the time of day; none if it said no
+    /// start, or one that is yet to come.
+    pub age: Option<Duration>,
+    /// How long this process had been up.
+    pub uptime: Duration,
+}
+
+impl ReportTiming {
+    fn started_along(&self) -> bool {
+        self.age.is_some_and(|age| age <= self.uptime + START_SLACK)
+    }
+}
+
 /// What a report or a farewell changed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum BackendNews {
@@ -61,6 +86,8 @@
     heard: Option<TimePoint>,
     first_life_ms: Option<u64>,
     first_sequence: u64,
+    // Whether it started with this process or later, by the first report's age.
+    started_along: bool,
     gone: bool,
 }
 
@@ -95,7 +122,9 @@
     pub fn is_known_from_start(&self) -> bool {
         match (&self.current, self.first_life_ms) {
             (Some(report), Some(first)) => {
-                report.born_ms > first || self.first_sequence <= FIRST_SEQUENCE_LIMIT
+                report.born_ms > first
+                    || self.first_sequence <= FIRST_SEQUENCE_LIMIT
+                    || self.started_along
             }
             _ => false,
         }
@@ -110,7 +139,7 @@
     }
 
     /// Notes a report.
-    pub fn hear(&mut self, report: BackendReport, now: TimePoint) -> BackendNews {
+    pub fn hear(&mut self, report: BackendReport, timing: ReportTiming) -> BackendNews {
         let news = match &self.current {
             None => BackendNews::Changed,
             Some(known) if is_outdated(known, &report) => return BackendNews::Outdated,
@@ -122,8 +151,9 @@
         if self.first_life_ms.is_none() {
             self.first_life_ms = Some(report.born_ms);
             self.first_sequence = report.sequence;
+            self.started_along = timing.started_along();
         }
-        self.heard = Some(now);
+        self.heard = Some(timing.now);
         self.current = Some(report);
         news
     }
--- a/crates/core/src/carried.rs
+++ b/crates/core/src/carried.rs
@@ -19,9 +19,11 @@
 use crate::answers::AnswerWatch;
 use crate::carried_verdict::{
     CarriedArrival, CarriedVerdict, FlowKnowledge, SentVerdict, judge_data, judge_reset,
+    judge_search,
 };
 use crate::flow::{FlowKey, SegmentFacts};
 use crate::load::HostLoad;
+use crate::search::FlowWord;
 use crate::units::TimePoint;
 
 /// A backend server that has not answered an opening for this time gets no
@@ -69,6 +71,24 @@
     Closed,
 }
 
+/// What is known of a flow that the backend server was asked for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum StrangerWord {
+    /// It has not answered.
+    Asked,
+    /// It does not hold the flow.
+    Returned,
+}
+
+impl From<StrangerWord> for FlowKnowledge {
+    fn from(word: StrangerWord) -> Self {
+        match word {
+            StrangerWord::Asked => Self::Asked,
+            StrangerWord::Returned => Self::Stranger,
+        }
+    }
+}
+
 #[derive(Debug, Clone, Copy)]
 struct CarriedFlow {
     phase: CarriedPhase,
@@ -115,7 +135,7 @@
 #[derive(Debug)]
 pub struct CarriedFlows {
     flows: HashMap<FlowKey, CarriedFlow>,
-    strangers: LruCache<FlowKey, TimePoint>,
+    strangers: LruCache<FlowKey, StrangerWord>,
     started: TimePoint,
     flow_age: Duration,
     at_work: u16,
@@ -201,7 +221,7 @@
             }
             // Until the answer is there, other packets of it walk on.
             (CarriedVerdict::Ask, _) => {
-                self.strangers.put(segment.key, now);
+                self.strangers.put(segment.key, StrangerWord::Asked);
             }
             _ => {}
         }
@@ -224,14 +244,33 @@
                 }
             }
             Some(CarriedPhase::Open | CarriedPhase::Closed) => FlowKnowledge::Owned,
-            None if segment.resets || self.strangers.contains(&segment.key) => {
-                FlowKnowledge::Stranger
-            }
+            None if segment.resets => FlowKnowledge::Stranger,
+            None => self.knowledge_of_unknown(segment.key, backend, now),
+        }
+    }
+
+    fn knowledge_of_unknown(
+        &self,
+        key: FlowKey,
+        backend: &BackendFacts,
+        now: TimePoint,
+    ) -> FlowKnowledge {
+        match self.strangers.peek(&key) {
+            Some(word) => (*word).into(),
             None if self.may_be_unseen(backend, now) => FlowKnowledge::Unseen,
             None => FlowKnowledge::Stranger,
         }
     }
 
+    /// What an entry VM that searches a flow is told.
+    pub fn word(&self, key: FlowKey, backend: &BackendFacts, now: TimePoint) -> FlowWord {
+        judge_search(match self.flows.get(&key).map(|flow| flow.phase) {
+            Some(CarriedPhase::Open | CarriedPhase::Closed) => FlowKnowledge::Owned,
+            Some(CarriedPhase::Opening | CarriedPhase::Offered(_)) => FlowKnowledge::Unanswered,
+            None => self.knowledge_of_unknown(key, backend, now),
+        })
+    }
+
     // Whether the backend server may have flows that began before this process.
     fn may_be_unseen(&self, backend: &BackendFacts, now: TimePoint) -> bool {
         !backend.watched_from_start && now.since(self.started) < self.flow_age
@@ -377,7 +416,7 @@
             SentVerdict::Forward => self.forget_as_closed(key, now),
             SentVerdict::Withhold => {
                 self.forget(&key);
-                self.strangers.put(key, now);
+                self.strangers.put(key, StrangerWord::Returned);
             }
         }
         verdict
@@ -385,14 +424,14 @@
 
     /// Notes that the backend server returned a packet: it does not hold the
     /// flow, or can't open it. Returns whether the flow was open here before.
-    pub fn note_returned(&mut self, segment: &SegmentFacts, now: TimePoint) -> bool {
+    pub fn note_returned(&mut self, segment: &SegmentFacts) -> bool {
         let was_open = self
             .flows
             .get(&segment.key)
             .is_some_and(|flow| flow.phase == CarriedPhase::Open);
         self.forget(&segment.key);
         if !segment.opens {
-            self.strangers.put(segment.key, now);
+            self.strangers.put(segment.key, StrangerWord::Returned);
         }
         was_open
     }
--- a/crates/core/src/carried_routes.rs
+++ b/crates/core/src/carried_routes.rs
@@ -16,8 +16,9 @@
 
 use crate::entry::{PLAN_HOPS, PlanSource, RouteDrop};
 use crate::flow::{FlowKey, SegmentFacts};
-use crate::ids::{DatacenterName, ServiceTag};
-use crate::load::{HostLoad, LoadBoard, RankedPlace};
+use crate::ids::{DatacenterName, FirmName, ServiceTag};
+use crate::load::{HostLoad, LoadBoard, MUTE_AFTER, RankedPlace};
+use crate::search::{FlowQuestion, FlowSearches, FlowWord, OpenSearch, SearchEnd};
 use crate::units::TimePoint;
 use crate::view::{RoutingView, ServiceView, ViewHost};
 use crate::{FlowHash, HostState};
@@ -45,6 +46,69 @@
 /// refusal would look as if the address were still unknown.
 const SETTLING_TIME: Duration = Duration::from_secs(15);
 
+/// The hosts of a firm must have been the same for this time before a flow that
+/// none of them owns is reset: a host that has just joined may be unknown here. It
+/// announces itself every 500 ms and is in the roster within a second.
+const STABLE_HOSTS_TIME: Duration = Duration::from_millis(1500);
+
+/// A walk counts as in vain if the next one of its flow begins between these times
+/// after it: callers send again after 200 ms and then ever later.
+const VAIN_WALK: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(10));
+
+/// Least time between two searches of the same flow.
+const SEARCH_PAUSE: Duration = Duration::from_secs(1);
+
+/// Flows whose last walk is remembered.
+const WALK_MEMORY: NonZeroUsize = NonZeroUsize::new(8192).unwrap();
+
+/// A host that has said nothing for this time since an opening gets no copy of it
+/// first: callers send the first copy after 200 ms.
+const COPY_PATIENCE: Duration = Duration::from_millis(150);
+
+#[derive(Debug, Clone, Copy)]
+struct FlowWalk {
+    began: TimePoint,
+    searched: Option<TimePoint>,
+}
+
+#[derive(Debug, Clone)]
+struct KnownHosts {
+    // Sorted.
+    hosts: Vec<SocketAddrV4>,
+    since: TimePoint,
+}
+
+/// What became of a flow that was searched.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SearchVerdict {
+    /// A host owns it and is remembered.
+    Found(SocketAddrV4),
+    /// No host owns it, and what is known of the hosts is fresh: its caller may be
+    /// told. The facts are those of its latest packet.
+    Dead(SegmentFacts),
+    /// No host that is known owns it, but another one may.
+    Doubtful,
+}
+
+impl SearchVerdict {
+    /// Name in logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Found(_) => "found",
+            Self::Dead(_) => "dead",
+            Self::Doubtful => "doubtful",
+        }
+    }
+
+    /// The host that owns the flow.
+    pub fn owner(self) -> Option<SocketAddrV4> {
+        match self {
+            Self::Found(owner) => Some(owner),
+            Self::Dead(_) | Self::Doubtful => None,
+        }
+    }
+}
+
 #[derive(Debug, Clone, Copy)]
 struct CarriedMemory {
     tag: ServiceTag,
@@ -59,6 +123,9 @@
     board: LoadBoard,
     flows: LruCache<FlowKey, CarriedMemory>,
     known_since: HashMap<SocketAddrV4, TimePoint>,
+    known_hosts: HashMap<FirmName, KnownHosts>,
+    walks: LruCache<FlowKey, FlowWalk>,
+    searches: FlowSearches,
 }
 
 impl CarriedRouter {
@@ -70,6 +137,9 @@
             board: LoadBoard::default(),
             flows: LruCache::new(flow_limit),
             known_since: HashMap::new(),
+            known_hosts: HashMap::new(),
+            walks: LruCache::new(WALK_MEMORY),
+            searches: FlowSearches::default(),
         }
     }
 
@@ -80,9 +150,26 @@
         for address in view.services().flat_map(|service| service.spec.addresses()) {
             self.known_since.entry(address).or_insert(now);
         }
+        self.note_hosts(view, now);
         self.board.expire(now);
     }
 
+    fn note_hosts(&mut self, view: &RoutingView, now: TimePoint) {
+        let mut old = std::mem::take(&mut self.known_hosts);
+        for (firm, hosts) in firm_hosts(view) {
+            let known = old.remove(&firm);
+            let known = known.filter(|known| known.hosts == hosts);
+            let since = known.map_or(now, |known| known.since);
+            self.known_hosts.insert(firm, KnownHosts { hosts, since });
+        }
+    }
+
+    fn has_stable_hosts(&self, firm: &FirmName, now: TimePoint) -> bool {
+        self.known_hosts
+            .get(firm)
+            .is_some_and(|known| now.since(known.since) >= STABLE_HOSTS_TIME)
+    }
+
     fn is_settled(&self, address: SocketAddrV4, now: TimePoint) -> bool {
         self.known_since
             .get(&address)
@@ -109,9 +196,63 @@
                 openings,
             };
             self.flows.put(key, memory);
+            self.walks.pop(&key);
         }
     }
 
+    /// Notes that a host sent something.
+    pub fn note_alive(&mut self, host: SocketAddrV4) {
+        self.searches.note_alive(host);
+        self.board.note_alive(host);
+    }
+
+    /// Questions to hosts about flows that are searched.
+    pub fn take_questions(&mut self) -> Vec<FlowQuestion> {
+        self.searches.take_questions()
+    }
+
+    /// Searches that ended since the last call without an answer of every host.
+    pub fn take_open_searches(&mut self, now: TimePoint) -> Vec<OpenSearch> {
+        self.searches.take_open(now)
+    }
+
+    /// Whether a search is under way.
+    pub fn is_searching(&self) -> bool {
+        !self.searches.is_empty()
+    }
+
+    /// Notes what a host said of a flow that is searched. `fresh` tells whether what
+    /// is known of the hosts was confirmed lately.
+    pub fn hear_word(
+        &mut self,
+        view: &RoutingView,
+        key: FlowKey,
+        host: SocketAddrV4,
+        word: FlowWord,
+        fresh: bool,
+        now: TimePoint,
+    ) -> Option<SearchVerdict> {
+        let verdict = match self.searches.hear(key, host, word, now)? {
+            SearchEnd::Found(owner) => {
+                self.learn(view, key, owner);
+                SearchVerdict::Found(owner)
+            }
+            SearchEnd::NotFound(segment) => {
+                let service = view.service_at(key.service);
+                let stable =
+                    service.is_some_and(|service| self.has_stable_hosts(&service.id().firm, now));
+                if fresh && stable {
+                    self.flows.pop(&key);
+                    self.walks.pop(&key);
+                    SearchVerdict::Dead(segment)
+                } else {
+                    SearchVerdict::Doubtful
+                }
+            }
+        };
+        Some(verdict)
+    }
+
     /// Decides which hosts a caller's packet visits.
     pub fn route(
         &mut self,
@@ -133,7 +274,7 @@
                 complete: false,
                 source: PlanSource::Hint,
             }),
-            None => self.plan_walk(service, segment.key, None),
+            None => self.plan_walk(service, segment, None, now),
         }
     }
 
@@ -143,6 +284,7 @@
         view: &RoutingView,
         segment: &SegmentFacts,
         from: SocketAddrV4,
+        now: TimePoint,
     ) -> Result<CarriedPlan, RouteDrop> {
         let service = view
             .service_at(segment.key.service)
@@ -154,10 +296,11 @@
         {
             self.flows.pop(&segment.key);
         }
-        self.plan_walk(service, segment.key, Some(from))
+        self.plan_walk(service, segment, Some(from), now)
     }
 
-    // Copies of an opening go where the first one went.
+    // Copies of an opening go where the first one went, unless that host has been
+    // silent since.
     fn plan_opening(
         &mut self,
         service: &ServiceView,
@@ -173,6 +316,10 @@
         ranked.sort_by(|(cost, _), (other, _)| cost.total_cmp(other));
         let openings = known.map_or(0, |memory| memory.openings);
         let known = known.map(|memory| memory.host);
+        let silent = known.filter(|host| self.board.is_silent(*host, COPY_PATIENCE, now));
+        // The others keep their order.
+        ranked.sort_by_key(|(_, host)| Some(*host) == silent);
+        let known = known.filter(|_| silent.is_none());
         let mut hops: Vec<SocketAddrV4> = Vec::with_capacity(PLAN_HOPS);
         hops.extend(known.filter(|host| ranked.iter().any(|(_, other)| other == host)));
         for (_, host) in ranked {
@@ -209,17 +356,44 @@
         self.board.cost(&place, &self.here, now)
     }
 
+    // A flow that walks again was not found by its last walk.
+    fn note_walk(&mut self, service: &ServiceView, segment: &SegmentFacts, now: TimePoint) {
+        let (soonest, latest) = VAIN_WALK;
+        let last = self.walks.peek(&segment.key).copied();
+        let in_vain = last.is_some_and(|walk| {
+            let passed = now.since(walk.began);
+            passed >= soonest && passed < latest
+        });
+        let searched = last.and_then(|walk| walk.searched);
+        let rested = searched.is_none_or(|at| now.since(at) >= SEARCH_PAUSE);
+        let searches = in_vain && rested && !segment.resets;
+        let walk = FlowWalk {
+            began: now,
+            searched: if searches { Some(now) } else { searched },
+        };
+        self.walks.put(segment.key, walk);
+        if searches {
+            let known = self.known_hosts.get(&service.id().firm);
+            let hosts = known.map_or_else(Vec::new, |known| known.hosts.clone());
+            self.searches.begin(segment, hosts, now);
+        }
+    }
+
     fn plan_walk(
         &mut self,
         service: &ServiceView,
-        key: FlowKey,
+        segment: &SegmentFacts,
         tried: Option<SocketAddrV4>,
+        now: TimePoint,
     ) -> Result<CarriedPlan, RouteDrop> {
+        let key = segment.key;
+        self.note_walk(service, segment, now);
         let mut hops: Vec<SocketAddrV4> = Vec::with_capacity(PLAN_HOPS);
         for silent in [false, true] {
             for host in candidates(service, key.hash()) {
                 let address = host.record.packets;
-                let turn = (host.state == HostState::Suspect) == silent;
+                let mute = self.board.is_silent(address, MUTE_AFTER, now);
+                let turn = (mute || host.state == HostState::Suspect) == silent;
                 let new = Some(address) != tried && !hops.contains(&address);
                 if turn && new && hops.len() < PLAN_HOPS {
                     hops.push(address);
@@ -244,6 +418,23 @@
     }
 }
 
+// All hosts of each firm, sorted.
+fn firm_hosts(view: &RoutingView) -> HashMap<FirmName, Vec<SocketAddrV4>> {
+    let mut firms: HashMap<FirmName, Vec<SocketAddrV4>> = HashMap::new();
+    for service in view.services() {
+        let hosts = service.hosts().iter().map(|host| host.record.packets);
+        firms
+            .entry(service.id().firm.clone())
+            .or_default()
+            .extend(hosts);
+    }
+    for hosts in firms.values_mut() {
+        hosts.sort_unstable();
+        hosts.dedup();
+    }
+    firms
+}
+
 // The hosts that may own or open a flow: the candidates of its bucket, then
 // those that hold flows of it.
 fn candidates(service: &ServiceView, flow: FlowHash) -> impl Iterator<Item = &ViewHost> {
--- a/crates/core/src/carried_verdict.rs
+++ b/crates/core/src/carried_verdict.rs
@@ -1,6 +1,8 @@
 //! Verdicts on packets of carried flows, as pure functions of what a side process
 //! knows. The specification of the protocol searches them.
 
+use crate::search::FlowWord;
+
 /// How a packet came.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct CarriedArrival {
@@ -51,7 +53,9 @@
     /// The backend server answered the opening, but the caller acknowledges
     /// another host's answer.
     OfferedElsewhere,
-    /// The backend server does not hold it, or was asked already.
+    /// The backend server was asked for it and has not answered.
+    Asked,
+    /// The backend server does not hold it.
     Stranger,
     /// It may be older than this process.
     Unseen,
@@ -62,9 +66,22 @@
     match knowledge {
         FlowKnowledge::Owned => CarriedVerdict::Deliver,
         FlowKnowledge::Unseen => CarriedVerdict::Ask,
-        FlowKnowledge::Unanswered | FlowKnowledge::OfferedElsewhere | FlowKnowledge::Stranger => {
-            elsewhere(arrival)
-        }
+        FlowKnowledge::Unanswered
+        | FlowKnowledge::OfferedElsewhere
+        | FlowKnowledge::Asked
+        | FlowKnowledge::Stranger => elsewhere(arrival),
+    }
+}
+
+/// What a host says of a flow that an entry VM searches.
+pub fn judge_search(knowledge: FlowKnowledge) -> FlowWord {
+    match knowledge {
+        FlowKnowledge::Owned => FlowWord::Here,
+        FlowKnowledge::Stranger => FlowWord::Never,
+        FlowKnowledge::Unanswered
+        | FlowKnowledge::OfferedElsewhere
+        | FlowKnowledge::Asked
+        | FlowKnowledge::Unseen => FlowWord::Unsure,
     }
 }
 
--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -7,7 +7,7 @@
 //! what they lack and push in turn; heartbeats carry a hash of all versions,
 //! by which gaps are found and repaired.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::SocketAddrV4;
 use std::sync::Arc;
 use std::time::Duration;
@@ -17,9 +17,7 @@
 use rand::{Rng, SeedableRng};
 
 use crate::chart::HostState;
-use crate::document::{
-    DocumentId, DocumentItem, DocumentKind, DocumentStore, GrantIndex, ItemChange,
-};
+use crate::document::{DocumentId, DocumentItem, DocumentKind, DocumentStore, ItemChange};
 use crate::events::{ControlAction, ControlEvent, HeartbeatNews, MemberEdit, WelcomeNews};
 use crate::ids::{DatacenterName, EntryName, HostName, ObjectVersion, ServiceId};
 use crate::keeper::{HostKeeper, HostRevision, RosterEdit, SUSPECT_AFTER};
@@ -27,7 +25,8 @@
 use crate::roster::HostRecord;
 use crate::timer::{TimerPart, TimerService};
 use crate::units::TimePoint;
-use crate::view::{RoutingView, ServiceView};
+use crate::view::RoutingView;
+use crate::view_builder::ViewBuilder;
 
 /// Peers that are told of a change at once.
 pub const SPREAD_FANOUT: usize = 4;
@@ -88,12 +87,7 @@
     silent_entries: HashMap<EntryName, TimePoint>,
     recent: VecDeque<(DocumentId, ObjectVersion)>,
     jobs: HashMap<ControlJob, TimePoint>,
-    suspects: BTreeMap<HostName, ServiceId>,
-    // Hosts as they were heard here, which may be newer than the roster.
-    heard: BTreeMap<HostName, HostRecord>,
-    hosts: HashMap<ServiceId, Vec<Arc<HostRecord>>>,
-    grants: GrantIndex,
-    view: Arc<RoutingView>,
+    views: ViewBuilder,
     all: MemberRing,
     rings: BTreeMap<DatacenterName, MemberRing>,
     adopt_due: bool,
@@ -124,11 +118,7 @@
             silent_entries: HashMap::new(),
             recent: VecDeque::new(),
             jobs: HashMap::new(),
-            suspects: BTreeMap::new(),
-            heard: BTreeMap::new(),
-            hosts: HashMap::new(),
-            grants: GrantIndex::default(),
-            view: Arc::default(),
+            views: ViewBuilder::default(),
             all: MemberRing::default(),
             rings: BTreeMap::new(),
             adopt_due: false,
@@ -155,6 +145,11 @@
         self.watching
     }
 
+    /// When the platform last confirmed what is known here.
+    pub fn confirmed(&self) -> Option<TimePoint> {
+        self.confirmed
+    }
+
     /// Time since the platform confirmed what is known here.
     pub fn age(&self, now: TimePoint) -> Option<Duration> {
         self.confirmed.map(|at| now.since(at))
@@ -173,129 +168,21 @@
     /// The view that packets are routed by: rosters, with the suspicions of
     /// this entry VM on top.
     pub fn view(&self) -> &Arc<RoutingView> {
-        &self.view
-    }
-
-    // Builds the touched services anew.
-    fn refresh_view(&mut self, touched: &BTreeSet<ServiceId>) {
-        let suspects: BTreeSet<HostName> = self.suspects.keys().cloned().collect();
-        let mut view = RoutingView::clone(&self.view);
-        view.generation = self.documents.generation(DocumentKind::Roster);
-        for id in touched {
-            let granted = self.documents.service(id).filter(|(spec, _)| {
-                let mut addresses = spec.addresses();
-                addresses.all(|address| self.grants.owns(&id.firm, *address.ip()))
-            });
-            match granted {
-                Some((spec, version)) => {
-                    let hosts = self.known_hosts(id);
-                    view.put(ServiceView::build(spec, version, &hosts, &suspects));
-                }
-                None => view.remove(id),
-            }
-        }
-        self.view = Arc::new(view);
-    }
-
-    // The hosts of a service: those of the rosters, as they were heard here if
-    // they were, and those that no roster has yet.
-    fn known_hosts(&self, id: &ServiceId) -> Vec<Arc<HostRecord>> {
-        let listed = self.hosts.get(id).map_or(&[][..], Vec::as_slice);
-        let mut hosts: Vec<Arc<HostRecord>> = listed
-            .iter()
-            .filter(|record| !self.heard.contains_key(&record.name))
-            .cloned()
-            .collect();
-        let heard = self.heard.values().filter(|record| record.service == *id);
-        hosts.extend(heard.cloned().map(Arc::new));
-        hosts.sort_by(|host, other| host.name.cmp(&other.name));
-        hosts
+        self.views.view()
     }
 
     // Takes over what hosts said of themselves into the view.
     fn note_heard(&mut self, now: TimePoint, actions: &mut Vec<ControlAction>) {
-        let heard: BTreeMap<HostName, HostRecord> = self
+        let heard = self
             .keeper
             .heard(now)
             .map(|record| (record.name.clone(), record.clone()))
             .collect();
-        if heard == self.heard {
-            return;
-        }
-        let mut touched = BTreeSet::new();
-        for (name, record) in &heard {
-            if self.heard.get(name) != Some(record) {
-                touched.insert(record.service.clone());
-            }
-        }
-        for (name, record) in &self.heard {
-            if heard.get(name) != Some(record) {
-                touched.insert(record.service.clone());
-            }
-        }
-        self.heard = heard;
-        self.refresh_view(&touched);
-        actions.push(ControlAction::Publish);
-    }
-
-    // Notes changed hosts; returns the services that a change touches.
-    fn touched_services(&mut self, id: &DocumentId, changes: &[ItemChange]) -> BTreeSet<ServiceId> {
-        let mut touched = BTreeSet::new();
-        for change in changes {
-            for item in [&change.old, &change.new].into_iter().flatten() {
-                match item {
-                    DocumentItem::Host(record) => {
-                        touched.insert(record.service.clone());
-                    }
-                    DocumentItem::Service(spec) => {
-                        touched.insert(spec.id.clone());
-                    }
-                    DocumentItem::Grant(..) | DocumentItem::Entry(_) => {}
-                }
-            }
-            self.note_host(change);
-        }
-        match id.kind {
-            // All services of the firm carry the manifest's version.
-            DocumentKind::Manifest => touched.extend(self.service_ids(Some(id))),
-            DocumentKind::Grants => {
-                self.grants = GrantIndex::build(self.documents.items(DocumentKind::Grants));
-                touched.extend(self.service_ids(None));
-            }
-            DocumentKind::Roster | DocumentKind::Members => {}
-        }
-        touched
-    }
-
-    fn note_host(&mut self, change: &ItemChange) {
-        if let Some(DocumentItem::Host(record)) = &change.old
-            && let Some(hosts) = self.hosts.get_mut(&record.service)
-        {
-            hosts.retain(|known| known.name != record.name);
-        }
-        if let Some(DocumentItem::Host(record)) = &change.new {
-            let hosts = self.hosts.entry(record.service.clone()).or_default();
-            let place = hosts.partition_point(|known| known.name < record.name);
-            hosts.insert(place, Arc::clone(record));
+        if self.views.set_heard(heard, &self.documents) {
+            actions.push(ControlAction::Publish);
         }
     }
 
-    // The services of one manifest, or of all.
-    fn service_ids(&self, manifest: Option<&DocumentId>) -> Vec<ServiceId> {
-        self.documents
-            .iter()
-            .filter(|(id, _)| match manifest {
-                Some(manifest) => *id == manifest,
-                None => id.kind == DocumentKind::Manifest,
-            })
-            .flat_map(|(_, document)| document.items())
-            .filter_map(|item| match item {
-                DocumentItem::Service(spec) => Some(spec.id.clone()),
-                _ => None,
-            })
-            .collect()
-    }
-
     fn members_id(&self) -> DocumentId {
         DocumentId::new(DocumentKind::Members, self.me.datacenter.as_str())
     }
@@ -459,7 +346,7 @@
     fn welcome(&self, service: &ServiceId, now: TimePoint) -> WelcomeNews {
         WelcomeNews {
             keepers: Vec::new(),
-            slice: self.view.service(service).map_or(0, |view| view.slice),
+            slice: self.view().service(service).map_or(0, |view| view.slice),
             fresh: self.age(now).is_some_and(|age| age < FRESH_AGE),
             resend: false,
         }
@@ -607,8 +494,7 @@
             DocumentKind::Grants | DocumentKind::Manifest => {}
         }
         if id.kind != DocumentKind::Members {
-            let touched = self.touched_services(&id, changes);
-            self.refresh_view(&touched);
+            self.views.take_changes(&id, changes, &self.documents);
             actions.push(ControlAction::Publish);
         }
         self.recent.retain(|(known, _)| *known != id);
@@ -699,11 +585,7 @@
             let datacenter = record.datacenter.clone();
             rosters.entry(datacenter).or_default().push(edit);
         }
-        if suspects != self.suspects {
-            let touched = suspects.values().chain(self.suspects.values());
-            let touched = touched.cloned().collect();
-            self.suspects = suspects;
-            self.refresh_view(&touched);
+        if self.views.set_suspects(suspects, &self.documents) {
             actions.push(ControlAction::Publish);
         }
         for (datacenter, edits) in rosters {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -36,16 +36,18 @@
 pub mod placement;
 pub mod requests;
 pub mod roster;
+pub mod search;
 pub mod slots;
 pub mod timer;
 pub mod units;
 pub mod view;
+pub mod view_builder;
 
 pub use admission::HostAdmission;
-pub use backend::{BackendLife, BackendNews, BackendReport, BackendState};
+pub use backend::{BackendLife, BackendNews, BackendReport, BackendState, ReportTiming};
 pub use budget::RetryBudget;
 pub use carried::{BackendFacts, CarriedFlows, SentTiming};
-pub use carried_routes::{CarriedPlan, CarriedRouter};
+pub use carried_routes::{CarriedPlan, CarriedRouter, SearchVerdict};
 pub use carried_verdict::{CarriedArrival, CarriedVerdict, SentVerdict};
 pub use chart::{
     FlowEvent, FlowState, HostEvent, HostState, RequestEvent, RequestState, check_charts,
@@ -68,6 +70,7 @@
 pub use ownership::{FlowTable, OpeningGate, PacketArrival, PacketDrop, PacketVerdict};
 pub use requests::{CancelWord, RelayLedger, RelayWord, RequestLedger, RequestOutcome};
 pub use roster::{HostIndex, HostRecord};
+pub use search::{FlowQuestion, FlowSearches, FlowWord, SearchEnd};
 pub use slots::{SlotEvent, SlotOffer, SlotPolicy, SlotRefusal, SlotScheduler};
 pub use timer::{TimerPart, TimerService};
 pub use units::{ByteCount, HostWeight, PercentShare, TimePoint};
--- a/crates/core/src/load.rs
+++ b/crates/core/src/load.rs
@@ -36,6 +36,17 @@
 /// would else draw all callers to itself.
 pub const FAILING_PENALTY: Duration = Duration::from_millis(300);
 
+/// A host that got an opening answers an entry VM with a report within this time:
+/// it sends one every 100 ms, shared among at most 16 entry VMs.
+pub const MUTE_AFTER: Duration = Duration::from_millis(700);
+
+/// A mute host is tried again after this time.
+const MUTE_PAUSE: Duration = Duration::from_secs(5);
+
+/// By this much faster the others have to be for a mute host to be asked: it may
+/// be dead, and callers send again after 200 ms.
+pub const MUTE_PENALTY: Duration = Duration::from_millis(200);
+
 /// A cold host takes this much longer.
 const COLD_FACTOR: f64 = 1.6;
 
@@ -72,6 +83,8 @@
 #[derive(Debug, Default)]
 pub struct LoadBoard {
     entries: HashMap<SocketAddrV4, LoadEntry>,
+    // When a host got the first opening since its last word.
+    unanswered: HashMap<SocketAddrV4, TimePoint>,
 }
 
 /// What the ranking looks at beside the board.
@@ -94,6 +107,19 @@
             placed: 0,
         };
         self.entries.insert(host, entry);
+        self.note_alive(host);
+    }
+
+    /// Notes that a host sent something.
+    pub fn note_alive(&mut self, host: SocketAddrV4) {
+        self.unanswered.remove(&host);
+    }
+
+    /// Whether a host has not said a word since it got an opening `patience` ago.
+    pub fn is_silent(&self, host: SocketAddrV4, patience: Duration, now: TimePoint) -> bool {
+        self.unanswered
+            .get(&host)
+            .is_some_and(|since| now.since(*since) >= patience)
     }
 
     /// Notes that a flow was placed at a host.
@@ -113,12 +139,15 @@
             placed: 0,
         });
         entry.placed = entry.placed.saturating_add(1);
+        self.unanswered.entry(host).or_insert(now);
     }
 
     /// Forgets hosts that have been silent for long.
     pub fn expire(&mut self, now: TimePoint) {
         self.entries
             .retain(|_, entry| now.since(entry.heard) < REPORT_LIFETIME);
+        self.unanswered
+            .retain(|_, since| now.since(*since) < MUTE_PAUSE);
     }
 
     /// The newest report of a host and its age.
@@ -152,6 +181,9 @@
             let share = f64::from(entry.load.failing_percent) / 100.0;
             cost += share * FAILING_PENALTY.as_secs_f64() * 1000.0;
         }
+        if self.is_silent(place.packets, MUTE_AFTER, now) {
+            cost += MUTE_PENALTY.as_secs_f64() * 1000.0;
+        }
         if place.datacenter != here {
             cost += REMOTE_PENALTY.as_secs_f64() * 1000.0;
         }
--- a/crates/core/tests/backends.rs
+++ b/crates/core/tests/backends.rs
@@ -1,6 +1,17 @@
 //! Which reports of a backend server count.
 
-use chestnutlb_core::{BackendLife, BackendNews, BackendReport, BackendState, TimePoint};
+use std::time::Duration;
+
+use chestnutlb_core::{
+    BackendLife, BackendNews, BackendReport, BackendState, ReportTiming, TimePoint,
+};
+
+// Of a backend server that is much older than its side process.
+const LATE: ReportTiming = ReportTiming {
+    now: TimePoint(1_000),
+    age: Some(Duration::from_secs(100)),
+    uptime: Duration::from_secs(1),
+};
 
 fn report(born_ms: u64, sequence: u64, state: BackendState) -> BackendReport {
     BackendReport {
@@ -16,13 +27,12 @@
 
 #[test]
 fn a_late_report_of_an_earlier_life_changes_nothing() {
-    let now = TimePoint(1_000);
     let mut life = BackendLife::default();
-    life.hear(report(100, 7, BackendState::Leaving), now);
+    life.hear(report(100, 7, BackendState::Leaving), LATE);
     assert!(!life.takes_flows());
-    let news = life.hear(report(200, 1, BackendState::Ready), now);
+    let news = life.hear(report(200, 1, BackendState::Ready), LATE);
     assert_eq!(news, BackendNews::NewLife);
-    let late = life.hear(report(100, 8, BackendState::Leaving), now);
+    let late = life.hear(report(100, 8, BackendState::Leaving), LATE);
     assert_eq!(late, BackendNews::Outdated);
     assert!(life.takes_flows());
     assert_eq!(life.leave("catalogue-1", Some(100)), BackendNews::Outdated);
@@ -31,10 +41,9 @@
 
 #[test]
 fn a_report_that_was_overtaken_changes_nothing() {
-    let now = TimePoint(1_000);
     let mut life = BackendLife::default();
-    life.hear(report(100, 2, BackendState::Leaving), now);
-    let overtaken = life.hear(report(100, 1, BackendState::Ready), now);
+    life.hear(report(100, 2, BackendState::Leaving), LATE);
+    let overtaken = life.hear(report(100, 1, BackendState::Ready), LATE);
     assert_eq!(overtaken, BackendNews::Outdated);
     assert!(!life.takes_flows());
 }
@@ -49,14 +58,35 @@
 
 #[test]
 fn a_backend_that_was_there_before_is_known_only_from_its_next_life_on() {
-    let now = TimePoint(1_000);
     let mut life = BackendLife::default();
     assert!(!life.is_known_from_start());
-    life.hear(report(100, 9, BackendState::Ready), now);
+    life.hear(report(100, 9, BackendState::Ready), LATE);
     assert!(!life.is_known_from_start());
-    life.hear(report(200, 5, BackendState::Ready), now);
+    life.hear(report(200, 5, BackendState::Ready), LATE);
     assert!(life.is_known_from_start());
     let mut fresh = BackendLife::default();
-    fresh.hear(report(100, 1, BackendState::Ready), now);
+    fresh.hear(report(100, 1, BackendState::Ready), LATE);
     assert!(fresh.is_known_from_start());
 }
+
+#[test]
+fn a_backend_that_started_along_with_its_side_process_is_known_from_the_start() {
+    let uptime = Duration::from_millis(30);
+    let known_at = |age: Option<u64>| {
+        let mut life = BackendLife::default();
+        let timing = ReportTiming {
+            age: age.map(Duration::from_millis),
+            uptime,
+            ..LATE
+        };
+        // It counts the calls that nobody answered too.
+        life.hear(report(100, 5, BackendState::Ready), timing);
+        life.is_known_from_start()
+    };
+    assert!(known_at(Some(0)));
+    assert!(known_at(Some(100)));
+    // An earlier process may have served it: the next one starts half a second
+    // after its end.
+    assert!(!known_at(Some(500)));
+    assert!(!known_at(None), "the clock went back since its start");
+}
--- a/crates/core/tests/carrying.rs
+++ b/crates/core/tests/carrying.rs
@@ -114,7 +114,7 @@
     assert_eq!(judged(&mut flows, now), CarriedVerdict::Ask);
     // Until the backend server has answered, the packet's copies walk on.
     assert_eq!(judged(&mut flows, now), CarriedVerdict::PassOn);
-    flows.note_returned(&packet, now);
+    flows.note_returned(&packet);
     assert_eq!(judged(&mut flows, now), CarriedVerdict::PassOn);
     // It sends something of the flow after all.
     flows.note_sent(&answer(1, 0), now);
--- /dev/null
+++ b/crates/core/tests/silent_hosts.rs
@@ -0,0 +1,104 @@
+//! Hosts that say nothing: where an entry VM sends openings meanwhile.
+
+mod common;
+
+use std::collections::BTreeSet;
+use std::net::SocketAddrV4;
+use std::num::NonZeroUsize;
+use std::sync::Arc;
+
+use chestnutlb_core::load::MUTE_AFTER;
+use chestnutlb_core::view::ServiceView;
+use chestnutlb_core::{
+    CarriedRouter, HostLoad, HostState, ObjectVersion, RoutingView, ServiceKind, TimePoint,
+};
+use common::{data, host, syn};
+
+const HOSTS: usize = 4;
+const COPY_MS: u64 = 200;
+
+fn view() -> RoutingView {
+    let mut spec = common::spec();
+    spec.kind = ServiceKind::Passthrough;
+    let records: Vec<_> = (0..HOSTS)
+        .map(|number| Arc::new(host(number, HostState::Serving)))
+        .collect();
+    let mut view = RoutingView::default();
+    view.put(ServiceView::build(
+        Arc::new(spec),
+        ObjectVersion(1),
+        &records,
+        &BTreeSet::new(),
+    ));
+    view
+}
+
+const LOAD: HostLoad = HostLoad {
+    slots: 3,
+    at_work: 0,
+    busy_hundredths: 0,
+    flows: 0,
+    service_us: 20_000,
+    failing_percent: 0,
+    takes: true,
+    cold: false,
+};
+
+struct Player {
+    view: RoutingView,
+    router: CarriedRouter,
+}
+
+impl Player {
+    fn new() -> Self {
+        let view = view();
+        let limit = NonZeroUsize::new(64).unwrap();
+        let mut router = CarriedRouter::new("honam-1".parse().unwrap(), limit);
+        router.note_view(&view, TimePoint(0));
+        Self { view, router }
+    }
+
+    fn open(&mut self, port: u16, at: u64) -> Vec<SocketAddrV4> {
+        let plan = self.router.route(&self.view, &syn(port), TimePoint(at));
+        plan.unwrap().hops
+    }
+}
+
+#[test]
+fn a_copy_goes_elsewhere_if_the_first_host_said_nothing() {
+    let mut player = Player::new();
+    let first = player.open(1, 1_000)[0];
+    let copy = player.open(1, 1_000 + COPY_MS);
+    assert_ne!(copy[0], first);
+    assert!(copy.contains(&first), "it may still take the flow");
+}
+
+#[test]
+fn a_copy_goes_to_the_first_host_if_that_has_reported() {
+    let mut player = Player::new();
+    let first = player.open(1, 1_000)[0];
+    player.router.hear(first, LOAD, TimePoint(1_050));
+    assert_eq!(player.open(1, 1_000 + COPY_MS)[0], first);
+}
+
+#[test]
+fn a_mute_host_is_asked_last_until_it_says_a_word() {
+    let mut player = Player::new();
+    let mute = player.open(1, 1_000)[0];
+    let now = 1_000 + MUTE_AFTER.as_millis() as u64;
+    for port in 2..20 {
+        let hops = player.open(port, now);
+        assert_eq!(hops.last(), Some(&mute));
+        for host in &hops[..HOSTS - 1] {
+            player.router.hear(*host, LOAD, TimePoint(now));
+        }
+    }
+    let walk = player
+        .router
+        .route(&player.view, &data(30, 700), TimePoint(now))
+        .unwrap();
+    assert_eq!(walk.hops.last(), Some(&mute));
+    player.router.hear(mute, LOAD, TimePoint(now));
+    let firsts: BTreeSet<_> = (40..60).map(|port| player.open(port, now)[0]).collect();
+    assert!(firsts.contains(&mute));
+}
--- a/crates/daemon/src/carried_http.rs
+++ b/crates/daemon/src/carried_http.rs
@@ -9,7 +9,7 @@
 use rocket::serde::json::Json;
 use rocket::{Build, Rocket, State, delete, get, put, routes};
 
-use chestnutlb_core::{BackendNews, HostState};
+use chestnutlb_core::{BackendNews, HostState, ReportTiming};
 use chestnutlb_platform::report::{MAX_REPORT_BYTES, decode_farewell, decode_report};
 use chestnutlb_wire::status::SideStatus;
 
@@ -51,7 +51,12 @@
     if report.service != shared.settings.service.service.as_str() {
         return Err(refuse(&"another service"));
     }
-    let news = shared.life().hear(report, clock::now());
+    let timing = ReportTiming {
+        now: clock::now(),
+        age: clock::time_since(report.born_ms),
+        uptime: clock::uptime(),
+    };
+    let news = shared.life().hear(report, timing);
     shared.note_news(news, "report", name);
     Ok(Json(serde_json::json!({})))
 }
--- a/crates/daemon/src/carried_packets.rs
+++ b/crates/daemon/src/carried_packets.rs
@@ -18,7 +18,8 @@
     SegmentFacts, SentTiming, SentVerdict, ServiceTag, TimePoint,
 };
 use chestnutlb_wire::packet::{
-    MAX_DATAGRAM_BYTES, OwnerNote, advance, write_load, write_note, write_returned,
+    MAX_DATAGRAM_BYTES, OwnerNote, WireQuestion, WireWords, advance, write_load, write_note,
+    write_returned, write_words,
 };
 use chestnutlb_wire::{PacketError, PacketFrame, PacketHeader, scan_frame};
 
@@ -160,7 +161,7 @@
         let mut datagram = [0; MAX_DATAGRAM_BYTES + 1];
         for _ in 0..READ_BATCH {
             match self.packets.recv_from(&mut datagram) {
-                Ok((len, _)) => self.take_datagram(&mut datagram[..len]),
+                Ok((len, from)) => self.take_datagram(&mut datagram[..len], from),
                 Err(error) if error.kind() == ErrorKind::WouldBlock => return false,
                 // The backend server's port may be closed for a moment.
                 Err(_) => {}
@@ -248,7 +249,7 @@
         }
     }
 
-    fn take_datagram(&mut self, datagram: &mut [u8]) {
+    fn take_datagram(&mut self, datagram: &mut [u8], from: SocketAddr) {
         let outcome = match scan_frame(datagram) {
             Ok(PacketFrame::Data {
                 header,
@@ -258,6 +259,10 @@
                 let envelope = datagram.len() - inner.len();
                 self.take_packet(&header, position, datagram, envelope)
             }
+            Ok(PacketFrame::Question(question)) => {
+                self.answer(&question, from);
+                Ok(())
+            }
             Ok(_) => Err(PacketError::Header),
             Err(error) => Err(error),
         };
@@ -267,6 +272,18 @@
         }
     }
 
+    // Says which of these flows its backend server holds.
+    fn answer(&mut self, question: &WireQuestion, from: SocketAddr) {
+        let now = clock::now();
+        let facts = self.backend_facts(now);
+        let flows = question.flows.iter().map(|flow| FlowKey::from(*flow));
+        let words = flows.map(|key| (key, self.flows.word(key, &facts, now)));
+        write_words(&mut self.buffer, &WireWords::new(words));
+        if let SocketAddr::V4(entry) = from {
+            send(&self.packets, &self.buffer, entry, &self.shared);
+        }
+    }
+
     fn take_packet(
         &mut self,
         header: &PacketHeader,
@@ -375,7 +392,7 @@
     fn take_backend_packet(&mut self, packet: &mut [u8]) {
         let now = clock::now();
         if self.form.is_returned(packet) {
-            self.take_returned(packet, now);
+            self.take_returned(packet);
             return;
         }
         match self.form.scan_backend(packet) {
@@ -410,13 +427,13 @@
     }
 
     // The backend server does not hold the flow, or can't open it.
-    fn take_returned(&mut self, packet: &mut [u8], now: TimePoint) {
+    fn take_returned(&mut self, packet: &mut [u8]) {
         self.form.clear_returned(packet);
         let Ok(segment) = self.form.scan_caller(packet) else {
             self.shared.counters.add(Counter::PacketsBad);
             return;
         };
-        let was_open = self.flows.note_returned(&segment, now);
+        let was_open = self.flows.note_returned(&segment);
         let walk = self.walks.pop(&segment.key);
         if self.logs(segment.key) {
             log::info!(
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -56,7 +56,7 @@
 
     http::start(server(Arc::clone(&shared), settings.status))?;
 
-    let packets = PacketLoop::new(packet_socket, settings, views, Arc::clone(&counters));
+    let packets = PacketLoop::new(packet_socket, settings, views, Arc::clone(&shared));
     Builder::new()
         .name("packets".to_owned())
         .spawn(move || packets.run())?;
--- a/crates/daemon/src/entry_control.rs
+++ b/crates/daemon/src/entry_control.rs
@@ -109,7 +109,7 @@
             let now = clock::now();
             if now.since(self.published) >= PUBLISH_PERIOD {
                 self.published = now;
-                self.shared.publish_facts(&self.control, now);
+                self.shared.publish_facts(&self.control);
             }
         }
     }
--- a/crates/daemon/src/entry_http.rs
+++ b/crates/daemon/src/entry_http.rs
@@ -11,6 +11,7 @@
 use rocket::serde::json::Json;
 use rocket::{Build, Rocket, State, get, post, routes};
 
+use chestnutlb_core::control::FRESH_AGE;
 use chestnutlb_core::entry::EntryRouter;
 use chestnutlb_core::view::ViewHost;
 use chestnutlb_core::{
@@ -20,6 +21,7 @@
 use chestnutlb_wire::peer::{PullQuery, ServiceSlice, wire_versions, write_message};
 use chestnutlb_wire::status::{EntryStatus, FlowExplanation, HopExplanation, HostStatus};
 
+use crate::clock;
 use crate::entry_store::answer_pull;
 use crate::http::read_query;
 use crate::metrics::CounterSet;
@@ -28,7 +30,7 @@
 #[derive(Debug, Default)]
 struct ControlFacts {
     watching: bool,
-    age_ms: Option<u64>,
+    confirmed: Option<TimePoint>,
     hosts: Vec<HostStatus>,
 }
 
@@ -82,8 +84,14 @@
         replace(&self.view, Arc::clone(view));
     }
 
+    /// Whether the platform confirmed lately what is known here.
+    pub fn is_fresh(&self, now: TimePoint) -> bool {
+        let confirmed = read(&self.facts).confirmed;
+        confirmed.is_some_and(|at| now.since(at) < FRESH_AGE)
+    }
+
     /// Replaces what the control thread tells of itself.
-    pub fn publish_facts(&self, control: &EntryControl, now: TimePoint) {
+    pub fn publish_facts(&self, control: &EntryControl) {
         let hosts = control.progress().map(|(name, progress)| HostStatus {
             name: name.to_compact_string(),
             service: progress.service.to_compact_string(),
@@ -91,7 +99,7 @@
         });
         let facts = ControlFacts {
             watching: control.is_watching(),
-            age_ms: control.age(now).map(|age| age.as_millis() as u64),
+            confirmed: control.confirmed(),
             hosts: hosts.collect(),
         };
         replace(&self.facts, Arc::new(facts));
@@ -107,7 +115,9 @@
             datacenter: self.me.datacenter.to_compact_string(),
             stopping: self.stopping.load(Ordering::Relaxed),
             watching: facts.watching,
-            age_ms: facts.age_ms,
+            age_ms: facts
+                .confirmed
+                .map(|at| clock::now().since(at).as_millis() as u64),
             documents: wire_versions(&documents.digest()),
             entries: entries
                 .filter_map(|item| match item {
--- a/crates/daemon/src/entry_packets.rs
+++ b/crates/daemon/src/entry_packets.rs
@@ -9,13 +9,17 @@
 
 use chestnutlb_core::view::ServiceView;
 use chestnutlb_core::{
-    CarriedPlan, CarriedRouter, EntryRouter, HopPlan, HostLoad, PlanSource, RouteDecision,
-    RouteDrop, RoutingView, SegmentFacts, ServiceKind,
+    CarriedPlan, CarriedRouter, EntryRouter, FlowKey, HopPlan, HostLoad, PlanSource, RouteDecision,
+    RouteDrop, RoutingView, SearchVerdict, SegmentFacts, ServiceKind,
+};
+use chestnutlb_wire::packet::{
+    MAX_DATAGRAM_BYTES, WireFlow, WireQuestion, WireWords, is_frame, write_data, write_probe,
+    write_question,
 };
-use chestnutlb_wire::packet::{MAX_DATAGRAM_BYTES, is_frame, write_data, write_probe};
 use chestnutlb_wire::{PacketError, PacketFrame, PacketHeader, WireHop, scan_frame};
 
 use crate::clock;
+use crate::entry_http::EntryShared;
 use crate::flow_log::FlowLog;
 use crate::metrics::{Counter, CounterSet, Timing};
 use crate::packet_form::PacketForm;
@@ -34,6 +38,7 @@
     carried: CarriedRouter,
     flow_log: FlowLog,
     views: Receiver<Arc<RoutingView>>,
+    shared: Arc<EntryShared>,
     counters: Arc<CounterSet>,
     buffer: Vec<u8>,
 }
@@ -44,7 +49,7 @@
         socket: UdpSocket,
         settings: &EntrySettings,
         views: Receiver<Arc<RoutingView>>,
-        counters: Arc<CounterSet>,
+        shared: Arc<EntryShared>,
     ) -> Self {
         let carried_limit = NonZeroUsize::new(settings.hints).unwrap_or(NonZeroUsize::MIN);
         Self {
@@ -55,7 +60,8 @@
             carried: CarriedRouter::new(settings.datacenter.clone(), carried_limit),
             flow_log: FlowLog::default(),
             views,
-            counters,
+            counters: Arc::clone(&shared.counters),
+            shared,
             buffer: Vec::with_capacity(MAX_DATAGRAM_BYTES),
         }
     }
@@ -71,6 +77,7 @@
                 self.router.replace_view(view, now);
             }
             self.send_probes();
+            self.send_questions();
             // A timeout lets the loop look for a new view.
             if let Ok((len, SocketAddr::V4(from))) = self.socket.recv_from(&mut datagram) {
                 self.handle(&datagram[..len], from);
@@ -103,8 +110,78 @@
         }
     }
 
+    fn send_questions(&mut self) {
+        if !self.carried.is_searching() {
+            return;
+        }
+        for question in self.carried.take_questions() {
+            let flows = question.flows.iter().copied();
+            let flows = flows.map(WireFlow::from).collect();
+            write_question(&mut self.buffer, &WireQuestion { flows });
+            // What is lost is asked again with the caller's next packet.
+            self.send_buffer(question.host);
+        }
+        for search in self.carried.take_open_searches(clock::now()) {
+            self.counters.add(Counter::FlowsSearched);
+            if self
+                .flow_log
+                .admits(search.key, &self.counters, clock::now())
+            {
+                log::info!(
+                    target: "route",
+                    flow:% = search.key, verdict = "open", unsure = search.unsure,
+                    silent = search.silent, silent_host:? = search.silent_host;
+                    "searched"
+                );
+            }
+        }
+    }
+
+    fn take_words(&mut self, words: &WireWords, from: SocketAddrV4) {
+        let now = clock::now();
+        let fresh = self.shared.is_fresh(now);
+        let view = Arc::clone(self.router.view());
+        for (key, word) in words.words() {
+            let verdict = self.carried.hear_word(&view, key, from, word, fresh, now);
+            if let Some(verdict) = verdict {
+                self.end_search(&view, key, verdict, fresh);
+            }
+        }
+    }
+
+    fn end_search(
+        &mut self,
+        view: &RoutingView,
+        key: FlowKey,
+        verdict: SearchVerdict,
+        fresh: bool,
+    ) {
+        self.counters.add(Counter::FlowsSearched);
+        match verdict {
+            SearchVerdict::Found(_) => self.counters.add(Counter::FlowsFound),
+            SearchVerdict::Dead(segment) => {
+                self.counters.add(Counter::FlowsDead);
+                let reset = self.form.write_reset(&segment);
+                let target = self.form.caller_target(key);
+                // A lost reset is made up for by the answer to the next packet.
+                let _ = self.socket.send_to(&reset, target);
+            }
+            SearchVerdict::Doubtful => {}
+        }
+        if self.flow_log.admits(key, &self.counters, clock::now()) {
+            log::info!(
+                target: "route",
+                flow:% = key, verdict = verdict.as_str(), host:? = verdict.owner(),
+                fresh = fresh, generation = view.generation.0;
+                "searched"
+            );
+        }
+    }
+
     fn take_frame(&mut self, datagram: &[u8], from: SocketAddrV4) -> Result<(), PacketError> {
-        match scan_frame(datagram)? {
+        let frame = scan_frame(datagram)?;
+        self.carried.note_alive(from);
+        match frame {
             PacketFrame::Note(note) => {
                 self.counters.add(Counter::NotesIn);
                 let view = Arc::clone(self.router.view());
@@ -121,7 +198,11 @@
                 Ok(())
             }
             PacketFrame::Returned(packet) => self.reroute(packet, from),
-            PacketFrame::Data { .. } => Err(PacketError::Header),
+            PacketFrame::Words(words) => {
+                self.take_words(&words, from);
+                Ok(())
+            }
+            PacketFrame::Data { .. } | PacketFrame::Question(_) => Err(PacketError::Header),
         }
     }
 
@@ -148,7 +229,7 @@
         self.counters.add(Counter::PacketsRerouted);
         let segment = self.form.scan_caller(packet)?;
         let view = Arc::clone(self.router.view());
-        let plan = self.carried.reroute(&view, &segment, from);
+        let plan = self.carried.reroute(&view, &segment, from, clock::now());
         if self.logs(&segment) {
             log::info!(
                 target: "route",
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -52,6 +52,12 @@
     PacketsUnsent = "packets.unsent",
     /// Packets that a host returned since it does not know their flow.
     PacketsRerouted = "packets.rerouted",
+    /// Flows that every host was asked for.
+    FlowsSearched = "flows.searched",
+    /// Searches that found the owner.
+    FlowsFound = "flows.found",
+    /// Flows whose callers were told that their backend server is lost.
+    FlowsDead = "flows.dead",
     /// Notes about owners.
     NotesIn = "notes.in",
     /// Probes to callers of flows that may have lost their owner.
--- a/crates/spec/src/carried.rs
+++ b/crates/spec/src/carried.rs
@@ -1,5 +1,5 @@
 //! Specification of flows that are carried through unread: two hosts, one flow,
-//! side processes that start again while backend servers live on.
+//! side processes that start again while backend servers live on, and entry VMs that search.
 //!
 //! The verdicts are the core's own. A caller opens by copies that may reach both
 //! hosts and takes the first answer. Its packets walk both hosts, in either
@@ -7,8 +7,8 @@
 
 use std::collections::BTreeSet;
 
-use chestnutlb_core::carried_verdict::{FlowKnowledge, judge_data, judge_reset};
-use chestnutlb_core::{CarriedArrival, CarriedVerdict, SentVerdict};
+use chestnutlb_core::carried_verdict::{FlowKnowledge, judge_data, judge_reset, judge_search};
+use chestnutlb_core::{CarriedArrival, CarriedVerdict, FlowWord, SentVerdict};
 
 use crate::checker::SpecStep;
 
@@ -32,6 +32,8 @@
     ResetsForwarded,
     /// A side process that has just started takes its table for complete.
     NeverAsks,
+    /// A backend server that was asked and has not answered does not hold the flow.
+    AskedIsCertain,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -47,6 +49,7 @@
     Opening,
     Offered,
     Open,
+    Asked,
     Stranger,
 }
 
@@ -66,6 +69,7 @@
     Answer(usize),
     Packet { at: usize, more_hops: bool },
     Returned { from: usize, more_hops: bool },
+    Acknowledged(usize),
 }
 
 /// A state.
@@ -119,6 +123,20 @@
         !self.owner_denied
     }
 
+    /// The owner never tells an entry VM that searches the flow that it does not
+    /// hold it.
+    pub fn owner_is_not_cleared(&self, mutation: CarriedMutation) -> bool {
+        self.owner.is_none_or(|owner| {
+            let knowledge = match self.knowledge(owner, mutation) {
+                FlowKnowledge::Asked if mutation == CarriedMutation::AskedIsCertain => {
+                    FlowKnowledge::Stranger
+                }
+                knowledge => knowledge,
+            };
+            judge_search(knowledge) != FlowWord::Never
+        })
+    }
+
     /// Everything that can happen next.
     pub fn next(&self, mutation: CarriedMutation) -> Vec<SpecStep<Self>> {
         let mut steps = Vec::new();
@@ -173,7 +191,7 @@
             let knowledge = match state.sides[host].table {
                 Table::Open => FlowKnowledge::Owned,
                 Table::Opening | Table::Offered => FlowKnowledge::Unanswered,
-                Table::Empty | Table::Stranger => FlowKnowledge::Stranger,
+                Table::Empty | Table::Asked | Table::Stranger => FlowKnowledge::Stranger,
             };
             let forwarded = judge_reset(knowledge) == SentVerdict::Forward
                 || mutation == CarriedMutation::ResetsForwarded;
@@ -189,7 +207,10 @@
     fn receive(&mut self, message: Message, mutation: CarriedMutation) {
         match message {
             Message::Opening(host) => {
-                if matches!(self.sides[host].table, Table::Empty | Table::Stranger) {
+                if matches!(
+                    self.sides[host].table,
+                    Table::Empty | Table::Asked | Table::Stranger
+                ) {
                     self.sides[host].table = Table::Opening;
                 }
                 self.messages.insert(Message::AtBackend(host));
@@ -204,6 +225,8 @@
             Message::Answer(host) => {
                 self.owner.get_or_insert(host);
             }
+            // The side process sees what its backend server sends.
+            Message::Acknowledged(host) => self.sides[host].table = Table::Open,
             Message::Packet { at, more_hops } => self.judge(at, more_hops, mutation),
             Message::Returned { from, more_hops } => {
                 self.sides[from].table = Table::Stranger;
@@ -232,7 +255,10 @@
                 FlowKnowledge::Owned
             }
             Table::Offered => FlowKnowledge::OfferedElsewhere,
-            Table::Stranger if mutation == CarriedMutation::AskAgain => FlowKnowledge::Unseen,
+            Table::Asked | Table::Stranger if mutation == CarriedMutation::AskAgain => {
+                FlowKnowledge::Unseen
+            }
+            Table::Asked => FlowKnowledge::Asked,
             Table::Stranger => FlowKnowledge::Stranger,
             Table::Empty if side.may_be_unseen && mutation != CarriedMutation::NeverAsks => {
                 FlowKnowledge::Unseen
@@ -253,7 +279,7 @@
                 self.deliver(at, more_hops);
             }
             CarriedVerdict::Ask => {
-                self.sides[at].table = Table::Stranger;
+                self.sides[at].table = Table::Asked;
                 self.deliver(at, more_hops);
             }
             _ => {
@@ -266,8 +292,7 @@
     fn deliver(&mut self, at: usize, more_hops: bool) {
         if self.owner == Some(at) {
             self.backends[at] = Backend::Open;
-            // It acknowledges, which its side process sees.
-            self.sides[at].table = Table::Open;
+            self.messages.insert(Message::Acknowledged(at));
         } else {
             self.sides[at].strays += 1;
             self.messages.insert(Message::Returned {
--- a/crates/spec/tests/properties.rs
+++ b/crates/spec/tests/properties.rs
@@ -33,7 +33,10 @@
 #[test]
 fn carried_flows_hold() {
     let all = |state: &CarriedSpec| {
-        state.strangers_are_asked_once() && state.no_foreign_reset() && state.owner_is_found()
+        state.strangers_are_asked_once()
+            && state.no_foreign_reset()
+            && state.owner_is_found()
+            && state.owner_is_not_cleared(CarriedMutation::None)
     };
     insta::assert_snapshot!(describe("carried", &carried(CarriedMutation::None, all)));
 }
@@ -62,6 +65,12 @@
             "never asked",
             &carried(CarriedMutation::NeverAsks, CarriedSpec::owner_is_found),
         ),
+        describe(
+            "asked is certain",
+            &carried(CarriedMutation::AskedIsCertain, |state| {
+                state.owner_is_not_cleared(CarriedMutation::AskedIsCertain)
+            }),
+        ),
     ];
     insta::assert_snapshot!(results.join("\n"));
 }
--- a/crates/standin/src/proxy.rs
+++ b/crates/standin/src/proxy.rs
@@ -96,10 +96,22 @@
     }
 
     fn copy(&self, mut from: TcpStream, mut to: TcpStream, way: CopyWay) {
+        // However it ended, both ends are to see it.
+        let _ = self.pass_on(&mut from, &mut to, way);
+        let _ = from.shutdown(Shutdown::Both);
+        let _ = to.shutdown(Shutdown::Both);
+    }
+
+    fn pass_on(
+        &self,
+        from: &mut TcpStream,
+        to: &mut TcpStream,
+        way: CopyWay,
+    ) -> std::io::Result<()> {
         let mut chunk = [0; CHUNK_BYTES];
         let mut dropping = false;
-        let ended = from.set_read_timeout(Some(POLL_PERIOD)).is_err();
-        while !ended {
+        from.set_read_timeout(Some(POLL_PERIOD))?;
+        loop {
             let fault = *self.lock();
             dropping |= match fault {
                 LinkFault::Silent => true,
@@ -107,24 +119,21 @@
                 _ => false,
             };
             if fault == LinkFault::Reset {
-                break;
+                return Ok(());
             }
             let len = match from.read(&mut chunk) {
-                Ok(0) => break,
+                Ok(0) => return Ok(()),
                 Ok(len) => len,
                 Err(error) if is_timeout(&error) => continue,
-                Err(_) => break,
+                Err(error) => return Err(error),
             };
             if let LinkFault::Delay(time) = fault {
                 std::thread::sleep(time);
             }
-            if !dropping && to.write_all(&chunk[..len]).is_err() {
-                break;
+            if !dropping {
+                to.write_all(&chunk[..len])?;
             }
         }
-        // The peer may have closed already.
-        let _ = from.shutdown(Shutdown::Both);
-        let _ = to.shutdown(Shutdown::Both);
     }
 }
 
--- a/crates/wire/src/packet.rs
+++ b/crates/wire/src/packet.rs
@@ -14,7 +14,7 @@
 
 use chestnutlb_core::entry::FlowProbe;
 use chestnutlb_core::{
-    FlowKey, HostLoad, HostRecord, Incarnation, ObjectVersion, SegmentFacts, ServiceTag,
+    FlowKey, FlowWord, HostLoad, HostRecord, Incarnation, ObjectVersion, SegmentFacts, ServiceTag,
 };
 
 /// Version of this form.
@@ -154,7 +154,6 @@
 impl OwnerNote {
     /// A note about this flow.
     pub fn new(key: FlowKey, owner: Incarnation) -> Self {
-        let pair = |address: SocketAddrV4| (u32::from(*address.ip()), address.port());
         Self {
             caller: pair(key.caller),
             service: pair(key.service),
@@ -164,7 +163,6 @@
 
     /// The flow.
     pub fn key(&self) -> FlowKey {
-        let address = |(ip, port)| SocketAddrV4::new(Ipv4Addr::from(ip), port);
         FlowKey {
             caller: address(self.caller),
             service: address(self.service),
@@ -229,6 +227,82 @@
     }
 }
 
+type AddressPair = (u32, u16);
+
+fn pair(address: SocketAddrV4) -> AddressPair {
+    (u32::from(*address.ip()), address.port())
+}
+
+fn address((ip, port): AddressPair) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::from(ip), port)
+}
+
+/// A flow on the wire: its caller's end and its service's.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct WireFlow(AddressPair, AddressPair);
+
+impl From<FlowKey> for WireFlow {
+    fn from(key: FlowKey) -> Self {
+        Self(pair(key.caller), pair(key.service))
+    }
+}
+
+impl From<WireFlow> for FlowKey {
+    fn from(flow: WireFlow) -> Self {
+        Self {
+            caller: address(flow.0),
+            service: address(flow.1),
+        }
+    }
+}
+
+/// Flows that an entry VM asks a host for.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct WireQuestion {
+    /// The flows.
+    pub flows: Vec<WireFlow>,
+}
+
+/// What a host says of the flows that it was asked for, in their order.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct WireWords {
+    /// The flows.
+    pub flows: Vec<WireFlow>,
+    words: Vec<u8>,
+}
+
+const WORD_HERE: u8 = 1;
+const WORD_NEVER: u8 = 2;
+
+impl WireWords {
+    /// The answer for these flows.
+    pub fn new(words: impl Iterator<Item = (FlowKey, FlowWord)>) -> Self {
+        let code = |word| match word {
+            FlowWord::Here => WORD_HERE,
+            FlowWord::Never => WORD_NEVER,
+            FlowWord::Unsure => 0,
+        };
+        let (flows, words) = words
+            .map(|(key, word)| (WireFlow::from(key), code(word)))
+            .unzip();
+        Self { flows, words }
+    }
+
+    /// Each flow with its word. A code that is not known says nothing.
+    pub fn words(&self) -> impl Iterator<Item = (FlowKey, FlowWord)> {
+        let word = |code: &u8| match *code {
+            WORD_HERE => FlowWord::Here,
+            WORD_NEVER => FlowWord::Never,
+            _ => FlowWord::Unsure,
+        };
+        let flows = self.flows.iter().map(|flow| FlowKey::from(*flow));
+        flows.zip(self.words.iter().map(word))
+    }
+}
+
 /// A datagram that was read.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum PacketFrame<'a> {
@@ -248,12 +322,18 @@
     Returned(&'a [u8]),
     /// A host's load.
     Load(LoadReport),
+    /// Flows that a host is asked for.
+    Question(WireQuestion),
+    /// What a host says of flows.
+    Words(WireWords),
 }
 
 const KIND_DATA: u8 = 1;
 const KIND_NOTE: u8 = 2;
 const KIND_RETURNED: u8 = 3;
 const KIND_LOAD: u8 = 4;
+const KIND_QUESTION: u8 = 5;
+const KIND_WORDS: u8 = 6;
 
 fn write_frame<T: Serialize>(buffer: &mut Vec<u8>, kind: u8, header: &T) {
     buffer.clear();
@@ -288,6 +368,16 @@
     write_frame(buffer, KIND_LOAD, report);
 }
 
+/// Writes a question for flows.
+pub fn write_question(buffer: &mut Vec<u8>, question: &WireQuestion) {
+    write_frame(buffer, KIND_QUESTION, question);
+}
+
+/// Writes what a host says of flows.
+pub fn write_words(buffer: &mut Vec<u8>, words: &WireWords) {
+    write_frame(buffer, KIND_WORDS, words);
+}
+
 /// Moves a data packet to its next hop.
 pub fn advance(datagram: &mut [u8]) {
     if let Some(position) = datagram.get_mut(POSITION_OFFSET) {
@@ -338,6 +428,12 @@
         KIND_LOAD => rmp_serde::from_slice(header)
             .map(PacketFrame::Load)
             .map_err(|_| PacketError::Header),
+        KIND_QUESTION => rmp_serde::from_slice(header)
+            .map(PacketFrame::Question)
+            .map_err(|_| PacketError::Header),
+        KIND_WORDS => rmp_serde::from_slice(header)
+            .map(PacketFrame::Words)
+            .map_err(|_| PacketError::Header),
         _ => Err(PacketError::Header),
     }
 }
