Flows of a backend server's earlier life are doubted, not forgotten

Ruled out: clearing at once (the report may come after the first opening of the new life); keeping those younger than the report (the same). Change: the flows stay known as doubted. The backend server is asked for each once, and until then nothing certain is said of them. Test: a_flow_that_began_before_a_new_life_was_noticed_is_not_denied, failed before (the flow was denied).

--- a/crates/core/src/carried.rs
+++ b/crates/core/src/carried.rs
@@ -69,6 +69,8 @@
     Open,
     /// One end closed or reset it.
     Closed,
+    /// It was known before the backend server started again.
+    Doubted,
 }
 
 /// What is known of a flow that the backend server was asked for.
@@ -221,6 +223,7 @@
             }
             // Until the answer is there, other packets of it walk on.
             (CarriedVerdict::Ask, _) => {
+                self.forget(&segment.key);
                 self.strangers.put(segment.key, StrangerWord::Asked);
             }
             _ => {}
@@ -244,6 +247,7 @@
                 }
             }
             Some(CarriedPhase::Open | CarriedPhase::Closed) => FlowKnowledge::Owned,
+            Some(CarriedPhase::Doubted) => FlowKnowledge::Unseen,
             None if segment.resets => FlowKnowledge::Stranger,
             None => self.knowledge_of_unknown(segment.key, backend, now),
         }
@@ -267,6 +271,7 @@
         judge_search(match self.flows.get(&key).map(|flow| flow.phase) {
             Some(CarriedPhase::Open | CarriedPhase::Closed) => FlowKnowledge::Owned,
             Some(CarriedPhase::Opening | CarriedPhase::Offered(_)) => FlowKnowledge::Unanswered,
+            Some(CarriedPhase::Doubted) => FlowKnowledge::Unseen,
             None => self.knowledge_of_unknown(key, backend, now),
         })
     }
@@ -384,6 +389,13 @@
         };
         flow.seen = now;
         flow.server_closed |= segment.finishes;
+        if flow.phase == CarriedPhase::Doubted {
+            flow.phase = if segment.synchronizes {
+                CarriedPhase::Offered(segment.sequence)
+            } else {
+                CarriedPhase::Open
+            };
+        }
         if segment.synchronizes {
             if flow.phase == CarriedPhase::Opening {
                 flow.phase = CarriedPhase::Offered(segment.sequence);
@@ -409,7 +421,7 @@
         let knowledge = match self.flows.get(&key).map(|flow| flow.phase) {
             Some(CarriedPhase::Open | CarriedPhase::Closed) => FlowKnowledge::Owned,
             Some(CarriedPhase::Opening | CarriedPhase::Offered(_)) => FlowKnowledge::Unanswered,
-            None => FlowKnowledge::Stranger,
+            Some(CarriedPhase::Doubted) | None => FlowKnowledge::Stranger,
         };
         let verdict = judge_reset(knowledge);
         match verdict {
@@ -436,15 +448,19 @@
         was_open
     }
 
-    /// Forgets all flows, as when the backend server has started again.
-    /// Returns how many there were.
-    pub fn clear(&mut self) -> usize {
-        let count = self.flows.len();
-        self.flows.clear();
+    /// Doubts all flows, as when the backend server has started again: those of its
+    /// earlier life are gone, but some may have begun before the new one was heard of.
+    /// It is asked for each. Returns how many there are.
+    pub fn doubt_all(&mut self) -> usize {
+        for flow in self.flows.values_mut() {
+            flow.phase = CarriedPhase::Doubted;
+            flow.fresh = false;
+            flow.asked = None;
+        }
         self.answers = AnswerWatch::default();
         self.strangers.clear();
         self.at_work = 0;
-        count
+        self.flows.len()
     }
 
     /// Forgets flows that have ended or been silent for `idle`, and openings
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -6,7 +6,8 @@
 //! old flow stays near the head of the list over many roster changes.
 
 use crate::flow::{BUCKET_COUNT, BucketIndex};
-use crate::roster::HostIndex;
+use crate::ids::HostName;
+use crate::roster::{HostIndex, HostRecord};
 use crate::units::HostWeight;
 
 /// Most hosts that a packet visits before holders of old flows are tried.
@@ -129,3 +130,23 @@
         }
     }
 }
+
+/// Keeps the buckets for which the host `me` is no candidate among `hosts`. If it
+/// is none of them, these are all.
+pub fn retain_held(buckets: &mut Vec<BucketIndex>, hosts: &[&HostRecord], me: &HostName) {
+    let ranked = hosts
+        .iter()
+        .enumerate()
+        .map(|(index, host)| RankedHost {
+            host: HostIndex(index as u32),
+            seed: HostSeed::of(host.name.as_str()),
+            weight: host.weight,
+        })
+        .collect();
+    let place = hosts.iter().position(|host| host.name == *me);
+    let Some(place) = place.map(|index| HostIndex(index as u32)) else {
+        return;
+    };
+    let chains = ChainSource::Direct(ranked);
+    buckets.retain(|bucket| !chains.chain(*bucket).as_slice().contains(&place));
+}
--- a/crates/core/tests/searching.rs
+++ b/crates/core/tests/searching.rs
@@ -320,3 +320,42 @@
 fn an_entry_that_hears_few_hosts_tells_nobody() {
     assert_eq!(search_repeatedly(HOSTS / 2 + 1, 5), None);
 }
+
+// A host crashed and started again. Its side process hears of it a moment later,
+// when the new life has flows already.
+#[test]
+fn a_flow_that_began_before_a_new_life_was_noticed_is_not_denied() {
+    let now = TimePoint(1_000);
+    let facts = backend(true);
+    let mut flows = CarriedFlows::new(Duration::from_secs(60), now);
+    for port in [1, 2] {
+        flows.judge(&syn(port), LAST_HOP, &facts, now);
+        flows.note_delivered(&syn(port), &facts, now);
+        let handshake = SegmentFacts {
+            synchronizes: true,
+            opens: false,
+            sequence: 699,
+            ..data(port, 2)
+        };
+        flows.note_sent(&handshake, now);
+        flows.judge(&data(port, 700), LAST_HOP, &facts, now);
+    }
+    assert_eq!(flows.doubt_all(), 2);
+    assert_eq!(flows.word(key(1), &facts, now), FlowWord::Unsure);
+    let later = now + Duration::from_secs(11);
+    flows.sweep(Duration::from_secs(600), later);
+
+    // One that lives: its backend server is asked and answers.
+    let verdict = flows.judge(&data(1, 700), LAST_HOP, &facts, later);
+    assert_eq!(verdict, CarriedVerdict::Ask);
+    flows.note_sent(&data(1, 710), later);
+    assert_eq!(flows.word(key(1), &facts, later), FlowWord::Here);
+
+    // One of the earlier life: it is asked once, and returns the packet.
+    let verdict = flows.judge(&data(2, 700), LAST_HOP, &facts, later);
+    assert_eq!(verdict, CarriedVerdict::Ask);
+    let verdict = flows.judge(&data(2, 700), LAST_HOP, &facts, later);
+    assert_eq!(verdict, CarriedVerdict::NotHere);
+    flows.note_returned(&data(2, 700));
+    assert_eq!(flows.word(key(2), &facts, later), FlowWord::Never);
+}
--- a/crates/daemon/src/carried_packets.rs
+++ b/crates/daemon/src/carried_packets.rs
@@ -208,8 +208,8 @@
         let lives = self.shared.lives.load(Ordering::Relaxed);
         if lives != self.lives {
             self.lives = lives;
-            let lost = self.flows.clear();
-            log::warn!(target: "flow", flows = lost; "lost with the backend's earlier life");
+            let doubted = self.flows.doubt_all();
+            log::warn!(target: "flow", flows = doubted; "doubted as the backend started again");
         }
     }
 
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -35,6 +35,7 @@
 mod side;
 mod side_control;
 mod side_events;
+mod side_flow;
 mod side_flows;
 mod side_http;
 mod side_link;
--- a/crates/daemon/src/side_flows.rs
+++ b/crates/daemon/src/side_flows.rs
@@ -14,11 +14,10 @@
 use rand::rngs::StdRng;
 
 use chestnutlb_core::manifest::ServiceKind;
-use chestnutlb_core::placement::{CHAIN_HOPS, ChainSource, HostSeed, RankedHost};
+use chestnutlb_core::placement::{CHAIN_HOPS, retain_held};
 use chestnutlb_core::{
-    BucketIndex, FlowEvent, FlowKey, FlowState, FlowTable, HostAdmission, HostIndex, HostRecord,
-    HostState, PacketArrival, PacketDrop, PacketVerdict, SegmentFacts, ServiceSpec, ServiceTag,
-    TimePoint,
+    BucketIndex, FlowEvent, FlowKey, FlowState, FlowTable, HostAdmission, HostRecord, HostState,
+    PacketArrival, PacketDrop, PacketVerdict, SegmentFacts, ServiceSpec, ServiceTag, TimePoint,
 };
 use chestnutlb_stack::{FlowStack, flow_seed, scan_sent};
 use chestnutlb_wire::packet::{
@@ -28,11 +27,11 @@
 use chestnutlb_wire::{PacketError, PacketFrame, PacketHeader, WireHop};
 
 use crate::clock;
-use crate::http1::{RequestScan, TOO_SLOW, add_close, scan_request, write_bad};
 use crate::metrics::{Counter, CounterSet};
 use crate::settings::SideSettings;
 use crate::side_events::{ServiceNews, SideEvent, SideShared};
-use crate::side_link::{BackendLink, READ_BYTES};
+use crate::side_flow::{FlowWork, RequestFlow, ServeStep, SideFlow};
+use crate::side_link::BackendLink;
 use crate::side_requests::{FlowAnswer, RequestDesk};
 
 /// Token of the packet socket.
@@ -60,32 +59,6 @@
 /// Packets that are read before other work gets its turn.
 const PACKET_BATCH: usize = 256;
 
-#[derive(Debug, Default)]
-struct RequestFlow {
-    received: Vec<u8>,
-    first_byte: Option<TimePoint>,
-    in_flight: bool,
-    reply: Vec<u8>,
-    sent: usize,
-    close: bool,
-}
-
-#[derive(Debug)]
-enum FlowWork {
-    Stream(Option<BackendLink>),
-    Request(RequestFlow),
-}
-
-#[derive(Debug)]
-struct SideFlow {
-    stack: FlowStack,
-    work: FlowWork,
-    open: bool,
-    due: Option<TimePoint>,
-    noted: Option<TimePoint>,
-    closing: bool,
-}
-
 /// The flow thread.
 #[derive(Debug)]
 pub struct FlowLoop {
@@ -453,15 +426,7 @@
             // Settings of this process say that flows end here.
             ServiceKind::Passthrough => FlowWork::Stream(None),
         };
-        let flow = SideFlow {
-            stack,
-            work,
-            open: false,
-            due: None,
-            noted: None,
-            closing: false,
-        };
-        self.flows.insert(key, flow);
+        self.flows.insert(key, SideFlow::new(stack, work));
         self.counters.add(Counter::FlowsOpened);
         log::info!(
             target: "flow",
@@ -482,7 +447,7 @@
         }
         if flow.open {
             match flow.work {
-                FlowWork::Stream(_) => self.splice(&mut flow),
+                FlowWork::Stream(_) => flow.splice(),
                 FlowWork::Request(_) => self.serve(key, &mut flow, now),
             }
             flow.stack.poll(now);
@@ -531,110 +496,16 @@
         }
     }
 
-    // Hands bytes through in both directions, as far as both ends take them.
-    fn splice(&self, flow: &mut SideFlow) {
-        let FlowWork::Stream(Some(link)) = &mut flow.work else {
-            return;
-        };
-        let socket = flow.stack.socket_mut();
-        while socket.can_recv() && link.has_room() {
-            let taken = socket.recv(|bytes| {
-                link.push(bytes);
-                (bytes.len(), bytes.len())
-            });
-            if !matches!(taken, Ok(len) if len > 0) {
-                break;
-            }
-        }
-        let mut buffer = [0; READ_BYTES];
-        while socket.can_send() {
-            let room = (socket.send_capacity() - socket.send_queue()).min(READ_BYTES);
-            let len = link.read(&mut buffer[..room]);
-            if len == 0 {
-                break;
-            }
-            // There is room for all of it.
-            let _ = socket.send_slice(&buffer[..len]);
-        }
-        if link.failed {
-            socket.abort();
-        } else if link.ended {
-            socket.close();
-        }
-        if !socket.may_recv() && !socket.can_recv() && !flow.closing {
-            link.finish();
-        }
-    }
-
     // Takes requests off the flow, one at a time, and sends answers.
     fn serve(&mut self, key: FlowKey, flow: &mut SideFlow, now: TimePoint) {
-        let FlowWork::Request(work) = &mut flow.work else {
-            return;
-        };
-        let socket = flow.stack.socket_mut();
-        while work.sent < work.reply.len() && socket.can_send() {
-            match socket.send_slice(&work.reply[work.sent..]) {
-                Ok(len) if len > 0 => work.sent += len,
-                _ => break,
-            }
-        }
-        if work.sent < work.reply.len() || work.in_flight {
-            return;
-        }
-        work.reply.clear();
-        work.sent = 0;
-        if work.close {
-            socket.close();
-            return;
-        }
-        let limit = (self.spec.limits.head.0 + self.spec.limits.body.0) as usize;
-        while socket.can_recv() && work.received.len() <= limit {
-            let taken = socket.recv(|bytes| {
-                work.received.extend_from_slice(bytes);
-                (bytes.len(), bytes.len())
-            });
-            if !matches!(taken, Ok(len) if len > 0) {
-                break;
-            }
-        }
-        if work.received.is_empty() {
-            work.first_byte = None;
-            if !socket.may_recv() {
-                socket.close();
-            }
-            return;
-        }
-        let first_byte = *work.first_byte.get_or_insert(now);
-        let mut scan = scan_request(&work.received, &self.spec.limits);
-        if scan == RequestScan::Incomplete {
-            if !socket.may_recv() {
-                // The caller closed in the middle of a request.
-                socket.abort();
-                self.counters.add(Counter::RequestsBad);
-                return;
-            }
-            if now.since(first_byte) < self.spec.timing.receive {
-                return;
-            }
-            scan = RequestScan::Bad(TOO_SLOW);
-        }
-        match scan {
-            RequestScan::Incomplete => {}
-            RequestScan::Complete(head) => {
-                let rest = work.received.split_off(head.len);
-                let bytes = std::mem::replace(&mut work.received, rest);
-                work.first_byte = None;
-                work.in_flight = true;
-                work.close = head.close;
-                self.desk.take(key, &head, bytes, now);
-            }
-            RequestScan::Bad(bad) => {
+        match flow.serve(&self.spec, now) {
+            ServeStep::Wait => {}
+            ServeStep::Taken(head, bytes) => self.desk.take(key, &head, bytes, now),
+            ServeStep::CutShort => self.counters.add(Counter::RequestsBad),
+            ServeStep::Refused(bad) => {
                 self.counters.add(Counter::RequestsBad);
                 log::info!(target: "request", flow:% = key, status = bad.status; "refused");
-                work.received.clear();
-                work.close = true;
-                work.reply = write_bad(bad);
-                // Sent when the flow is looked at next.
+                // The answer is sent when the flow is looked at next.
                 self.due.push(Reverse((now, key)));
             }
         }
@@ -648,12 +519,7 @@
                 ..
             }) = self.flows.get_mut(&key)
             {
-                work.in_flight = false;
-                work.reply = bytes;
-                if leaving {
-                    add_close(&mut work.reply);
-                    work.close = true;
-                }
+                work.answer(bytes, leaving);
             }
             self.advance_flow(key, now);
         }
@@ -702,9 +568,7 @@
             .flows
             .iter()
             .filter(|(_, flow)| match &flow.work {
-                FlowWork::Request(work) => work
-                    .first_byte
-                    .is_some_and(|first| now.since(first) >= receive),
+                FlowWork::Request(work) => work.is_slow(receive, now),
                 FlowWork::Stream(_) => false,
             })
             .map(|(key, _)| *key)
@@ -719,26 +583,9 @@
         if self.hosts.len() <= CHAIN_HOPS {
             return Vec::new();
         }
-        let ranked = self
-            .hosts
-            .iter()
-            .filter(|host| host.holds_flows())
-            .enumerate()
-            .map(|(index, host)| RankedHost {
-                host: HostIndex(index as u32),
-                seed: HostSeed::of(host.name.as_str()),
-                weight: host.weight,
-            })
-            .collect();
-        let me = self
-            .hosts
-            .iter()
-            .filter(|host| host.holds_flows())
-            .position(|host| host.name == self.settings.name)
-            .map(|index| HostIndex(index as u32));
-        let chains = ChainSource::Direct(ranked);
+        let hosts: Vec<_> = self.hosts.iter().filter(|h| h.holds_flows()).collect();
         let mut held = self.table.buckets();
-        held.retain(|bucket| me.is_none_or(|me| !chains.chain(*bucket).as_slice().contains(&me)));
+        retain_held(&mut held, &hosts, &self.settings.name);
         held
     }
 
@@ -771,7 +618,7 @@
                 self.links.remove(&link.token);
                 link.close(&self.registry);
             }
-            FlowWork::Request(work) if work.in_flight => self.desk.abandon(key, now),
+            FlowWork::Request(work) if work.is_in_flight() => self.desk.abandon(key, now),
             FlowWork::Stream(None) | FlowWork::Request(_) => {}
         }
         let state = self.table.apply(key, FlowEvent::Finished);
