--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -2,12 +2,17 @@
 
 #![allow(dead_code)]
 
+use std::collections::BTreeSet;
+use std::num::NonZeroUsize;
+use std::sync::Arc;
 use std::time::Duration;
 
 use chestnutlb_core::manifest::{HostLimits, ServiceTiming};
+use chestnutlb_core::view::ServiceView;
 use chestnutlb_core::{
-    ByteCount, EntryRecord, FlowKey, HostRecord, HostState, HostWeight, Incarnation, PercentShare,
-    RequestClass, RouteRule, SegmentFacts, ServiceKind, ServiceSpec,
+    ByteCount, CarriedRouter, EntryRecord, FlowKey, HostRecord, HostState, HostWeight, Incarnation,
+    ObjectVersion, PercentShare, RequestClass, RouteRule, RoutingView, SegmentFacts, ServiceKind,
+    ServiceSpec, TimePoint,
 };
 use quickcheck::{Gen, QuickCheck};
 
@@ -106,3 +111,33 @@
         },
     }
 }
+
+/// A view of a service whose flows are carried through, with so many hosts.
+pub fn carried_view(hosts: usize) -> RoutingView {
+    let records: Vec<_> = (0..hosts)
+        .map(|number| host(number, HostState::Serving))
+        .collect();
+    let mut view = RoutingView::default();
+    put_carried(&mut view, spec(), records);
+    view
+}
+
+/// Adds a service whose flows are carried through.
+pub fn put_carried(view: &mut RoutingView, mut spec: ServiceSpec, hosts: Vec<HostRecord>) {
+    spec.kind = ServiceKind::Passthrough;
+    let records: Vec<_> = hosts.into_iter().map(Arc::new).collect();
+    view.put(ServiceView::build(
+        Arc::new(spec),
+        ObjectVersion(1),
+        &records,
+        &BTreeSet::new(),
+    ));
+}
+
+/// A router that has known the view from the start of time.
+pub fn carried_router(view: &RoutingView) -> CarriedRouter {
+    let limit = NonZeroUsize::new(64).unwrap();
+    let mut router = CarriedRouter::new("honam-1".parse().unwrap(), limit);
+    router.note_view(view, TimePoint(0));
+    router
+}
--- a/crates/core/tests/searching.rs
+++ b/crates/core/tests/searching.rs
@@ -3,66 +3,33 @@
 
 mod common;
 
-use std::collections::BTreeSet;
 use std::net::SocketAddrV4;
-use std::num::NonZeroUsize;
-use std::sync::Arc;
 use std::time::Duration;
 
 use chestnutlb_core::search::{QUESTION_FLOWS, QUESTION_RATE, SEARCH_TIMEOUT, SEARCHED_HOSTS};
-use chestnutlb_core::view::ServiceView;
 use chestnutlb_core::{
     BackendFacts, CarriedArrival, CarriedFlows, CarriedRouter, CarriedVerdict, FlowWord, HostState,
-    ObjectVersion, PlanSource, RoutingView, SearchVerdict, SegmentFacts, ServiceKind, TimePoint,
+    PlanSource, RoutingView, SearchVerdict, SegmentFacts, TimePoint,
 };
-use common::{data, host, key, syn};
+use common::{carried_router, carried_view, data, host, key, put_carried, syn};
 
 const HOSTS: usize = 20;
 // Time between a caller's packet and its first copy.
 const COPY_MS: u64 = 200;
 const STABLE_MS: u64 = 10_000;
 
-fn build(hosts: usize) -> RoutingView {
-    let mut spec = common::spec();
-    spec.kind = ServiceKind::Passthrough;
-    let records: Vec<_> = (0..hosts)
-        .map(|number| Arc::new(host(number, HostState::Serving)))
-        .collect();
-    let mut view = RoutingView::default();
-    view.put(ServiceView::build(
-        Arc::new(spec),
-        ObjectVersion(1),
-        &records,
-        &BTreeSet::new(),
-    ));
-    view
-}
-
 // A second service of the same firm, with a host of its own.
 fn add_service(view: &mut RoutingView) -> SocketAddrV4 {
     let mut spec = common::spec();
-    spec.kind = ServiceKind::Passthrough;
     spec.id = "dalbit/patterns".parse().unwrap();
     spec.address = "10.20.0.2:7000".parse().unwrap();
     let mut record = host(200, HostState::Serving);
     record.service = spec.id.clone();
     let packets = record.packets;
-    view.put(ServiceView::build(
-        Arc::new(spec),
-        ObjectVersion(1),
-        &[Arc::new(record)],
-        &BTreeSet::new(),
-    ));
+    put_carried(view, spec, vec![record]);
     packets
 }
 
-fn router(view: &RoutingView) -> CarriedRouter {
-    let limit = NonZeroUsize::new(64).unwrap();
-    let mut router = CarriedRouter::new("honam-1".parse().unwrap(), limit);
-    router.note_view(view, TimePoint(0));
-    router
-}
-
 // Packets of a flow that the router does not remember, until it asks for it.
 fn search(router: &mut CarriedRouter, view: &RoutingView, now: u64) -> Vec<SocketAddrV4> {
     let packet = data(1, 700);
@@ -99,8 +66,8 @@
 
 #[test]
 fn a_flow_whose_host_fell_out_of_its_walk_is_found() {
-    let view = build(HOSTS);
-    let mut router = router(&view);
+    let view = carried_view(HOSTS);
+    let mut router = carried_router(&view);
     let asked = search(&mut router, &view, STABLE_MS);
     assert_eq!(asked.len(), HOSTS, "a walk visits far fewer");
     let now = TimePoint(STABLE_MS + COPY_MS + 2);
@@ -115,8 +82,8 @@
 
 #[test]
 fn a_flow_is_dead_when_every_host_is_certain() {
-    let view = build(HOSTS);
-    let mut router = router(&view);
+    let view = carried_view(HOSTS);
+    let mut router = carried_router(&view);
     let asked = search(&mut router, &view, STABLE_MS);
     let at = STABLE_MS + COPY_MS + 2;
     let verdict = clear_all(&mut router, &view, &asked, true, at);
@@ -125,8 +92,8 @@
 
 #[test]
 fn one_host_that_is_unsure_leaves_the_flow_alone() {
-    let view = build(HOSTS);
-    let mut router = router(&view);
+    let view = carried_view(HOSTS);
+    let mut router = carried_router(&view);
     let asked = search(&mut router, &view, STABLE_MS);
     let at = STABLE_MS + COPY_MS + 2;
     assert_eq!(clear_all(&mut router, &view, &asked[1..], true, at), None);
@@ -138,8 +105,8 @@
 
 #[test]
 fn a_host_that_answers_twice_counts_once() {
-    let view = build(2);
-    let mut router = router(&view);
+    let view = carried_view(2);
+    let mut router = carried_router(&view);
     let asked = search(&mut router, &view, STABLE_MS);
     let now = TimePoint(STABLE_MS + COPY_MS + 2);
     for _ in 0..3 {
@@ -150,15 +117,15 @@
 
 #[test]
 fn nobody_is_told_while_hosts_come_and_go_or_knowledge_is_old() {
-    let view = build(HOSTS);
+    let view = carried_view(HOSTS);
     let at = STABLE_MS + COPY_MS + 2;
-    let mut router_without_store = router(&view);
+    let mut router_without_store = carried_router(&view);
     let asked = search(&mut router_without_store, &view, STABLE_MS);
     let verdict = clear_all(&mut router_without_store, &view, &asked, false, at);
     assert_eq!(verdict, Some(SearchVerdict::Doubtful));
 
-    let mut router = router(&view);
-    let grown = build(HOSTS + 1);
+    let mut router = carried_router(&view);
+    let grown = carried_view(HOSTS + 1);
     router.note_view(&grown, TimePoint(STABLE_MS - 1_000));
     let asked = search(&mut router, &grown, STABLE_MS);
     let verdict = clear_all(&mut router, &grown, &asked, true, at);
@@ -167,8 +134,8 @@
 
 #[test]
 fn words_that_come_late_end_nothing() {
-    let view = build(2);
-    let mut router = router(&view);
+    let view = carried_view(2);
+    let mut router = carried_router(&view);
     let asked = search(&mut router, &view, STABLE_MS);
     let late = STABLE_MS + COPY_MS + SEARCH_TIMEOUT.as_millis() as u64;
     assert_eq!(clear_all(&mut router, &view, &asked, true, late), None);
@@ -176,17 +143,17 @@
 
 #[test]
 fn hosts_of_the_firms_other_services_are_asked_too() {
-    let mut view = build(3);
+    let mut view = carried_view(3);
     let other = add_service(&mut view);
-    let mut router = router(&view);
+    let mut router = carried_router(&view);
     let asked = search(&mut router, &view, STABLE_MS);
     assert!(asked.contains(&other), "the address may have been its own");
 }
 
 #[test]
 fn a_question_fits_a_datagram() {
-    let view = build(2);
-    let mut router = router(&view);
+    let view = carried_view(2);
+    let mut router = carried_router(&view);
     for port in 1..=40 {
         let packet = data(port, 700);
         for at in [STABLE_MS, STABLE_MS + COPY_MS] {
@@ -261,8 +228,8 @@
 
 #[test]
 fn questions_keep_to_their_rate() {
-    let view = build(HOSTS);
-    let mut router = router(&view);
+    let view = carried_view(HOSTS);
+    let mut router = carried_router(&view);
     let mut asked = 0;
     let mut port = 0;
     const SECONDS: u64 = 10;
@@ -285,8 +252,8 @@
 
 // Searches of one flow after another, in which all but `mute` answer at once.
 fn search_repeatedly(mute: usize, seconds: u64) -> Option<SearchVerdict> {
-    let view = build(HOSTS);
-    let mut router = router(&view);
+    let view = carried_view(HOSTS);
+    let mut router = carried_router(&view);
     let mut last = None;
     for step in 0..seconds * 2 {
         let at = STABLE_MS + step * 500;
--- a/crates/core/tests/silent_hosts.rs
+++ b/crates/core/tests/silent_hosts.rs
@@ -4,35 +4,14 @@
 
 use std::collections::BTreeSet;
 use std::net::SocketAddrV4;
-use std::num::NonZeroUsize;
-use std::sync::Arc;
 
 use chestnutlb_core::load::MUTE_AFTER;
-use chestnutlb_core::view::ServiceView;
-use chestnutlb_core::{
-    CarriedRouter, HostLoad, HostState, ObjectVersion, RoutingView, ServiceKind, TimePoint,
-};
-use common::{data, host, syn};
+use chestnutlb_core::{CarriedRouter, HostLoad, RoutingView, TimePoint};
+use common::{carried_router, carried_view, data, syn};
 
 const HOSTS: usize = 4;
 const COPY_MS: u64 = 200;
 
-fn view() -> RoutingView {
-    let mut spec = common::spec();
-    spec.kind = ServiceKind::Passthrough;
-    let records: Vec<_> = (0..HOSTS)
-        .map(|number| Arc::new(host(number, HostState::Serving)))
-        .collect();
-    let mut view = RoutingView::default();
-    view.put(ServiceView::build(
-        Arc::new(spec),
-        ObjectVersion(1),
-        &records,
-        &BTreeSet::new(),
-    ));
-    view
-}
-
 const LOAD: HostLoad = HostLoad {
     slots: 3,
     at_work: 0,
@@ -51,10 +30,8 @@
 
 impl Player {
     fn new() -> Self {
-        let view = view();
-        let limit = NonZeroUsize::new(64).unwrap();
-        let mut router = CarriedRouter::new("honam-1".parse().unwrap(), limit);
-        router.note_view(&view, TimePoint(0));
+        let view = carried_view(HOSTS);
+        let router = carried_router(&view);
         Self { view, router }
     }
 
--- a/crates/wire/tests/datagrams.rs
+++ b/crates/wire/tests/datagrams.rs
@@ -2,8 +2,12 @@
 
 use std::net::SocketAddrV4;
 
-use chestnutlb_core::{FlowKey, SegmentFacts};
-use chestnutlb_wire::packet::{MAX_DATAGRAM_BYTES, advance, write_data, write_reset};
+use chestnutlb_core::search::QUESTION_FLOWS;
+use chestnutlb_core::{FlowKey, FlowWord, SegmentFacts};
+use chestnutlb_wire::packet::{
+    MAX_DATAGRAM_BYTES, WireFlow, WireQuestion, WireWords, advance, write_data, write_question,
+    write_reset, write_words,
+};
 use chestnutlb_wire::peer::{PeerHeartbeat, PullQuery};
 use chestnutlb_wire::{
     PacketError, PacketFrame, PacketHeader, PeerError, PeerMessage, WireEntry, WireHop, scan_frame,
@@ -154,3 +158,33 @@
     );
     assert_eq!(scan_segment(&[0x45; 2000]), Err(PacketError::Oversized));
 }
+
+// Flows whose numbers take the most bytes.
+fn largest_flows() -> Vec<FlowKey> {
+    (0..QUESTION_FLOWS)
+        .map(|number| FlowKey {
+            caller: SocketAddrV4::new([255; 4].into(), 65_535 - number as u16),
+            service: SocketAddrV4::new([255; 4].into(), 65_535),
+        })
+        .collect()
+}
+
+#[test]
+fn the_largest_question_and_its_answer_are_read_as_written() {
+    let keys = largest_flows();
+    let flows: Vec<WireFlow> = keys.iter().copied().map(WireFlow::from).collect();
+    let question = WireQuestion { flows };
+    let mut buffer = Vec::new();
+    write_question(&mut buffer, &question);
+    assert_eq!(scan_frame(&buffer), Ok(PacketFrame::Question(question)));
+
+    let all = [FlowWord::Here, FlowWord::Never, FlowWord::Unsure];
+    let words: Vec<_> = keys.into_iter().zip(all.into_iter().cycle()).collect();
+    write_words(&mut buffer, &WireWords::new(words.iter().copied()));
+    match scan_frame(&buffer) {
+        Ok(PacketFrame::Words(read)) => {
+            assert_eq!(read.words().collect::<Vec<_>>(), words);
+        }
+        other => panic!("{other:?}"),
+    }
+}
