A process says that it started before anything else

Its log has 'in force' of a new process at 17.820 s in the line before that process's 'started' (same millisecond): threads spoke before the main thread did, so a reader of the log takes what they took for the life before. Ruled out: a version that really fell (incarnations differ). Change: entry VMs and side processes log 'started' before they start threads. Test: the_first_word_of_a_process_is_that_it_started, failed before (a thread's line came first), passes after. The check of the soak stays as it was.

--- a/crates/daemon/src/carried_side.rs
+++ b/crates/daemon/src/carried_side.rs
@@ -126,6 +126,13 @@
     let packets = UdpSocket::bind(settings.packets)?;
     let outbound = UdpSocket::bind(passthrough.outbound)?;
     let announce = UdpSocket::bind(settings.announce)?;
+    // Before any thread says a word, so that a log shows where a life begins.
+    log::info!(
+        target: "process",
+        role = "side", delivery = "passthrough", name:% = settings.name,
+        service:% = settings.service, datacenter:% = settings.datacenter;
+        "started"
+    );
     let settings = Arc::new(settings.clone());
     let shared = Arc::new(CarriedShared::new(Arc::clone(&settings), counters));
     http::start(server(Arc::clone(&shared), settings.status))?;
@@ -153,12 +160,6 @@
         .name("control".to_owned())
         .spawn(move || control.run())?;
 
-    log::info!(
-        target: "process",
-        role = "side", delivery = "passthrough", name:% = settings.name,
-        service:% = settings.service, datacenter:% = settings.datacenter;
-        "started"
-    );
     if stops.recv().is_err() {
         return Ok(());
     }
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -46,6 +46,14 @@
     packet_socket.set_read_timeout(Some(PACKET_TIMEOUT))?;
     let peer_socket = UdpSocket::bind(settings.peers)?;
 
+    // Before any thread says a word, so that a log shows where a life begins.
+    log::info!(
+        target: "process",
+        role = "entry", name:% = settings.name, datacenter:% = settings.datacenter,
+        incarnation = me.incarnation.0;
+        "started"
+    );
+
     let shared = Arc::new(EntryShared::new(me.clone(), Arc::clone(&counters)));
     let (event_ring, events) = bounded(EVENT_RING);
     let (store_ring, store_jobs) = bounded(JOB_RING);
@@ -111,12 +119,6 @@
         .name("control".to_owned())
         .spawn(move || control.run())?;
 
-    log::info!(
-        target: "process",
-        role = "entry", name:% = settings.name, datacenter:% = settings.datacenter,
-        incarnation = me.incarnation.0;
-        "started"
-    );
     // The main thread just waits for the signals.
     if stops.recv().is_err() {
         return Ok(());
--- a/crates/daemon/src/side.rs
+++ b/crates/daemon/src/side.rs
@@ -56,6 +56,14 @@
     let seeds = SeedList::new(settings.seeds.clone());
     let reloaded = seeds.clone();
     file.watch(move |settings| reloaded.set(settings.seeds()))?;
+    // Before any thread says a word, so that a log shows where a life begins.
+    log::info!(
+        target: "process",
+        role = "side", name:% = settings.name, service:% = settings.service,
+        incarnation = incarnation.0;
+        "started"
+    );
+
     let announce = AnnounceLoop::new(
         Arc::clone(&settings),
         incarnation,
@@ -104,12 +112,6 @@
         .name("flows".to_owned())
         .spawn(move || run_flows(parts))?;
 
-    log::info!(
-        target: "process",
-        role = "side", name:% = settings.name, service:% = settings.service,
-        incarnation = incarnation.0;
-        "started"
-    );
     if stops.recv().is_err() {
         return Ok(());
     }
--- a/crates/standin/tests/soak.rs
+++ b/crates/standin/tests/soak.rs
@@ -33,6 +33,21 @@
     assert!(report.holds(), "{report}");
 }
 
+// Seed 313: an entry VM that was killed wrote what it took before it wrote that it had
+// started, which looked like a version that did not rise.
+#[test]
+fn the_first_word_of_a_process_is_that_it_started() {
+    let fleet = common::start("first-words");
+    let mut names = fleet.entries();
+    names.extend(fleet.hosts());
+    for name in names {
+        let log = fleet.log(&name);
+        let first = log.lines().next().unwrap_or_default();
+        let first: serde_json::Value = serde_json::from_str(first).unwrap();
+        assert_eq!(first["event"], "started", "{name}: {first}");
+    }
+}
+
 #[test]
 fn a_plan_follows_from_its_seed() {
     let lines: Vec<_> = draw_plan(7, SHAPE)
