Names and figures of the soak and of searches

Cause: 'order' meant both a soak's settings and a caller's order; the cost of a question in the comment and in CAPACITY had no run behind it. Ruled out: keeping the estimate with a caveat. Result: no decision changes.

--- a/crates/core/src/search.rs
+++ b/crates/core/src/search.rs
@@ -1,13 +1,13 @@
 //! Searches for flows that no host of a walk owned.
 //!
 //! A walk visits the hosts of a flow's bucket. A host that fell out of them may
-//! still own the flow, and after a crash nobody does. So when a flow's packets
-//! walked in vain, the entry VM asks every host of the firm by the flow's key, as
-//! its address may have been another service's when it began. One that owns it is
-//! remembered. If each says that it has watched its backend
-//! server from the start and never saw the flow, or was told by it, the flow's
-//! backend server lives no more. A host that has not said a word for long is out of
-//! reach for the flow's packets as well, so it is not waited for.
+//! still own the flow, and after a crash nobody does. So when a flow's packets walked
+//! in vain, the entry VM asks every host of the firm by the flow's key: its address may
+//! have been another service's when it began. A host that owns it is remembered. If
+//! each is certain that it does not hold it, since it watched its backend server from
+//! the start or was told by it, the flow's backend server lives no more. A host that
+//! has not said a word for long is out of reach for the flow's packets as well, so it
+//! is not waited for.
 
 use std::collections::HashMap;
 use std::net::SocketAddrV4;
@@ -17,8 +17,8 @@
 use crate::keeper::SUSPECT_AFTER;
 use crate::units::TimePoint;
 
-/// Questions that an entry VM asks in a second. Each costs some 12 us, so that the
-/// smallest entry VMs, with a tenth of a core, spend a twentieth of it.
+/// Questions that an entry VM asks in a second, so that a fleet full of lost flows
+/// leaves the smallest ones, with a tenth of a core, time for packets.
 pub const QUESTION_RATE: u64 = 500;
 
 /// Questions that may be saved up: two searches among the hosts of a large firm.
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -9,7 +9,7 @@
 
 use chestnutlb_standin::backend::BackendPlan;
 use chestnutlb_standin::crest::SwingPlan;
-use chestnutlb_standin::soak::SoakOrder;
+use chestnutlb_standin::soak::SoakSetup;
 use chestnutlb_standin::soak_plan::SoakShape;
 use chestnutlb_standin::tryout::{TryoutPlan, program_folder};
 use chestnutlb_standin::{
@@ -343,7 +343,7 @@
     let first = options.seed.unwrap_or_else(|| rand::random::<u32>().into());
     let mut failed = Vec::new();
     for seed in first..first + options.count {
-        let order = SoakOrder {
+        let setup = SoakSetup {
             binaries: program_folder().map_err(|error| error.to_string())?,
             logs: options.logs.join(format!("seed-{seed}")),
             manifests: options.manifests.clone(),
@@ -354,7 +354,7 @@
                 harm: Duration::from_secs(options.seconds),
             },
         };
-        let report = soak::run(&order).map_err(|error| format!("seed {seed}: {error}"))?;
+        let report = soak::run(&setup).map_err(|error| format!("seed {seed}: {error}"))?;
         if options.json {
             print_line(&report)?;
         } else {
--- a/crates/standin/src/soak.rs
+++ b/crates/standin/src/soak.rs
@@ -61,7 +61,7 @@
 
 /// What a soak is asked for.
 #[derive(Debug, Clone)]
-pub struct SoakOrder {
+pub struct SoakSetup {
     /// Folder of the programs.
     pub binaries: PathBuf,
     /// Folder for logs and settings.
@@ -127,14 +127,14 @@
     ending: BTreeMap<SoakTarget, Duration>,
     harms: Vec<HarmSpan>,
     commits: u64,
-    order: SoakOrder,
+    setup: SoakSetup,
     report: SoakReport,
 }
 
 /// Runs one soak.
-pub fn run(order: &SoakOrder) -> Result<SoakReport, FleetError> {
-    let plan = draw_plan(order.seed, order.shape);
-    let mut run = SoakRun::start(order)?;
+pub fn run(setup: &SoakSetup) -> Result<SoakReport, FleetError> {
+    let plan = draw_plan(setup.seed, setup.shape);
+    let mut run = SoakRun::start(setup)?;
     let orders = run.spawn_orders()?;
     let feeds = run.spawn_feeds()?;
     run.harm(&plan)?;
@@ -147,7 +147,7 @@
     let evidence = SoakEvidence {
         fleet: &run.fleet,
         harms: &run.harms,
-        quiet_from: order.shape.harm + SETTLE,
+        quiet_from: setup.shape.harm + SETTLE,
     };
     judge(&evidence, &orders, &feeds, &mut report);
     Ok(report)
@@ -168,9 +168,9 @@
 }
 
 impl SoakRun {
-    fn start(order: &SoakOrder) -> Result<Self, FleetError> {
-        let shape = order.shape;
-        let mut fleet = Fleet::start(&order.binaries, &order.logs)?;
+    fn start(setup: &SoakSetup) -> Result<Self, FleetError> {
+        let shape = setup.shape;
+        let mut fleet = Fleet::start(&setup.binaries, &setup.logs)?;
         fleet.linked = true;
         fleet.grant(&[("10.20.0.0/16", "dalbit"), ("10.30.0.0/16", "calinawan")])?;
         let datacenter = |number: usize| format!("dc-{}", number % 2 + 1);
@@ -200,9 +200,9 @@
             ending: BTreeMap::new(),
             harms: Vec::new(),
             commits: 0,
-            order: order.clone(),
+            setup: setup.clone(),
             report: SoakReport {
-                seed: order.seed,
+                seed: setup.seed,
                 ..SoakReport::default()
             },
         };
@@ -221,21 +221,21 @@
     // Each commit differs from the one before.
     fn commit(&mut self, firm: &str) -> Result<u64, FleetError> {
         self.commits += 1;
-        let text = std::fs::read_to_string(self.order.manifests.join(format!("{firm}.json")))?;
+        let text = std::fs::read_to_string(self.setup.manifests.join(format!("{firm}.json")))?;
         let grace = format!("\"drain_grace_ms\": {DRAIN_GRACE_MS}");
         let flows = format!("\"flows\": {}", 1_000 + self.commits);
         let text = text
             .replace("\"drain_grace_ms\": 600000", &grace)
             .replace("\"warm_up_ms\": 1000", "\"warm_up_ms\": 100")
             .replace("\"flows\": 2000", &flows);
-        let path = self.order.logs.join(format!("{firm}-soak.json"));
+        let path = self.setup.logs.join(format!("{firm}-soak.json"));
         std::fs::write(&path, text)?;
         self.fleet.commit(&path)
     }
 
     fn spawn_orders(&self) -> Result<JoinHandle<Vec<CallerResult>>, FleetError> {
         let ip = Ipv4Addr::new(10, 9, 0, 2);
-        let mut callers = CallerLoop::new(ip, self.fleet.fabric, self.order.seed)?;
+        let mut callers = CallerLoop::new(ip, self.fleet.fabric, self.setup.seed)?;
         let quiet = self.shape.harm + SETTLE;
         let harmed = (0..).map(|step| ORDER_SPACING * step);
         let harmed = harmed.take_while(|start| *start < self.shape.harm);
@@ -262,7 +262,7 @@
 
     fn spawn_feeds(&self) -> Result<JoinHandle<Vec<CallerResult>>, FleetError> {
         let ip = Ipv4Addr::new(10, 9, 0, 1);
-        let mut callers = CallerLoop::new(ip, self.fleet.fabric, self.order.seed + 1)?;
+        let mut callers = CallerLoop::new(ip, self.fleet.fabric, self.setup.seed + 1)?;
         let end = self.shape.harm + SETTLE + QUIET + LISTENING;
         let first = (0..FIRST_FEEDS).map(|step| TICK * step as u32);
         let later = (1..).map(|step| FEED_SPACING * step);
--- a/crates/standin/tests/soak.rs
+++ b/crates/standin/tests/soak.rs
@@ -8,7 +8,7 @@
 
 use chestnutlb_standin::fleet::free_address;
 use chestnutlb_standin::proxy::{LinkFault, LinkProxy};
-use chestnutlb_standin::soak::{SoakOrder, run};
+use chestnutlb_standin::soak::{SoakSetup, run};
 use chestnutlb_standin::soak_check::find_regressions;
 use chestnutlb_standin::soak_plan::{SoakShape, draw_plan};
 use chestnutlb_standin::tryout::program_folder;
@@ -22,14 +22,14 @@
 #[test]
 fn a_short_soak_holds() {
     const SEED: u64 = 7;
-    let order = SoakOrder {
+    let setup = SoakSetup {
         binaries: program_folder().unwrap(),
         logs: common::folder("soak"),
         manifests: common::examples(),
         seed: SEED,
         shape: SHAPE,
     };
-    let report = run(&order).unwrap();
+    let report = run(&setup).unwrap();
     assert!(report.holds(), "{report}");
 }
 
