Views of carried services gather changes for 100 ms

Each change of a roster or of what a host said ranked all hosts of the service for 4,096 buckets again, at 0.09 core a tenth of a second. Change: such changes gather, and a view is built once in 100 ms at most. Manifests, grants, first hosts and services whose hosts must know each other do not wait. Tests: core/tests/views.rs, does not compile before (no such decision).

--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -91,6 +91,8 @@
     all: MemberRing,
     rings: BTreeMap<DatacenterName, MemberRing>,
     adopt_due: bool,
+    // Whether a view was built that was not published yet.
+    publish_due: bool,
     confirmed: Option<TimePoint>,
     // When this entry VM last knew all that a peer knew, or asked for it.
     level: TimePoint,
@@ -122,6 +124,7 @@
             all: MemberRing::default(),
             rings: BTreeMap::new(),
             adopt_due: false,
+            publish_due: false,
             confirmed: None,
             level: now,
             watching: false,
@@ -155,9 +158,16 @@
         self.confirmed.map(|at| now.since(at))
     }
 
-    /// When [`ControlEvent::Tick`] is due next.
+    /// When [`ControlEvent::Tick`] or [`EntryControl::poll_view`] is due next.
     pub fn next_due(&self) -> Option<TimePoint> {
-        self.timers.next_due()
+        let due = [self.timers.next_due(), self.views.next_due()];
+        due.into_iter().flatten().min()
+    }
+
+    /// Builds the view anew if that is due.
+    pub fn poll_view(&mut self, now: TimePoint) -> Option<ControlAction> {
+        self.publish_due |= self.views.poll(&self.documents, now);
+        std::mem::take(&mut self.publish_due).then_some(ControlAction::Publish)
     }
 
     /// The next timer that is due.
@@ -172,15 +182,13 @@
     }
 
     // Takes over what hosts said of themselves into the view.
-    fn note_heard(&mut self, now: TimePoint, actions: &mut Vec<ControlAction>) {
+    fn note_heard(&mut self, now: TimePoint) {
         let heard = self
             .keeper
             .heard(now)
             .map(|record| (record.name.clone(), record.clone()))
             .collect();
-        if self.views.set_heard(heard, &self.documents) {
-            actions.push(ControlAction::Publish);
-        }
+        self.views.set_heard(heard);
     }
 
     fn members_id(&self) -> DocumentId {
@@ -218,7 +226,7 @@
                 manifest,
                 from,
             } => {
-                let news = self.on_announced(record, revision, manifest, now, &mut actions);
+                let news = self.on_announced(record, revision, manifest, now);
                 actions.push(ControlAction::Welcome(from, news));
             }
             ControlEvent::Alive {
@@ -273,6 +281,7 @@
                 actions.push(ControlAction::WriteMembers(self.members_id(), vec![edit]));
             }
         }
+        actions.extend(self.poll_view(now));
         actions
     }
 
@@ -296,7 +305,6 @@
         revision: HostRevision,
         manifest: ObjectVersion,
         now: TimePoint,
-        actions: &mut Vec<ControlAction>,
     ) -> WelcomeNews {
         let chosen = self.listeners_of(&record);
         let rank = chosen
@@ -312,8 +320,10 @@
         }
         let service = record.service.clone();
         self.keeper.hear(record, revision, rank, now);
-        // The host is to learn at once what it changed.
-        self.note_heard(now, actions);
+        self.note_heard(now);
+        // Hosts that need to know each other learn at once what this one changed.
+        let built = self.views.poll(&self.documents, now);
+        self.publish_due |= built;
         WelcomeNews {
             keepers: chosen,
             resend: false,
@@ -495,7 +505,6 @@
         }
         if id.kind != DocumentKind::Members {
             self.views.take_changes(&id, changes, &self.documents);
-            actions.push(ControlAction::Publish);
         }
         self.recent.retain(|(known, _)| *known != id);
         self.recent.push_front((id.clone(), version));
@@ -573,7 +582,7 @@
         let documents = &self.documents;
         let current = |record: &HostRecord| find_host(documents, record);
         let edits = self.keeper.edits(current, now);
-        self.note_heard(now, actions);
+        self.note_heard(now);
         let mut suspects = BTreeMap::new();
         let mut rosters: BTreeMap<DatacenterName, Vec<RosterEdit>> = BTreeMap::new();
         for edit in edits {
@@ -585,9 +594,7 @@
             let datacenter = record.datacenter.clone();
             rosters.entry(datacenter).or_default().push(edit);
         }
-        if self.views.set_suspects(suspects, &self.documents) {
-            actions.push(ControlAction::Publish);
-        }
+        self.views.set_suspects(suspects);
         for (datacenter, edits) in rosters {
             let id = DocumentId::new(DocumentKind::Roster, datacenter.as_str());
             if !self.stopping && self.claim_document(&id, now) {
--- a/crates/core/src/view_builder.rs
+++ b/crates/core/src/view_builder.rs
@@ -3,17 +3,29 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
+use std::time::Duration;
 
 use crate::document::{
     DocumentId, DocumentItem, DocumentKind, DocumentStore, GrantIndex, ItemChange,
 };
 use crate::ids::{HostName, ServiceId};
+use crate::manifest::ServiceKind;
 use crate::roster::HostRecord;
+use crate::units::TimePoint;
 use crate::view::{RoutingView, ServiceView};
 
-/// Builds views; only the services that a change touches are built anew.
+/// Least time between two views, unless one can't wait. To rank the hosts of a large
+/// service for all buckets takes milliseconds, which small entry VMs need for manifests.
+pub const VIEW_PERIOD: Duration = Duration::from_millis(100);
+
+/// Builds views; only the services that changes touched are built anew, and changes
+/// gather for a moment.
 #[derive(Debug, Default)]
 pub struct ViewBuilder {
+    touched: BTreeSet<ServiceId>,
+    // Whether a change can't wait.
+    urgent: bool,
+    built: Option<TimePoint>,
     suspects: BTreeMap<HostName, ServiceId>,
     // Hosts as they were heard here, which may be newer than the roster.
     heard: BTreeMap<HostName, HostRecord>,
@@ -35,21 +47,22 @@
         changes: &[ItemChange],
         documents: &DocumentStore,
     ) {
-        let mut touched = BTreeSet::new();
+        let mut touched = Vec::new();
         for change in changes {
             for item in [&change.old, &change.new].into_iter().flatten() {
                 match item {
                     DocumentItem::Host(record) => {
-                        touched.insert(record.service.clone());
+                        touched.push(record.service.clone());
                     }
                     DocumentItem::Service(spec) => {
-                        touched.insert(spec.id.clone());
+                        touched.push(spec.id.clone());
                     }
                     DocumentItem::Grant(..) | DocumentItem::Entry(_) => {}
                 }
             }
             self.note_host(change);
         }
+        self.urgent |= matches!(id.kind, DocumentKind::Manifest | DocumentKind::Grants);
         match id.kind {
             // All services of the firm carry the manifest's version.
             DocumentKind::Manifest => touched.extend(service_ids(documents, Some(id))),
@@ -59,17 +72,42 @@
             }
             DocumentKind::Roster | DocumentKind::Members => {}
         }
-        self.refresh(&touched, documents);
+        self.touch(touched);
     }
 
-    /// Takes over what hosts said of themselves. Returns whether the view changed.
-    pub fn set_heard(
-        &mut self,
-        heard: BTreeMap<HostName, HostRecord>,
-        documents: &DocumentStore,
-    ) -> bool {
+    fn touch(&mut self, services: impl IntoIterator<Item = ServiceId>) {
+        for id in services {
+            self.urgent |= self
+                .view
+                .service(&id)
+                .is_some_and(|service| cannot_wait(service));
+            self.touched.insert(id);
+        }
+    }
+
+    /// When the next view is due; none if nothing changed.
+    pub fn next_due(&self) -> Option<TimePoint> {
+        if self.touched.is_empty() {
+            return None;
+        }
+        let waits = self.built.filter(|_| !self.urgent);
+        Some(waits.map_or(TimePoint::default(), |built| built + VIEW_PERIOD))
+    }
+
+    /// Builds a view if one is due. Returns whether it did.
+    pub fn poll(&mut self, documents: &DocumentStore, now: TimePoint) -> bool {
+        let due = self.next_due().is_some_and(|due| due <= now);
+        if due {
+            self.refresh(documents);
+            self.built = Some(now);
+        }
+        due
+    }
+
+    /// Takes over what hosts said of themselves.
+    pub fn set_heard(&mut self, heard: BTreeMap<HostName, HostRecord>) {
         if heard == self.heard {
-            return false;
+            return;
         }
         let differing = |from: &BTreeMap<HostName, HostRecord>,
                          to: &BTreeMap<HostName, HostRecord>| {
@@ -78,35 +116,33 @@
                 .map(|(_, record)| record.service.clone())
                 .collect::<Vec<_>>()
         };
-        let mut touched: BTreeSet<ServiceId> = BTreeSet::new();
-        touched.extend(differing(&heard, &self.heard));
+        let mut touched = differing(&heard, &self.heard);
         touched.extend(differing(&self.heard, &heard));
         self.heard = heard;
-        self.refresh(&touched, documents);
-        true
+        self.touch(touched);
     }
 
-    /// Replaces the suspicions. Returns whether the view changed.
-    pub fn set_suspects(
-        &mut self,
-        suspects: BTreeMap<HostName, ServiceId>,
-        documents: &DocumentStore,
-    ) -> bool {
+    /// Replaces the suspicions.
+    pub fn set_suspects(&mut self, suspects: BTreeMap<HostName, ServiceId>) {
         if suspects == self.suspects {
-            return false;
+            return;
         }
-        let touched = suspects.values().chain(self.suspects.values());
-        let touched = touched.cloned().collect();
+        let touched: Vec<_> = suspects
+            .values()
+            .chain(self.suspects.values())
+            .cloned()
+            .collect();
         self.suspects = suspects;
-        self.refresh(&touched, documents);
-        true
+        self.touch(touched);
     }
 
-    fn refresh(&mut self, touched: &BTreeSet<ServiceId>, documents: &DocumentStore) {
+    fn refresh(&mut self, documents: &DocumentStore) {
+        self.urgent = false;
+        let touched = std::mem::take(&mut self.touched);
         let suspects: BTreeSet<HostName> = self.suspects.keys().cloned().collect();
         let mut view = RoutingView::clone(&self.view);
         view.generation = documents.generation(DocumentKind::Roster);
-        for id in touched {
+        for id in &touched {
             let granted = documents.service(id).filter(|(spec, _)| {
                 let mut addresses = spec.addresses();
                 addresses.all(|address| self.grants.owns(&id.firm, *address.ip()))
@@ -151,6 +187,13 @@
     }
 }
 
+// Whether hosts of a service are to be known at once: the first ones, and those that
+// learn of each other with the answer to their announcement. Hosts of carried services
+// need not know each other.
+fn cannot_wait(service: &ServiceView) -> bool {
+    service.hosts().is_empty() || service.spec.kind != ServiceKind::Passthrough
+}
+
 // The services of one manifest, or of all.
 fn service_ids(documents: &DocumentStore, manifest: Option<&DocumentId>) -> Vec<ServiceId> {
     documents
--- /dev/null
+++ b/crates/core/tests/views.rs
@@ -0,0 +1,115 @@
+//! When an entry VM builds its view anew: changes of carried services gather, those
+//! that callers or hosts wait for do not.
+
+mod common;
+
+use std::sync::Arc;
+
+use chestnutlb_core::view_builder::VIEW_PERIOD;
+use chestnutlb_core::{
+    ControlAction, ControlEvent, DocumentId, DocumentItem, DocumentKind, EntryControl, HostState,
+    ObjectVersion, ServiceKind, TimePoint,
+};
+use common::{entry, host};
+
+const START: TimePoint = TimePoint(1_000);
+
+fn control() -> EntryControl {
+    let mut control = EntryControl::new(entry(1, "honam-1"), Vec::new(), 1, START);
+    let grant = DocumentItem::Grant("10.20.0.0/16".parse().unwrap(), "dalbit".into());
+    control.handle(load(DocumentKind::Grants, "all", 1, vec![grant]), START);
+    control
+}
+
+fn load(kind: DocumentKind, name: &str, version: u64, items: Vec<DocumentItem>) -> ControlEvent {
+    ControlEvent::Loaded {
+        id: DocumentId::new(kind, name),
+        version: ObjectVersion(version),
+        items,
+    }
+}
+
+fn manifest(kind: ServiceKind, version: u64) -> ControlEvent {
+    let mut spec = common::spec();
+    spec.kind = kind;
+    let items = vec![DocumentItem::Service(Arc::new(spec))];
+    load(DocumentKind::Manifest, "dalbit", version, items)
+}
+
+fn roster(version: u64, hosts: usize) -> ControlEvent {
+    let items = (0..hosts)
+        .map(|number| DocumentItem::Host(Arc::new(host(number, HostState::Serving))))
+        .collect();
+    load(DocumentKind::Roster, "honam-1", version, items)
+}
+
+fn publishes(control: &mut EntryControl, event: ControlEvent, now: TimePoint) -> bool {
+    let actions = control.handle(event, now);
+    actions.contains(&ControlAction::Publish)
+}
+
+fn known_hosts(control: &EntryControl) -> usize {
+    let id = "dalbit/catalogue".parse().unwrap();
+    let service = control.view().service(&id);
+    service.map_or(0, |service| service.hosts().len())
+}
+
+#[test]
+fn changes_of_a_carried_service_gather() {
+    let mut control = control();
+    control.handle(manifest(ServiceKind::Passthrough, 1), START);
+    assert!(
+        publishes(&mut control, roster(1, 1), START),
+        "the first hosts can't wait"
+    );
+    for version in 2..20 {
+        assert!(!publishes(
+            &mut control,
+            roster(version, version as usize),
+            START
+        ));
+    }
+    assert_eq!(known_hosts(&control), 1);
+    let due = START + VIEW_PERIOD;
+    assert_eq!(control.poll_view(due), Some(ControlAction::Publish));
+    assert_eq!(known_hosts(&control), 19);
+    assert_eq!(control.poll_view(due), None);
+}
+
+#[test]
+fn a_manifest_does_not_wait_and_takes_what_gathered_along() {
+    let mut control = control();
+    control.handle(manifest(ServiceKind::Passthrough, 1), START);
+    control.handle(roster(1, 1), START);
+    control.handle(roster(2, 5), START);
+    assert!(publishes(
+        &mut control,
+        manifest(ServiceKind::Passthrough, 2),
+        START
+    ));
+    assert_eq!(known_hosts(&control), 5);
+}
+
+#[test]
+fn hosts_that_must_know_each_other_do_not_wait() {
+    let mut control = control();
+    control.handle(manifest(ServiceKind::Request, 1), START);
+    for version in 1..5 {
+        assert!(publishes(
+            &mut control,
+            roster(version, version as usize),
+            START
+        ));
+    }
+    assert_eq!(known_hosts(&control), 4);
+}
+
+#[test]
+fn the_next_view_is_told_as_due() {
+    let mut control = control();
+    control.handle(manifest(ServiceKind::Passthrough, 1), START);
+    control.handle(roster(1, 1), START);
+    control.handle(roster(2, 2), START);
+    let due = control.next_due().unwrap();
+    assert!(due <= START + VIEW_PERIOD, "{due:?}");
+}
--- a/crates/daemon/src/entry_control.rs
+++ b/crates/daemon/src/entry_control.rs
@@ -96,6 +96,9 @@
             while let Some(part) = self.control.poll_timer(now) {
                 self.handle(ControlEvent::Tick(part));
             }
+            if let Some(action) = self.control.poll_view(clock::now()) {
+                self.carry_out(action);
+            }
             self.send_view();
             let wait = self
                 .control
