A host that came back has its say in a search

Cause, found in reading the diff: a host counted as lost was not asked, and stayed lost until it sent this entry VM something, which it need not do. A flow that it opened through another entry VM after its return could have been called dead. Ruled out: forgetting losses after a while (the same, rarer). Change: every host is asked. Test: a_lost_host_that_came_back_has_its_say; with the code before it was never asked.

--- a/crates/core/src/carried_routes.rs
+++ b/crates/core/src/carried_routes.rs
@@ -88,6 +88,8 @@
     Dead(SegmentFacts),
     /// No host that is known owns it, but another one may.
     Doubtful,
+    /// Some hosts could not tell or did not answer.
+    Open(OpenSearch),
 }
 
 impl SearchVerdict {
@@ -97,6 +99,15 @@
             Self::Found(_) => "found",
             Self::Dead(_) => "dead",
             Self::Doubtful => "doubtful",
+            Self::Open(_) => "open",
+        }
+    }
+
+    /// What is missing for a verdict.
+    pub fn open(self) -> Option<OpenSearch> {
+        match self {
+            Self::Open(open) => Some(open),
+            _ => None,
         }
     }
 
@@ -104,7 +115,7 @@
     pub fn owner(self) -> Option<SocketAddrV4> {
         match self {
             Self::Found(owner) => Some(owner),
-            Self::Dead(_) | Self::Doubtful => None,
+            Self::Dead(_) | Self::Doubtful | Self::Open(_) => None,
         }
     }
 }
@@ -211,9 +222,18 @@
         self.searches.take_questions()
     }
 
-    /// Searches that ended since the last call without an answer of every host.
-    pub fn take_open_searches(&mut self, now: TimePoint) -> Vec<OpenSearch> {
-        self.searches.take_open(now)
+    /// Searches that ended by time since the last call. `fresh` tells whether what is
+    /// known of the hosts was confirmed lately.
+    pub fn take_ended_searches(
+        &mut self,
+        view: &RoutingView,
+        fresh: bool,
+        now: TimePoint,
+    ) -> Vec<(FlowKey, SearchVerdict)> {
+        let ended = self.searches.take_ended(now).into_iter();
+        ended
+            .map(|(key, end)| (key, self.judge_end(view, key, end, fresh, now)))
+            .collect()
     }
 
     /// Whether a search is under way.
@@ -232,7 +252,19 @@
         fresh: bool,
         now: TimePoint,
     ) -> Option<SearchVerdict> {
-        let verdict = match self.searches.hear(key, host, word, now)? {
+        let end = self.searches.hear(key, host, word, now)?;
+        Some(self.judge_end(view, key, end, fresh, now))
+    }
+
+    fn judge_end(
+        &mut self,
+        view: &RoutingView,
+        key: FlowKey,
+        end: SearchEnd,
+        fresh: bool,
+        now: TimePoint,
+    ) -> SearchVerdict {
+        match end {
             SearchEnd::Found(owner) => {
                 self.learn(view, key, owner);
                 SearchVerdict::Found(owner)
@@ -249,8 +281,8 @@
                     SearchVerdict::Doubtful
                 }
             }
-        };
-        Some(verdict)
+            SearchEnd::Open(open) => SearchVerdict::Open(open),
+        }
     }
 
     /// Decides which hosts a caller's packet visits.
--- a/crates/core/src/search.rs
+++ b/crates/core/src/search.rs
@@ -6,8 +6,8 @@
 //! have been another service's when it began. A host that owns it is remembered. If
 //! each is certain that it does not hold it, since it watched its backend server from
 //! the start or was told by it, the flow's backend server lives no more. A host that
-//! has not said a word for long is out of reach for the flow's packets as well, so it
-//! is not waited for.
+//! has not said a word for long is out of reach for the flow's packets as well: it is
+//! asked, but if it stays silent once more its word is not needed.
 
 use std::collections::HashMap;
 use std::net::SocketAddrV4;
@@ -36,7 +36,7 @@
 pub const LOST_AFTER: Duration = SUSPECT_AFTER;
 
 /// If more than one host in this many is lost, this entry VM takes itself for cut
-/// off, and waits for all of them.
+/// off, and needs the word of all.
 const CUT_OFF_DIVISOR: usize = 2;
 
 /// Most flows in one question, by the size of a datagram's header.
@@ -62,8 +62,21 @@
 pub enum SearchEnd {
     /// This host owns the flow.
     Found(SocketAddrV4),
-    /// No host owns the flow. The facts are those of its latest packet.
+    /// No host owns the flow. The facts are those of its packet.
     NotFound(SegmentFacts),
+    /// Some hosts could not tell or did not answer.
+    Open(OpenSearch),
+}
+
+/// What is missing for the end of a search.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct OpenSearch {
+    /// Hosts that could not tell.
+    pub unsure: usize,
+    /// Hosts that did not answer and are not lost.
+    pub silent: usize,
+    /// One of them.
+    pub silent_host: Option<SocketAddrV4>,
 }
 
 /// One question: flows that a host is asked for.
@@ -86,19 +99,6 @@
     asked: bool,
 }
 
-/// A search that had its time before every host was certain.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct OpenSearch {
-    /// The flow.
-    pub key: FlowKey,
-    /// Hosts that could not tell.
-    pub unsure: usize,
-    /// Hosts that did not answer.
-    pub silent: usize,
-    /// One of them.
-    pub silent_host: Option<SocketAddrV4>,
-}
-
 #[derive(Debug, Clone, Copy)]
 struct HostSilence {
     since: TimePoint,
@@ -106,20 +106,26 @@
 }
 
 impl FlowSearch {
-    fn open_end(&self, key: FlowKey) -> OpenSearch {
-        OpenSearch {
-            key,
-            unsure: self.unsure.len(),
-            silent: self.silent_hosts().count(),
-            silent_host: self.silent_hosts().next().copied(),
-        }
-    }
-
     fn silent_hosts(&self) -> impl Iterator<Item = &SocketAddrV4> {
         self.hosts
             .iter()
             .filter(|host| !self.cleared.contains(host) && !self.unsure.contains(host))
     }
+
+    // How it ends when its time is over; `lost` are hosts whose word is not needed.
+    fn end(&self, lost: &[SocketAddrV4]) -> SearchEnd {
+        let missing = || self.silent_hosts().filter(|host| !lost.contains(host));
+        let open = OpenSearch {
+            unsure: self.unsure.len(),
+            silent: missing().count(),
+            silent_host: missing().next().copied(),
+        };
+        if open.unsure == 0 && open.silent == 0 {
+            SearchEnd::NotFound(self.segment)
+        } else {
+            SearchEnd::Open(open)
+        }
+    }
 }
 
 /// The searches of an entry VM.
@@ -127,7 +133,7 @@
 pub struct FlowSearches {
     searches: HashMap<FlowKey, FlowSearch>,
     silences: HashMap<SocketAddrV4, HostSilence>,
-    ended: Vec<OpenSearch>,
+    ended: Vec<(FlowKey, SearchEnd)>,
     // Questions that may be asked, in thousandths.
     allowance: u64,
     allowed: TimePoint,
@@ -139,19 +145,15 @@
         self.searches.len()
     }
 
-    /// Whether none is under way.
+    /// Whether none is under way or has an end to be taken.
     pub fn is_empty(&self) -> bool {
-        self.searches.is_empty()
+        self.searches.is_empty() && self.ended.is_empty()
     }
 
     /// Begins a search of the flow of this packet among `hosts`. One that is under
     /// way goes on.
-    pub fn begin(&mut self, segment: &SegmentFacts, mut hosts: Vec<SocketAddrV4>, now: TimePoint) {
+    pub fn begin(&mut self, segment: &SegmentFacts, hosts: Vec<SocketAddrV4>, now: TimePoint) {
         self.expire(now);
-        let lost = hosts.iter().filter(|host| self.is_lost(**host, now));
-        if lost.count() <= hosts.len() / CUT_OFF_DIVISOR {
-            hosts.retain(|host| !self.is_lost(*host, now));
-        }
         let known = self.searches.contains_key(&segment.key);
         if known || hosts.is_empty() || !self.spend(hosts.len(), now) {
             return;
@@ -194,25 +196,34 @@
 
     // Ends searches that had their time, and notes who did not answer.
     fn expire(&mut self, now: TimePoint) {
-        let (silences, ended) = (&mut self.silences, &mut self.ended);
-        self.searches.retain(|key, search| {
-            if now.since(search.began) < SEARCH_TIMEOUT {
-                return true;
+        let over: Vec<FlowKey> = self
+            .searches
+            .iter()
+            .filter(|(_, search)| now.since(search.began) >= SEARCH_TIMEOUT)
+            .map(|(key, _)| *key)
+            .collect();
+        for key in over {
+            let Some(search) = self.searches.remove(&key) else {
+                continue;
+            };
+            let silent = search.silent_hosts().copied();
+            let mut lost: Vec<_> = silent.filter(|host| self.is_lost(*host, now)).collect();
+            if lost.len() > search.hosts.len() / CUT_OFF_DIVISOR {
+                lost.clear();
             }
+            self.ended.push((key, search.end(&lost)));
             for host in search.silent_hosts() {
-                let silence = silences.entry(*host).or_insert(HostSilence {
+                let silence = self.silences.entry(*host).or_insert(HostSilence {
                     since: search.began,
                     missed: 0,
                 });
                 silence.missed += 1;
             }
-            ended.push(search.open_end(*key));
-            false
-        });
+        }
     }
 
-    /// Searches that ended since the last call without an answer of every host.
-    pub fn take_open(&mut self, now: TimePoint) -> Vec<OpenSearch> {
+    /// Searches that ended by time since the last call.
+    pub fn take_ended(&mut self, now: TimePoint) -> Vec<(FlowKey, SearchEnd)> {
         self.expire(now);
         std::mem::take(&mut self.ended)
     }
@@ -238,7 +249,8 @@
         questions
     }
 
-    /// Notes what a host said of a flow. Returns how the search ended, if it did.
+    /// Notes what a host said of a flow. Returns how the search ended, if it did before
+    /// its time.
     pub fn hear(
         &mut self,
         key: FlowKey,
--- a/crates/core/tests/searching.rs
+++ b/crates/core/tests/searching.rs
@@ -250,42 +250,102 @@
     assert!(asked as u64 >= QUESTION_RATE * SECONDS / 2, "{asked}");
 }
 
-// Searches of one flow after another, in which all but `mute` answer at once.
-fn search_repeatedly(mute: usize, seconds: u64) -> Option<SearchVerdict> {
-    let view = carried_view(HOSTS);
-    let mut router = carried_router(&view);
-    let mut last = None;
-    for step in 0..seconds * 2 {
-        let at = STABLE_MS + step * 500;
-        let packet = data(100 + step as u16, 700);
-        router.route(&view, &packet, TimePoint(at)).unwrap();
+struct RepeatedSearch {
+    view: RoutingView,
+    router: CarriedRouter,
+    step: u64,
+}
+
+impl RepeatedSearch {
+    fn new() -> Self {
+        let view = carried_view(HOSTS);
+        let router = carried_router(&view);
+        Self {
+            view,
+            router,
+            step: 0,
+        }
+    }
+
+    // Searches another flow; the first hosts do not answer, the others clear it.
+    fn search(&mut self, mute: usize) -> (SegmentFacts, TimePoint) {
+        let at = STABLE_MS + self.step * 500;
+        let packet = data(100 + self.step as u16, 700);
+        self.step += 1;
         let again = TimePoint(at + COPY_MS);
-        let hint = router.route(&view, &packet, again).unwrap().hops[0];
-        router.reroute(&view, &packet, hint, again).unwrap();
-        let mut asked: Vec<_> = router.take_questions();
-        asked.sort_by_key(|question| question.host);
-        last = None;
-        for question in asked {
-            if question.host < host(mute, HostState::Serving).packets {
-                continue;
+        self.router
+            .route(&self.view, &packet, TimePoint(at))
+            .unwrap();
+        let hint = self.router.route(&self.view, &packet, again).unwrap().hops[0];
+        self.router
+            .reroute(&self.view, &packet, hint, again)
+            .unwrap();
+        for question in self.router.take_questions() {
+            if question.host >= host(mute, HostState::Serving).packets {
+                let verdict = self.say(packet, question.host, FlowWord::Never, again);
+                assert!(mute == 0 || verdict.is_none());
             }
-            let word = FlowWord::Never;
-            last = router.hear_word(&view, packet.key, question.host, word, true, again);
         }
+        (packet, again)
+    }
+
+    fn say(
+        &mut self,
+        packet: SegmentFacts,
+        host: SocketAddrV4,
+        word: FlowWord,
+        now: TimePoint,
+    ) -> Option<SearchVerdict> {
+        self.router.note_alive(host);
+        let (view, key) = (&self.view, packet.key);
+        self.router.hear_word(view, key, host, word, true, now)
+    }
+
+    fn verdict(&mut self, began: TimePoint) -> SearchVerdict {
+        let over = began + SEARCH_TIMEOUT;
+        let ended = self.router.take_ended_searches(&self.view, true, over);
+        assert_eq!(ended.len(), 1);
+        ended[0].1
+    }
+
+    fn search_for(&mut self, mute: usize, seconds: u64) -> SearchVerdict {
+        let mut last = None;
+        for _ in 0..seconds * 2 {
+            let (_, began) = self.search(mute);
+            last = Some(self.verdict(began));
+        }
+        last.unwrap()
     }
-    last
 }
 
 #[test]
-fn a_host_that_answers_nothing_for_long_is_not_waited_for() {
-    assert_eq!(search_repeatedly(1, 1), None);
-    let late = search_repeatedly(1, 5);
-    assert!(matches!(late, Some(SearchVerdict::Dead(_))), "{late:?}");
+fn a_host_that_answers_nothing_for_long_is_not_needed() {
+    let mut searches = RepeatedSearch::new();
+    let early = searches.search_for(1, 1);
+    assert_eq!(early.open().map(|open| open.silent), Some(1));
+    let late = searches.search_for(1, 4);
+    assert!(matches!(late, SearchVerdict::Dead(_)), "{late:?}");
 }
 
 #[test]
 fn an_entry_that_hears_few_hosts_tells_nobody() {
-    assert_eq!(search_repeatedly(HOSTS / 2 + 1, 5), None);
+    let verdict = RepeatedSearch::new().search_for(HOSTS / 2 + 1, 5);
+    assert!(matches!(verdict, SearchVerdict::Open(_)), "{verdict:?}");
+}
+
+#[test]
+fn a_lost_host_that_came_back_has_its_say() {
+    let mut searches = RepeatedSearch::new();
+    searches.search_for(1, 5);
+    let back = host(0, HostState::Serving).packets;
+    let (packet, now) = searches.search(1);
+    let later = now + SEARCH_TIMEOUT / 2;
+    let verdict = searches.say(packet, back, FlowWord::Here, later);
+    assert_eq!(verdict, Some(SearchVerdict::Found(back)));
+    // From now on it is waited for again.
+    let (_, began) = searches.search(1);
+    let verdict = searches.verdict(began);
+    assert!(matches!(verdict, SearchVerdict::Open(_)), "{verdict:?}");
 }
 
 // A host crashed and started again. Its side process hears of it a moment later,
--- a/crates/daemon/src/entry_packets.rs
+++ b/crates/daemon/src/entry_packets.rs
@@ -121,19 +121,11 @@
             // What is lost is asked again with the caller's next packet.
             self.send_buffer(question.host);
         }
-        for search in self.carried.take_open_searches(clock::now()) {
-            self.counters.add(Counter::FlowsSearched);
-            if self
-                .flow_log
-                .admits(search.key, &self.counters, clock::now())
-            {
-                log::info!(
-                    target: "route",
-                    flow:% = search.key, verdict = "open", unsure = search.unsure,
-                    silent = search.silent, silent_host:? = search.silent_host;
-                    "searched"
-                );
-            }
+        let now = clock::now();
+        let fresh = self.shared.is_fresh(now);
+        let view = Arc::clone(self.router.view());
+        for (key, verdict) in self.carried.take_ended_searches(&view, fresh, now) {
+            self.end_search(&view, key, verdict, fresh);
         }
     }
 
@@ -166,16 +158,20 @@
                 // A lost reset is made up for by the answer to the next packet.
                 let _ = self.socket.send_to(&reset, target);
             }
-            SearchVerdict::Doubtful => {}
+            SearchVerdict::Doubtful | SearchVerdict::Open(_) => {}
         }
-        if self.flow_log.admits(key, &self.counters, clock::now()) {
-            log::info!(
-                target: "route",
-                flow:% = key, verdict = verdict.as_str(), host:? = verdict.owner(),
-                fresh = fresh, generation = view.generation.0;
-                "searched"
-            );
+        if !self.flow_log.admits(key, &self.counters, clock::now()) {
+            return;
         }
+        let open = verdict.open();
+        log::info!(
+            target: "route",
+            flow:% = key, verdict = verdict.as_str(), host:? = verdict.owner(),
+            fresh = fresh, generation = view.generation.0,
+            unsure = open.map(|open| open.unsure), silent = open.map(|open| open.silent),
+            silent_host:? = open.and_then(|open| open.silent_host);
+            "searched"
+        );
     }
 
     fn take_frame(&mut self, datagram: &[u8], from: SocketAddrV4) -> Result<(), PacketError> {
