The soak speaks of faults in the field's words

Cause: 'harm' and 'relief' were words of our own for faults and their ends. Change: names and comments of the soak only; no process of the product is touched.

--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -363,7 +363,7 @@
         Ok(address)
     }
 
-    /// Harms the link of an entry VM to the platform, or of a side process to its
+    /// Sets the fault of the link of an entry VM to the platform, or of a side process to its
     /// backend server.
     pub fn set_link(&self, name: &str, fault: LinkFault) -> FleetResult<()> {
         let link = self.links.get(name);
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -351,7 +351,7 @@
             shape: SoakShape {
                 entries: options.entries,
                 hosts: options.hosts,
-                harm: Duration::from_secs(options.seconds),
+                fault_time: Duration::from_secs(options.seconds),
             },
         };
         let report = soak::run(&setup).map_err(|error| format!("seed {seed}: {error}"))?;
--- a/crates/standin/src/proxy.rs
+++ b/crates/standin/src/proxy.rs
@@ -1,4 +1,4 @@
-//! A loopback proxy for TCP connections, which harms them on demand: between
+//! A loopback proxy for TCP connections, which fails them on demand: between
 //! an entry VM and the platform, or a side process and its backend server.
 
 use std::fmt;
--- a/crates/standin/src/soak.rs
+++ b/crates/standin/src/soak.rs
@@ -1,4 +1,4 @@
-//! The fault soak: the real programs as separate processes, harmed from outside
+//! The fault soak: the real programs as separate processes, with faults from outside
 //! by a plan drawn from a seed, while callers use them.
 //!
 //! A platform would start a process again that has ended; here the soak does.
@@ -20,7 +20,7 @@
 use crate::fleet::{Fleet, FleetError, HostPlan};
 use crate::platform::PlatformSwitch;
 use crate::proxy::LinkFault;
-use crate::soak_check::{HarmSpan, SoakEvidence, judge};
+use crate::soak_check::{FaultSpan, SoakEvidence, judge};
 use crate::soak_plan::{PlannedStep, SoakShape, SoakStep, SoakTarget, draw_plan};
 use crate::tryout::order_request;
 
@@ -109,7 +109,7 @@
 
 /// What ends a fault.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Relief {
+enum FaultEnd {
     Continue(SoakTarget),
     Restart(SoakTarget),
     Link(SoakTarget),
@@ -122,10 +122,10 @@
     fleet: Fleet,
     started: Instant,
     shape: SoakShape,
-    due: Vec<(Duration, Relief)>,
+    due: Vec<(Duration, FaultEnd)>,
     // Processes that were told to end.
     ending: BTreeMap<SoakTarget, Duration>,
-    harms: Vec<HarmSpan>,
+    faults: Vec<FaultSpan>,
     commits: u64,
     setup: SoakSetup,
     report: SoakReport,
@@ -137,7 +137,7 @@
     let mut run = SoakRun::start(setup)?;
     let orders = run.spawn_orders()?;
     let feeds = run.spawn_feeds()?;
-    run.harm(&plan)?;
+    run.inject(&plan)?;
     run.settle()?;
     let late = run.check_convergence()?;
     let orders = join(orders, "the orders")?;
@@ -146,8 +146,8 @@
     report.violations.extend(late);
     let evidence = SoakEvidence {
         fleet: &run.fleet,
-        harms: &run.harms,
-        quiet_from: setup.shape.harm + SETTLE,
+        faults: &run.faults,
+        quiet_from: setup.shape.fault_time + SETTLE,
     };
     judge(&evidence, &orders, &feeds, &mut report);
     Ok(report)
@@ -198,7 +198,7 @@
             shape,
             due: Vec::new(),
             ending: BTreeMap::new(),
-            harms: Vec::new(),
+            faults: Vec::new(),
             commits: 0,
             setup: setup.clone(),
             report: SoakReport {
@@ -236,12 +236,12 @@
     fn spawn_orders(&self) -> Result<JoinHandle<Vec<CallerResult>>, FleetError> {
         let ip = Ipv4Addr::new(10, 9, 0, 2);
         let mut callers = CallerLoop::new(ip, self.fleet.fabric, self.setup.seed)?;
-        let quiet = self.shape.harm + SETTLE;
-        let harmed = (0..).map(|step| ORDER_SPACING * step);
-        let harmed = harmed.take_while(|start| *start < self.shape.harm);
+        let quiet = self.shape.fault_time + SETTLE;
+        let during = (0..).map(|step| ORDER_SPACING * step);
+        let during = during.take_while(|start| *start < self.shape.fault_time);
         let calm = (0..).map(|step| quiet + ORDER_SPACING * step);
         let calm = calm.take_while(|start| *start < quiet + QUIET);
-        for (id, start) in harmed.chain(calm).enumerate() {
+        for (id, start) in during.chain(calm).enumerate() {
             // Some work long, some send much.
             let work_ms = if id.is_multiple_of(9) { 150 } else { 10 };
             let body = if id.is_multiple_of(7) { 20_000 } else { 60 };
@@ -263,7 +263,7 @@
     fn spawn_feeds(&self) -> Result<JoinHandle<Vec<CallerResult>>, FleetError> {
         let ip = Ipv4Addr::new(10, 9, 0, 1);
         let mut callers = CallerLoop::new(ip, self.fleet.fabric, self.setup.seed + 1)?;
-        let end = self.shape.harm + SETTLE + QUIET + LISTENING;
+        let end = self.shape.fault_time + SETTLE + QUIET + LISTENING;
         let first = (0..FIRST_FEEDS).map(|step| TICK * step as u32);
         let later = (1..).map(|step| FEED_SPACING * step);
         let later = later.take_while(|start| *start < end - LISTENING);
@@ -283,28 +283,31 @@
         }))
     }
 
-    fn harm(&mut self, plan: &[PlannedStep]) -> Result<(), FleetError> {
+    fn inject(&mut self, plan: &[PlannedStep]) -> Result<(), FleetError> {
         for planned in plan {
             while self.now() < planned.at {
                 self.tick()?;
             }
             self.begin(planned.step)?;
         }
-        while self.now() < self.shape.harm {
+        while self.now() < self.shape.fault_time {
             self.tick()?;
         }
         Ok(())
     }
 
-    // Ends what is still harmed, and gives the fleet time.
+    // Lets faults and restarts end, and gives the fleet time.
     fn settle(&mut self) -> Result<(), FleetError> {
-        let until = self.shape.harm + SETTLE;
+        let until = self.shape.fault_time + SETTLE;
         while self.now() < until {
             self.tick()?;
         }
         let still: Vec<_> = self.ending.keys().map(ToString::to_string).collect();
         for name in still {
-            let text = format!("{name} has not ended {} s after the harm", SETTLE.as_secs());
+            let text = format!(
+                "{name} has not ended {} s after the faults",
+                SETTLE.as_secs()
+            );
             self.report.violations.push(text);
         }
         Ok(())
@@ -314,8 +317,8 @@
         std::thread::sleep(TICK);
         let now = self.now();
         let due: Vec<_> = self.due.extract_if(.., |(at, _)| *at <= now).collect();
-        for (_, relief) in due {
-            self.relieve(relief)?;
+        for (_, end) in due {
+            self.end_fault(end)?;
         }
         self.watch_ends()
     }
@@ -330,7 +333,7 @@
             let now = self.now();
             match self.ending.remove(&target) {
                 Some(since) => {
-                    self.note_harm(&name, since, now + RESTART_PAUSE, true);
+                    self.note_fault(&name, since, now + RESTART_PAUSE, true);
                     // A signal ends a killed process, 0 is what a stop ends with.
                     if code.is_some_and(|code| code != 0) {
                         let text = format!("{name} ended with code {code:?} when asked to stop");
@@ -343,7 +346,7 @@
                 }
             }
             self.due
-                .push((now + RESTART_PAUSE, Relief::Restart(target)));
+                .push((now + RESTART_PAUSE, FaultEnd::Restart(target)));
         }
         Ok(())
     }
@@ -355,8 +358,8 @@
         entries.chain(feeds).chain(orders).collect()
     }
 
-    fn note_harm(&mut self, name: &str, from: Duration, until: Duration, ends_flows: bool) {
-        self.harms.push(HarmSpan {
+    fn note_fault(&mut self, name: &str, from: Duration, until: Duration, ends_flows: bool) {
+        self.faults.push(FaultSpan {
             target: name.into(),
             from,
             until,
@@ -380,8 +383,8 @@
             SoakStep::Stop(target) => self.end_process(target, SIGTERM)?,
             SoakStep::Freeze(target, _) => {
                 if self.signal(target, SIGSTOP)? {
-                    self.note_harm(&target.to_string(), now, until, false);
-                    self.due.push((until, Relief::Continue(target)));
+                    self.note_fault(&target.to_string(), now, until, false);
+                    self.due.push((until, FaultEnd::Continue(target)));
                 }
             }
             SoakStep::Reload(target) => {
@@ -389,17 +392,17 @@
             }
             SoakStep::Link(target, fault, _) => {
                 self.fleet.set_link(&target.to_string(), fault)?;
-                self.note_harm(&target.to_string(), now, until, false);
-                self.due.push((until, Relief::Link(target)));
+                self.note_fault(&target.to_string(), now, until, false);
+                self.due.push((until, FaultEnd::Link(target)));
             }
             SoakStep::Platform(switch, _) => {
                 self.fleet.switch(switch)?;
-                self.due.push((until, Relief::Platform));
+                self.due.push((until, FaultEnd::Platform));
             }
             SoakStep::Fabric(loss, repeat, _) => {
                 self.fleet.set_faults(FabricFaults { loss, repeat })?;
-                self.note_harm("fabric", now, until, false);
-                self.due.push((until, Relief::Fabric));
+                self.note_fault("fabric", now, until, false);
+                self.due.push((until, FaultEnd::Fabric));
             }
             SoakStep::Commit => {
                 let firm = FIRMS[self.commits as usize % FIRMS.len()];
@@ -432,15 +435,15 @@
         Ok(())
     }
 
-    fn relieve(&mut self, relief: Relief) -> Result<(), FleetError> {
-        match relief {
-            Relief::Continue(target) => {
+    fn end_fault(&mut self, end: FaultEnd) -> Result<(), FleetError> {
+        match end {
+            FaultEnd::Continue(target) => {
                 self.signal(target, SIGCONT)?;
             }
-            Relief::Restart(target) => self.fleet.respawn(&target.to_string())?,
-            Relief::Link(target) => self.fleet.set_link(&target.to_string(), LinkFault::None)?,
-            Relief::Platform => self.fleet.switch(PlatformSwitch::default())?,
-            Relief::Fabric => self.fleet.set_faults(FabricFaults::default())?,
+            FaultEnd::Restart(target) => self.fleet.respawn(&target.to_string())?,
+            FaultEnd::Link(target) => self.fleet.set_link(&target.to_string(), LinkFault::None)?,
+            FaultEnd::Platform => self.fleet.switch(PlatformSwitch::default())?,
+            FaultEnd::Fabric => self.fleet.set_faults(FabricFaults::default())?,
         }
         Ok(())
     }
@@ -459,7 +462,7 @@
             .collect();
         Ok(match self.fleet.wait_ready(&entries, &hosts) {
             Ok(()) => Vec::new(),
-            Err(error) => vec![format!("after all harm: {error}")],
+            Err(error) => vec![format!("after all faults: {error}")],
         })
     }
 }
--- a/crates/standin/src/soak_check.rs
+++ b/crates/standin/src/soak_check.rs
@@ -2,7 +2,7 @@
 //! did, and the logs of the processes.
 //!
 //! A flow may break only with the host that owns it, and an order may stay
-//! without an answer only if a process on its way was harmed meanwhile.
+//! without an answer only if a process on its way had a fault meanwhile.
 
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
@@ -15,16 +15,16 @@
 use crate::fleet::Fleet;
 use crate::soak::SoakReport;
 
-/// A harm is felt until this time after its end: callers send again after at
+/// A fault is felt until this time after its end: callers send again after at
 /// most this time, and connections that were cut are noticed within it.
 const AFTERMATH: Duration = Duration::from_secs(4);
 
 /// A feed sends a line every 100 ms; one without a line for this time is frozen.
 const FROZEN_AFTER: Duration = Duration::from_secs(3);
 
-/// A time in which something was harmed.
+/// A time in which something had a fault.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct HarmSpan {
+pub struct FaultSpan {
     /// The process, or `fabric`.
     pub target: CompactString,
     /// Beginning, since the start of the soak.
@@ -40,8 +40,8 @@
 pub struct SoakEvidence<'a> {
     /// The fleet, for logs and for what backend servers did.
     pub fleet: &'a Fleet,
-    /// What was harmed.
-    pub harms: &'a [HarmSpan],
+    /// The faults.
+    pub faults: &'a [FaultSpan],
     /// When everything has to work again.
     pub quiet_from: Duration,
 }
@@ -113,34 +113,34 @@
         owners
     }
 
-    // Harm that was felt between two times.
-    fn harms_between(&self, from: Duration, until: Duration) -> impl Iterator<Item = &HarmSpan> {
-        self.harms
+    // Faults that were felt between two times.
+    fn faults_between(&self, from: Duration, until: Duration) -> impl Iterator<Item = &FaultSpan> {
+        self.faults
             .iter()
-            .filter(move |harm| harm.from <= until && from <= harm.until + AFTERMATH)
+            .filter(move |fault| fault.from <= until && from <= fault.until + AFTERMATH)
     }
 
-    // Whether an owner of the flow was harmed in its time, or anything was while
+    // Whether an owner of the flow had a fault in its time, or anything had while
     // nobody had accepted it.
     fn is_excused(&self, result: &CallerResult, owners: &FlowOwners) -> bool {
         let begun = result.at.saturating_sub(result.took);
         let hosts = find_hosts(owners, result.flow);
-        self.harms_between(begun, result.at)
-            .any(|harm| hosts.is_empty() || hosts.contains(&harm.target))
+        self.faults_between(begun, result.at)
+            .any(|fault| hosts.is_empty() || hosts.contains(&fault.target))
     }
 
-    // Whether a host that may have taken the order over was harmed in its time.
+    // Whether a host that may have taken the order over had a fault in its time.
     fn may_be_unknown(&self, result: &CallerResult) -> bool {
         let begun = result.at.saturating_sub(result.took);
-        self.harms_between(begun, result.at)
-            .any(|harm| harm.target.starts_with("order"))
+        self.faults_between(begun, result.at)
+            .any(|fault| fault.target.starts_with("order"))
     }
 
     fn has_lost_owner(&self, result: &CallerResult, owners: &FlowOwners) -> bool {
         let begun = result.at.saturating_sub(result.took);
         let hosts = find_hosts(owners, result.flow);
-        self.harms_between(begun, result.at)
-            .any(|harm| harm.ends_flows && hosts.contains(&harm.target))
+        self.faults_between(begun, result.at)
+            .any(|fault| fault.ends_flows && hosts.contains(&fault.target))
     }
 
     fn starts(&self) -> BTreeMap<String, u32> {
--- a/crates/standin/src/soak_plan.rs
+++ b/crates/standin/src/soak_plan.rs
@@ -21,7 +21,7 @@
 /// Longest series of the same fault.
 const SERIES_LIMIT: u32 = 3;
 
-/// How large the fleet is and how long it is harmed.
+/// How large the fleet is and how long there are faults.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct SoakShape {
     /// Entry VMs.
@@ -29,7 +29,7 @@
     /// Hosts of each service.
     pub hosts: usize,
     /// Time with faults.
-    pub harm: Duration,
+    pub fault_time: Duration,
 }
 
 /// A process of the fleet that a fault hits.
@@ -131,7 +131,7 @@
     let mut random = StdRng::seed_from_u64(seed);
     let mut steps = Vec::new();
     let mut at = LEAD;
-    while at < shape.harm {
+    while at < shape.fault_time {
         let step = draw_step(&mut random, shape);
         let gap = millis(&mut random, 300, 1500);
         for turn in 0..random.random_range(1..=SERIES_LIMIT) {
@@ -142,7 +142,7 @@
         }
         at += millis(&mut random, 100, 2 * SERIES_GAP.as_millis() as u64);
     }
-    steps.retain(|planned| planned.at + planned.step.lasts() < shape.harm);
+    steps.retain(|planned| planned.at + planned.step.lasts() < shape.fault_time);
     steps.sort_by_key(|planned| planned.at);
     steps
 }
--- a/crates/standin/tests/soak.rs
+++ b/crates/standin/tests/soak.rs
@@ -16,7 +16,7 @@
 const SHAPE: SoakShape = SoakShape {
     entries: 3,
     hosts: 2,
-    harm: Duration::from_secs(6),
+    fault_time: Duration::from_secs(6),
 };
 
 #[test]
@@ -62,7 +62,7 @@
     for seed in 0..500 {
         for planned in draw_plan(seed, SHAPE) {
             assert!(
-                planned.at + planned.step.lasts() < SHAPE.harm,
+                planned.at + planned.step.lasts() < SHAPE.fault_time,
                 "seed {seed}"
             );
         }
@@ -96,7 +96,7 @@
 }
 
 #[test]
-fn the_proxy_harms_connections_as_it_is_told() {
+fn the_proxy_fails_connections_as_it_is_told() {
     let proxy = LinkProxy::start(free_address().unwrap(), start_counter()).unwrap();
     let connect = || {
         let stream = TcpStream::connect(proxy.address).unwrap();
@@ -108,10 +108,10 @@
     assert_eq!(ask(&mut stream, 1).unwrap(), 2);
     for fault in [LinkFault::OneWay, LinkFault::Silent] {
         proxy.set(fault);
-        let mut harmed = connect();
-        assert!(ask(&mut harmed, 3).is_err(), "{fault}");
+        let mut faulty = connect();
+        assert!(ask(&mut faulty, 3).is_err(), "{fault}");
         proxy.set(LinkFault::None);
-        assert!(ask(&mut harmed, 4).is_err(), "{fault} lasts");
+        assert!(ask(&mut faulty, 4).is_err(), "{fault} lasts");
         assert_eq!(ask(&mut connect(), 5).unwrap(), 6, "new after {fault}");
     }
     let mut open = connect();
