--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -3,11 +3,9 @@
 
 use std::collections::BTreeMap;
 use std::fs::{File, OpenOptions};
-use std::net::{Ipv4Addr, SocketAddrV4, TcpListener, UdpSocket};
+use std::net::SocketAddrV4;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Output, Stdio};
-use std::sync::atomic::{AtomicU16, Ordering};
-use std::sync::{LazyLock, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
 use quick_error::quick_error;
@@ -19,6 +17,7 @@
 use chestnutlb_wire::{WireHost, WireRoster};
 
 use crate::fabric::{FabricEntry, FabricFaults, FabricPlan};
+use crate::free_ports::{free_address, port_guard};
 use crate::platform::PlatformSwitch;
 use crate::proxy::{LinkFault, LinkProxy};
 use crate::small_http;
@@ -134,35 +133,6 @@
     fabric_admin: SocketAddrV4,
 }
 
-/// Ports for the fleet's processes; below those that the system gives to
-/// outgoing connections, which could take one before its process starts.
-const FIRST_PORT: u16 = 10_000;
-const PORT_COUNT: u16 = 20_000;
-
-static START_PORT: LazyLock<u16> = LazyLock::new(|| rand::random::<u16>() % PORT_COUNT);
-
-static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
-
-// A process that is started while another thread tries a port inherits that
-// socket for a moment, and keeps the port busy for whoever was given it.
-static PORT_LOCK: Mutex<()> = Mutex::new(());
-
-/// A free port of the loopback address, for both protocols.
-pub fn free_address() -> std::io::Result<SocketAddrV4> {
-    let _guard = PORT_LOCK.lock().unwrap_or_else(PoisonError::into_inner);
-    // Programs that run side by side start at different places.
-    let start = *START_PORT;
-    for _ in 0..PORT_COUNT {
-        let step = NEXT_PORT.fetch_add(1, Ordering::Relaxed);
-        let port = FIRST_PORT + (start + step % PORT_COUNT) % PORT_COUNT;
-        let address = SocketAddrV4::new(Ipv4Addr::LOCALHOST, port);
-        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
-            return Ok(address);
-        }
-    }
-    Err(std::io::ErrorKind::AddrInUse.into())
-}
-
 /// Sends a signal to a process, by its id.
 pub fn send_signal(id: u32, signal: i32) -> FleetResult<()> {
     let flag = format!("-{signal}");
@@ -228,7 +198,7 @@
         arguments: &[&str],
         log: File,
     ) -> FleetResult<()> {
-        let _guard = PORT_LOCK.lock().unwrap_or_else(PoisonError::into_inner);
+        let _guard = port_guard();
         let child = Command::new(self.binaries.join(program))
             .args(arguments)
             .stdin(Stdio::null())
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,4 +1,5 @@
-//! Stand-ins of the systems around chestnutlb, the tryout and the load tool.
+//! Stand-ins of the systems around chestnutlb, the tryout, the load tool and the
+//! fault soak.
 //! None of this is shipped.
 
 pub mod backend;
@@ -9,6 +10,7 @@
 pub mod crest;
 pub mod fabric;
 pub mod fleet;
+pub mod free_ports;
 pub mod platform;
 pub mod proxy;
 pub mod small_http;
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -1,4 +1,4 @@
-//! `chestnutlb-standin`: stand-ins, tryout and load tool in one program.
+//! `chestnutlb-standin`: stand-ins, tryout, load tool and fault soak in one program.
 
 use std::net::SocketAddrV4;
 use std::path::PathBuf;
--- a/crates/standin/tests/passthrough.rs
+++ b/crates/standin/tests/passthrough.rs
@@ -8,7 +8,8 @@
 
 use chestnutlb_core::{FlowKey, FlowWord, ServiceId, TimePoint};
 use chestnutlb_stack::FlowStack;
-use chestnutlb_standin::fleet::{free_address, send_signal};
+use chestnutlb_standin::fleet::send_signal;
+use chestnutlb_standin::free_ports::free_address;
 use chestnutlb_standin::small_http::call;
 use chestnutlb_standin::tryout::program_folder;
 use chestnutlb_wire::packet::{WireQuestion, mark_returned, write_data, write_question};
--- a/crates/standin/tests/soak.rs
+++ b/crates/standin/tests/soak.rs
@@ -6,7 +6,7 @@
 use std::net::{SocketAddrV4, TcpListener, TcpStream};
 use std::time::Duration;
 
-use chestnutlb_standin::fleet::free_address;
+use chestnutlb_standin::free_ports::free_address;
 use chestnutlb_standin::proxy::{LinkFault, LinkProxy};
 use chestnutlb_standin::soak::{SoakSetup, run};
 use chestnutlb_standin::soak_check::find_regressions;
