Logs: hosts that enter and leave the view, age of a verdict's view

The log of an entry VM could not tell whether the host was not in its view, since when, and why: no line is written when a host enters or leaves the view, and a lookup does not say how many hosts it asked.

A line for each host that a new view gains, loses or has in another state (32 lines a view at most, then their number), with the generation and whether a roster lists the host. The line of a lookup has the number of hosts asked and the age of the view's confirmation. No logic changes.

--- a/crates/core/src/passthrough_routes.rs
+++ b/crates/core/src/passthrough_routes.rs
@@ -203,6 +203,13 @@
             .collect()
     }
 
+    /// Returns how many hosts a lookup of the owner of this flow queries.
+    pub fn lookup_host_count(&self, view: &RoutingView, key: FlowKey) -> usize {
+        view.service_at(key.service)
+            .and_then(|service| self.known_hosts.of_firm(&service.id().firm))
+            .map_or(0, |hosts| hosts.len())
+    }
+
     /// Returns whether a lookup is in progress or has a result to be taken.
     pub fn has_pending_lookups(&self) -> bool {
         !self.lookups.is_empty()
--- a/crates/core/src/view.rs
+++ b/crates/core/src/view.rs
@@ -159,6 +159,26 @@
     hash.digest()
 }
 
+fn hosts_by_name(service: Option<&ServiceView>) -> HashMap<&HostName, &ViewHost> {
+    let hosts = service.map_or(&[][..], ServiceView::hosts);
+    hosts.iter().map(|host| (&host.record.name, host)).collect()
+}
+
+/// A host that is in one of two views only, or in another state.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct HostChange {
+    /// Name of the host.
+    pub name: HostName,
+    /// Address of its side process for packets.
+    pub packets: SocketAddrV4,
+    /// State in the earlier view, or `None` if it is not in that view.
+    pub before: Option<HostState>,
+    /// State in the later view, or `None` if it is not in that view.
+    pub after: Option<HostState>,
+    /// Whether a roster lists the host, as of the later of the views that contain it.
+    pub is_listed: bool,
+}
+
 /// The services of all firms, by address and by name.
 #[derive(Debug, Clone, Default)]
 pub struct RoutingView {
@@ -223,6 +243,50 @@
         lost
     }
 
+    /// Returns the hosts that were added, removed or changed their state since `old`.
+    pub fn host_changes(&self, old: &RoutingView) -> Vec<HostChange> {
+        let mut changes = Vec::new();
+        for (id, service) in &self.by_id {
+            let earlier = old.by_id.get(id);
+            if earlier.is_some_and(|earlier| Arc::ptr_eq(earlier, service)) {
+                continue;
+            }
+            let mut gone = hosts_by_name(earlier.map(Arc::as_ref));
+            for host in service.hosts() {
+                let before = gone.remove(&host.record.name).map(|host| host.state);
+                if before != Some(host.state) {
+                    changes.push(self.host_change(host, before, Some(host.state)));
+                }
+            }
+            let removed = gone.into_values();
+            changes.extend(removed.map(|host| old.host_change(host, Some(host.state), None)));
+        }
+        let removed_services = old
+            .by_id
+            .iter()
+            .filter(|(id, _)| !self.by_id.contains_key(*id));
+        for host in removed_services.flat_map(|(_, service)| service.hosts()) {
+            changes.push(old.host_change(host, Some(host.state), None));
+        }
+        changes.sort_by(|change, other| change.name.cmp(&other.name));
+        changes
+    }
+
+    fn host_change(
+        &self,
+        host: &ViewHost,
+        before: Option<HostState>,
+        after: Option<HostState>,
+    ) -> HostChange {
+        HostChange {
+            name: host.record.name.clone(),
+            packets: host.record.packets,
+            before,
+            after,
+            is_listed: !self.unlisted_hosts.contains(&host.record.packets),
+        }
+    }
+
     /// Returns all services.
     pub fn services(&self) -> impl Iterator<Item = &ServiceView> {
         self.by_id.values().map(Arc::as_ref)
--- a/crates/core/tests/view_builder.rs
+++ b/crates/core/tests/view_builder.rs
@@ -115,3 +115,31 @@
     let due = control.next_due().unwrap();
     assert!(due <= START + VIEW_PERIOD, "{due:?}");
 }
+
+#[test]
+fn changes_between_views_name_added_removed_and_changed_hosts() {
+    let mut control = control();
+    control.handle(manifest(ServiceKind::Stream, 1), START);
+    control.handle(roster(2, 2), START);
+    let old = Arc::clone(control.view());
+    let items = [(1, HostState::Leaving), (2, HostState::Serving)]
+        .map(|(number, state)| DocumentItem::Host(Arc::new(host(number, state))))
+        .to_vec();
+    control.handle(load(DocumentKind::Roster, "honam-1", 3, items), START);
+    let changes: Vec<_> = control
+        .view()
+        .host_changes(&old)
+        .into_iter()
+        .map(|change| (change.name.to_string(), change.before, change.after))
+        .collect();
+    let serving = Some(HostState::Serving);
+    assert_eq!(
+        changes,
+        [
+            ("host-0".to_owned(), serving, None),
+            ("host-1".to_owned(), serving, Some(HostState::Leaving)),
+            ("host-2".to_owned(), None, serving),
+        ]
+    );
+    assert!(control.view().host_changes(control.view()).is_empty());
+}
--- a/crates/daemon/src/entry_control.rs
+++ b/crates/daemon/src/entry_control.rs
@@ -9,8 +9,8 @@
 use crossbeam_channel::{Receiver, RecvTimeoutError, Sender};
 
 use chestnutlb_core::{
-    ControlAction, ControlEvent, DocumentId, EntryControl, HostRecord, HostRevision, Incarnation,
-    MemberEdit, ObjectVersion, RosterEdit, RoutingView, TimePoint,
+    ControlAction, ControlEvent, DocumentId, EntryControl, HostRecord, HostRevision, HostState,
+    Incarnation, MemberEdit, ObjectVersion, RosterEdit, RoutingView, TimePoint,
 };
 use chestnutlb_wire::peer::{MAX_PEER_DATAGRAM_BYTES, PeerMessage, scan_message, write_message};
 
@@ -24,6 +24,9 @@
 /// Interval at which the control thread publishes its state for the status page.
 const PUBLISH_PERIOD: Duration = Duration::from_millis(100);
 
+/// Maximum number of host changes that are logged for one view.
+const MAX_LOGGED_HOST_CHANGES: usize = 32;
+
 /// A call to the platform's store.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum StoreJob {
@@ -66,6 +69,8 @@
     watching: Arc<AtomicBool>,
     shared: Arc<EntryShared>,
     unsent_view: Option<Arc<RoutingView>>,
+    // The view up to which changes of hosts are logged.
+    logged_view: Arc<RoutingView>,
     published_at: TimePoint,
 }
 
@@ -87,6 +92,7 @@
             watching,
             shared,
             unsent_view: None,
+            logged_view: Arc::default(),
             published_at: TimePoint::default(),
         }
     }
@@ -172,6 +178,8 @@
             ControlAction::Watch(enabled) => self.watching.store(enabled, Ordering::Relaxed),
             ControlAction::Publish => {
                 let view = Arc::clone(self.control.view());
+                log_host_changes(&view, &self.logged_view);
+                self.logged_view = Arc::clone(&view);
                 self.shared.publish_view(&view, self.control.documents());
                 self.unsent_view = Some(view);
                 self.send_view();
@@ -207,6 +215,30 @@
     }
 }
 
+// Logs which hosts the view gained, lost or has in another state, and how many such changes
+// have no line of their own.
+fn log_host_changes(view: &RoutingView, old: &RoutingView) {
+    let changes = view.host_changes(old);
+    for change in changes.iter().take(MAX_LOGGED_HOST_CHANGES) {
+        log::info!(
+            target: "host",
+            host:% = change.name, packets:% = change.packets, listed = change.is_listed,
+            from = state_name(change.before).as_str(), state = state_name(change.after).as_str(),
+            generation = view.generation.0;
+            "in view"
+        );
+    }
+    if let Some(unlogged) = changes.len().checked_sub(MAX_LOGGED_HOST_CHANGES)
+        && unlogged > 0
+    {
+        log::info!(target: "host", changes = unlogged, generation = view.generation.0; "more in view");
+    }
+}
+
+fn state_name(state: Option<HostState>) -> String {
+    state.map_or_else(|| "none".to_owned(), |state| state.to_string())
+}
+
 fn log_roster_edit(edit: &RosterEdit) {
     match edit {
         RosterEdit::Put(record) => {
--- a/crates/daemon/src/entry_http.rs
+++ b/crates/daemon/src/entry_http.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddrV4;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, PoisonError, RwLock};
+use std::time::Duration;
 
 use compact_str::ToCompactString;
 use rocket::data::Data;
@@ -104,13 +105,18 @@
         replace(&self.confirmed_view, Arc::new(confirmed));
     }
 
+    /// Returns the time since the platform confirmed this view, or `None` if it is not the
+    /// newest one or was never confirmed.
+    pub fn view_age(&self, view: &Arc<RoutingView>, now: TimePoint) -> Option<Duration> {
+        let confirmed = read(&self.confirmed_view);
+        let confirmed = confirmed.as_ref().as_ref()?;
+        Arc::ptr_eq(&confirmed.view, view).then(|| now.since(confirmed.confirmed_at))
+    }
+
     /// Returns whether this is the newest view, and the platform confirmed it within
     /// [`FRESH_AGE`].
     pub fn is_fresh(&self, view: &Arc<RoutingView>, now: TimePoint) -> bool {
-        let confirmed = read(&self.confirmed_view);
-        confirmed.as_ref().as_ref().is_some_and(|confirmed| {
-            Arc::ptr_eq(&confirmed.view, view) && now.since(confirmed.confirmed_at) < FRESH_AGE
-        })
+        self.view_age(view, now).is_some_and(|age| age < FRESH_AGE)
     }
 
     /// Replaces the snapshot of the control thread's state.
--- a/crates/daemon/src/entry_packets.rs
+++ b/crates/daemon/src/entry_packets.rs
@@ -159,7 +159,7 @@
     // it is forwarded, or the caller of a flow without an owner gets a reset.
     fn finish_lookup(
         &mut self,
-        view: &RoutingView,
+        view: &Arc<RoutingView>,
         key: FlowKey,
         verdict: LookupVerdict,
         fresh: bool,
@@ -189,14 +189,18 @@
             LookupVerdict::NotStarted => self.counters.add(Counter::LookupsNotStarted),
             LookupVerdict::Unconfirmed | LookupVerdict::Incomplete(_) => {}
         }
-        if !self.flow_log.admits(key, &self.counters, clock::now()) {
+        let now = clock::now();
+        if !self.flow_log.admits(key, &self.counters, now) {
             return;
         }
+        let view_age = self.shared.view_age(view, now);
         let incomplete = verdict.incomplete();
         log::info!(
             target: "route",
             flow:% = key, verdict = verdict.as_str(), host:? = verdict.owner(),
             fresh = fresh, generation = view.generation.0,
+            view_age_ms = view_age.map(|age| age.as_millis() as u64),
+            hosts = self.passthrough.lookup_host_count(view, key),
             unsure = incomplete.map(|lookup| lookup.unknown),
             silent = incomplete.map(|lookup| lookup.silent),
             silent_host:? = incomplete.and_then(|lookup| lookup.silent_host);
