Hosts that vanished from the view are asked before a flow counts as ownerless

Callers saw an open flow reset by an entry VM while its host served (FLOW).

Cause: a lookup asked only the hosts in the view, and took one that is not there for one that does not exist. A host in no roster is in the view by its registration alone. A new version of its data centre's roster that does not list it made the entry VM distrust the registration until the host's next keep-alive, up to 0.5 s later, and the host left the view for that time. With a view that was fresh again, all others denied the flow.

Class: 'not in the view' is taken for 'does not exist'. So the memory is not about registrations: any host that leaves the view without having announced its departure (leaving in the view, or gone at this entry VM) is asked for 60 s more: after a lapsed registration, a removal by mistake, a roster that was lost. One that is really dead does not answer and counts as unreachable after 2 s, as before.

Tests: three of possible_owners.rs fail on the code before; the fourth holds on both: a host that announced its departure is not asked.

--- a/crates/core/src/known_hosts.rs
+++ b/crates/core/src/known_hosts.rs
@@ -1,14 +1,18 @@
-//! The hosts in the view of an entry VM, and how long they have been known.
+//! The hosts that an entry VM knows: those in its view, and those that left the view without
+//! having announced their departure.
 //!
 //! An entry VM that does not know a host takes the host's flows for flows without an owner,
 //! and resets them if its view is fresh. So flows are offered only to hosts that every entry
-//! VM with a fresh view knows.
+//! VM with a fresh view knows, and a host that is no longer in the view may still own flows:
+//! its trackers may have removed it by mistake or be unable to write, or its registration
+//! here may have lapsed.
 
 use std::collections::HashMap;
 use std::net::SocketAddrV4;
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::chart::HostState;
 use crate::ids::FirmName;
 use crate::units::TimePoint;
 use crate::view::RoutingView;
@@ -19,6 +23,24 @@
 /// is not fresh. Without a fresh view no entry VM decides that a flow has no owner.
 pub const NEW_HOST_DELAY: Duration = Duration::from_secs(1);
 
+/// Time for which a host that left the view counts as a possible owner of flows. A host that
+/// lives is listed again by then.
+pub const VANISHED_HOST_MEMORY: Duration = Duration::from_secs(60);
+
+// A host in the view.
+#[derive(Debug, Clone)]
+struct ViewedHost {
+    firm: FirmName,
+    is_leaving: bool,
+}
+
+// A host that left the view without having announced its departure.
+#[derive(Debug, Clone)]
+struct VanishedHost {
+    firm: FirmName,
+    since: TimePoint,
+}
+
 // A host that joined within NEW_HOST_DELAY or is in no roster.
 #[derive(Debug, Clone, Copy)]
 struct NewHost {
@@ -33,11 +55,13 @@
     }
 }
 
-/// The hosts in the view, by firm.
+/// The hosts in the view and those that vanished from it, by firm.
 #[derive(Debug, Default)]
 pub struct KnownHosts {
-    // Sorted.
+    // Possible owners of flows, sorted.
     firms: HashMap<FirmName, Arc<[SocketAddrV4]>>,
+    viewed: HashMap<SocketAddrV4, ViewedHost>,
+    vanished: HashMap<SocketAddrV4, VanishedHost>,
     new_hosts: HashMap<SocketAddrV4, NewHost>,
     // Whether the platform confirmed the view recently.
     has_fresh_view: bool,
@@ -47,32 +71,70 @@
 }
 
 impl KnownHosts {
-    /// Returns the hosts of a firm, sorted.
+    /// Returns the hosts that may own flows of a firm, sorted.
     pub fn of_firm(&self, firm: &FirmName) -> Option<&Arc<[SocketAddrV4]>> {
         self.firms.get(firm)
     }
 
     /// Records the hosts of a new view.
     pub fn update(&mut self, view: &RoutingView, now: TimePoint) {
-        let mut firms = HashMap::new();
-        let mut new_hosts = HashMap::new();
-        for (firm, hosts) in hosts_by_firm(view) {
-            let previous = self.firms.get(&firm);
-            for host in &hosts {
-                let was_known =
-                    previous.is_some_and(|previous| previous.binary_search(host).is_ok());
+        let viewed = hosts_in_view(view);
+        self.new_hosts = viewed
+            .keys()
+            .filter_map(|host| {
                 let is_listed = !view.unlisted_hosts.contains(host);
-                if let Some(new_host) = self.new_host(*host, was_known, is_listed, now) {
-                    new_hosts.insert(*host, new_host);
-                }
+                let was_known = self.viewed.contains_key(host) || self.vanished.contains_key(host);
+                Some((*host, self.new_host(*host, was_known, is_listed, now)?))
+            })
+            .collect();
+        let previous = std::mem::replace(&mut self.viewed, viewed);
+        self.record_vanished(previous, view, now);
+        self.update_firms();
+    }
+
+    // Records the hosts of the previous view that the present one lacks, except those that
+    // were leaving or are known to have left.
+    fn record_vanished(
+        &mut self,
+        previous: HashMap<SocketAddrV4, ViewedHost>,
+        view: &RoutingView,
+        now: TimePoint,
+    ) {
+        for (address, host) in previous {
+            if !host.is_leaving {
+                let firm = host.firm;
+                self.vanished
+                    .insert(address, VanishedHost { firm, since: now });
             }
-            // Lookups of equal hosts share their queries.
-            let unchanged = previous.filter(|previous| ***previous == *hosts);
-            let hosts = unchanged.map_or_else(|| hosts.into(), Arc::clone);
-            firms.insert(firm, hosts);
         }
-        self.firms = firms;
-        self.new_hosts = new_hosts;
+        let viewed = &self.viewed;
+        self.vanished.retain(|address, host| {
+            !viewed.contains_key(address)
+                && !view.departed_hosts.contains(address)
+                && now.since(host.since) < VANISHED_HOST_MEMORY
+        });
+    }
+
+    fn update_firms(&mut self) {
+        let mut firms: HashMap<FirmName, Vec<SocketAddrV4>> = HashMap::new();
+        let viewed = self.viewed.iter().map(|(host, known)| (host, &known.firm));
+        let vanished = self
+            .vanished
+            .iter()
+            .map(|(host, known)| (host, &known.firm));
+        for (host, firm) in viewed.chain(vanished) {
+            firms.entry(firm.clone()).or_default().push(*host);
+        }
+        self.firms = firms
+            .into_iter()
+            .map(|(firm, mut hosts)| {
+                hosts.sort_unstable();
+                // Lookups of equal hosts share their queries.
+                let unchanged = self.firms.get(&firm).filter(|before| ***before == *hosts);
+                let hosts = unchanged.map_or_else(|| hosts.into(), Arc::clone);
+                (firm, hosts)
+            })
+            .collect();
     }
 
     // Returns what to record of a host in the view, or `None` if it is not new.
@@ -109,19 +171,16 @@
     }
 }
 
-// Returns all hosts of each firm, sorted.
-fn hosts_by_firm(view: &RoutingView) -> HashMap<FirmName, Vec<SocketAddrV4>> {
-    let mut firms: HashMap<FirmName, Vec<SocketAddrV4>> = HashMap::new();
+fn hosts_in_view(view: &RoutingView) -> HashMap<SocketAddrV4, ViewedHost> {
+    let mut viewed = HashMap::new();
     for service in view.services() {
-        let hosts = service.hosts().iter().map(|host| host.record.packets);
-        firms
-            .entry(service.id().firm.clone())
-            .or_default()
-            .extend(hosts);
-    }
-    for hosts in firms.values_mut() {
-        hosts.sort_unstable();
-        hosts.dedup();
+        for host in service.hosts() {
+            let known = ViewedHost {
+                firm: service.id().firm.clone(),
+                is_leaving: host.state == HostState::Leaving,
+            };
+            viewed.insert(host.record.packets, known);
+        }
     }
-    firms
+    viewed
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -25,7 +25,7 @@
 pub mod flow;
 pub mod host_tracker;
 pub mod ids;
-mod known_hosts;
+pub mod known_hosts;
 pub mod load;
 pub mod manifest;
 pub mod members;
--- a/crates/core/src/view.rs
+++ b/crates/core/src/view.rs
@@ -187,6 +187,8 @@
     /// Packet addresses of hosts that have registered here and are in no roster yet, so that
     /// other entry VMs may not know them.
     pub unlisted_hosts: BTreeSet<SocketAddrV4>,
+    /// Packet addresses of hosts that have announced their departure here.
+    pub departed_hosts: BTreeSet<SocketAddrV4>,
     by_address: HashMap<SocketAddrV4, Arc<ServiceView>>,
     by_id: HashMap<ServiceId, Arc<ServiceView>>,
 }
--- a/crates/core/src/view_builder.rs
+++ b/crates/core/src/view_builder.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::chart::HostState;
 use crate::document::{
     DocumentId, DocumentItem, DocumentKind, DocumentStore, GrantIndex, ItemChange,
 };
@@ -164,6 +165,7 @@
             }
         }
         view.unlisted_hosts = self.unlisted_hosts();
+        view.departed_hosts = self.departed_hosts();
         self.view = Arc::new(view);
     }
 
@@ -184,6 +186,14 @@
             .collect()
     }
 
+    fn departed_hosts(&self) -> BTreeSet<SocketAddrV4> {
+        self.registered
+            .values()
+            .filter(|record| record.state == HostState::Gone)
+            .map(|record| record.packets)
+            .collect()
+    }
+
     // Returns the hosts of a service in the rosters and those registered at this entry VM,
     // sorted by name. A registered record replaces that of the roster.
     fn service_hosts(&self, id: &ServiceId) -> Vec<Arc<HostRecord>> {
--- /dev/null
+++ b/crates/core/tests/possible_owners.rs
@@ -0,0 +1,171 @@
+//! Hosts that may own a flow though no roster lists them: an entry VM that knows of such a host
+//! asks it before it decides that a flow has no owner.
+
+mod common;
+
+use std::net::SocketAddrV4;
+use std::num::NonZeroUsize;
+use std::sync::Arc;
+
+use chestnutlb_core::known_hosts::VANISHED_HOST_MEMORY;
+use chestnutlb_core::{
+    ControlEvent, DocumentId, DocumentItem, DocumentKind, EntryControl, HostRecord, HostRevision,
+    HostState, ObjectVersion, PassthroughRouter, RerouteDecision, ServiceKind, TimePoint,
+};
+use common::{data, entry, host};
+
+const DATACENTER: &str = "honam-1";
+const LISTED_HOSTS: usize = 4;
+// Time between two full steps of a run, longer than the batching of views.
+const STEP_MS: u64 = 150;
+
+// Control plane and router of one entry VM, in virtual time.
+struct EntryRun {
+    control: EntryControl,
+    router: PassthroughRouter,
+    now: TimePoint,
+    version: u64,
+    flows: u16,
+}
+
+impl EntryRun {
+    fn start() -> Self {
+        let limit = NonZeroUsize::new(64).unwrap();
+        let datacenter: chestnutlb_core::DatacenterName = DATACENTER.parse().unwrap();
+        let mut run = Self {
+            control: EntryControl::new(entry(1, DATACENTER), Vec::new(), 1, TimePoint(0)),
+            router: PassthroughRouter::new(datacenter, limit),
+            now: TimePoint(0),
+            version: 0,
+            flows: 0,
+        };
+        let grant = DocumentItem::Grant("10.20.0.0/16".parse().unwrap(), "dalbit".into());
+        run.load(DocumentKind::Grants, "all", vec![grant]);
+        let mut spec = common::spec();
+        spec.kind = ServiceKind::Passthrough;
+        let spec = DocumentItem::Service(Arc::new(spec));
+        run.load(DocumentKind::Manifest, "dalbit", vec![spec]);
+        run.load_members(2);
+        run.load_roster(&listed_hosts());
+        run
+    }
+
+    fn load(&mut self, kind: DocumentKind, name: &str, items: Vec<DocumentItem>) {
+        self.version += 1;
+        self.handle(ControlEvent::Loaded {
+            id: DocumentId::new(kind, name),
+            version: ObjectVersion(self.version),
+            items,
+        });
+        self.advance(STEP_MS);
+    }
+
+    fn load_members(&mut self, entries: usize) {
+        let entries = (1..=entries).map(|number| DocumentItem::Entry(entry(number, DATACENTER)));
+        self.load(DocumentKind::Members, DATACENTER, entries.collect());
+    }
+
+    fn load_roster(&mut self, hosts: &[HostRecord]) {
+        let hosts = hosts.iter().cloned().map(Arc::new);
+        self.load(
+            DocumentKind::Roster,
+            DATACENTER,
+            hosts.map(DocumentItem::Host).collect(),
+        );
+    }
+
+    fn register(&mut self, record: HostRecord) {
+        self.handle(ControlEvent::HostRegistered {
+            from: record.packets,
+            record,
+            revision: HostRevision(1),
+            manifest: ObjectVersion(0),
+        });
+        self.advance(STEP_MS);
+    }
+
+    fn handle(&mut self, event: ControlEvent) {
+        self.control.handle(event, self.now);
+    }
+
+    // Lets time pass, with all timers, and passes views on to the router as the daemon does.
+    fn advance(&mut self, millis: u64) {
+        for _ in 0..millis / 50 {
+            self.now = TimePoint(self.now.0 + 50);
+            while let Some(kind) = self.control.poll_timer(self.now) {
+                self.control.handle(ControlEvent::Tick(kind), self.now);
+            }
+            self.control.poll_view(self.now);
+            self.router.update_view(self.control.view(), self.now);
+        }
+    }
+
+    // Returns the hosts that are asked for the owner of a new flow.
+    fn queried_hosts(&mut self) -> Vec<SocketAddrV4> {
+        self.flows += 1;
+        let packet = data(self.flows, 700);
+        let view = Arc::clone(self.control.view());
+        let mut plan = self.router.route(&view, &packet, self.now).unwrap();
+        loop {
+            let last = *plan.hops.last().unwrap();
+            match self.router.reroute(&view, &packet, last, self.now).unwrap() {
+                RerouteDecision::Walk(walk) => plan = walk,
+                RerouteDecision::AwaitLookup => break,
+            }
+        }
+        let queries = self.router.take_queries(self.now);
+        queries.into_iter().map(|query| query.host).collect()
+    }
+}
+
+fn listed_hosts() -> Vec<HostRecord> {
+    (0..LISTED_HOSTS)
+        .map(|number| host(number, HostState::Serving))
+        .collect()
+}
+
+fn unlisted_host() -> HostRecord {
+    host(9, HostState::Serving)
+}
+
+#[test]
+fn registered_host_is_asked_after_a_roster_version_that_does_not_list_it() {
+    let mut run = EntryRun::start();
+    run.register(unlisted_host());
+    let mut hosts = listed_hosts();
+    hosts[0].state = HostState::Leaving;
+    run.load_roster(&hosts);
+    assert!(run.queried_hosts().contains(&unlisted_host().packets));
+}
+
+#[test]
+fn host_that_no_longer_registers_here_is_asked() {
+    let mut run = EntryRun::start();
+    run.register(unlisted_host());
+    run.advance(5_000);
+    assert!(run.queried_hosts().contains(&unlisted_host().packets));
+}
+
+#[test]
+fn host_that_its_trackers_removed_by_mistake_is_asked_for_a_while() {
+    let mut run = EntryRun::start();
+    run.load_roster(&listed_hosts()[1..]);
+    let removed = listed_hosts()[0].packets;
+    assert!(run.queried_hosts().contains(&removed));
+    run.advance(VANISHED_HOST_MEMORY.as_millis() as u64);
+    run.load_roster(&listed_hosts()[1..]);
+    assert!(!run.queried_hosts().contains(&removed));
+}
+
+#[test]
+fn host_that_announced_its_departure_is_not_asked() {
+    let mut run = EntryRun::start();
+    let mut hosts = listed_hosts();
+    hosts[0].state = HostState::Leaving;
+    run.load_roster(&hosts);
+    run.load_roster(&hosts[1..]);
+    assert!(!run.queried_hosts().contains(&hosts[0].packets));
+    run.register(host(1, HostState::Gone));
+    run.load_roster(&hosts[2..]);
+    assert!(!run.queried_hosts().contains(&hosts[1].packets));
+}
