Packets follow the owner of their flow out of the view

Cause: an entry VM sent packets to a cached owner only while the host was in the view of the service that the address belongs to. So a host that left the view for a moment got no packets of its own flows; and a lookup that found the owner had no effect if the host was not in the view, or ran another service than the address has now: the packet that waited for the lookup walked the same hosts again.

Same class as: 'not in the view' was taken for 'does not exist'. The cached owner now counts as long as it is a known host, in the view or vanished from it, that runs the service that it ran when it was cached; the packet names that service. Hosts of unknown addresses, and addresses that another service has taken over, get nothing, as before.

--- a/crates/core/src/known_hosts.rs
+++ b/crates/core/src/known_hosts.rs
@@ -13,7 +13,7 @@
 use std::time::Duration;
 
 use crate::chart::HostState;
-use crate::ids::FirmName;
+use crate::ids::{FirmName, ServiceId, ServiceTag};
 use crate::units::TimePoint;
 use crate::view::RoutingView;
 
@@ -30,14 +30,16 @@
 // A host in the view.
 #[derive(Debug, Clone)]
 struct ViewedHost {
-    firm: FirmName,
+    service: ServiceId,
+    tag: ServiceTag,
     is_leaving: bool,
 }
 
 // A host that left the view without having announced its departure.
 #[derive(Debug, Clone)]
 struct VanishedHost {
-    firm: FirmName,
+    service: ServiceId,
+    tag: ServiceTag,
     since: TimePoint,
 }
 
@@ -76,6 +78,12 @@
         self.firms.get(firm)
     }
 
+    /// Returns the tag of the service that a host runs.
+    pub fn service_tag(&self, host: SocketAddrV4) -> Option<ServiceTag> {
+        let viewed = self.viewed.get(&host).map(|viewed| viewed.tag);
+        viewed.or_else(|| self.vanished.get(&host).map(|vanished| vanished.tag))
+    }
+
     /// Records the hosts of a new view.
     pub fn update(&mut self, view: &RoutingView, now: TimePoint) {
         let viewed = hosts_in_view(view);
@@ -102,9 +110,12 @@
     ) {
         for (address, host) in previous {
             if !host.is_leaving {
-                let firm = host.firm;
-                self.vanished
-                    .insert(address, VanishedHost { firm, since: now });
+                let vanished = VanishedHost {
+                    service: host.service,
+                    tag: host.tag,
+                    since: now,
+                };
+                self.vanished.insert(address, vanished);
             }
         }
         let viewed = &self.viewed;
@@ -117,13 +128,16 @@
 
     fn update_firms(&mut self) {
         let mut firms: HashMap<FirmName, Vec<SocketAddrV4>> = HashMap::new();
-        let viewed = self.viewed.iter().map(|(host, known)| (host, &known.firm));
+        let viewed = self
+            .viewed
+            .iter()
+            .map(|(host, known)| (host, &known.service));
         let vanished = self
             .vanished
             .iter()
-            .map(|(host, known)| (host, &known.firm));
-        for (host, firm) in viewed.chain(vanished) {
-            firms.entry(firm.clone()).or_default().push(*host);
+            .map(|(host, known)| (host, &known.service));
+        for (host, service) in viewed.chain(vanished) {
+            firms.entry(service.firm.clone()).or_default().push(*host);
         }
         self.firms = firms
             .into_iter()
@@ -176,7 +190,8 @@
     for service in view.services() {
         for host in service.hosts() {
             let known = ViewedHost {
-                firm: service.id().firm.clone(),
+                service: service.id().clone(),
+                tag: service.tag,
                 is_leaving: host.state == HostState::Leaving,
             };
             viewed.insert(host.record.packets, known);
--- a/crates/core/src/passthrough_routes.rs
+++ b/crates/core/src/passthrough_routes.rs
@@ -163,16 +163,15 @@
 
     /// Caches the host as owner of the flow, after an owner notice or a lookup reply.
     pub fn record_owner(&mut self, view: &RoutingView, key: FlowKey, host: SocketAddrV4) {
-        if let Some(service) = view.service_at(key.service) {
+        let service = view.service_at(key.service).map(|service| service.tag);
+        // The host may run another service: the address belonged to that one when the flow
+        // began.
+        if let Some(tag) = self.known_hosts.service_tag(host).or(service) {
             let syns = self
                 .cached_owners
                 .peek(&key)
                 .map_or(0, |cached| cached.syns);
-            let owner = CachedOwner {
-                tag: service.tag,
-                host,
-                syns,
-            };
+            let owner = CachedOwner { tag, host, syns };
             self.cached_owners.put(key, owner);
             self.walks.pop(&key);
         }
@@ -310,7 +309,9 @@
         if segment.is_syn {
             return self.plan_syn(service, segment.key, cached, now);
         }
-        match cached.filter(|cached| is_owner_in_view(view, service, cached)) {
+        let runs_service =
+            |cached: &CachedOwner| self.known_hosts.service_tag(cached.host) == Some(cached.tag);
+        match cached.filter(runs_service) {
             Some(cached) => Ok(PassthroughPlan {
                 tag: cached.tag,
                 hops: vec![cached.host],
@@ -511,15 +512,3 @@
         .collect();
     indexes.into_iter().map(|index| service.host(index))
 }
-
-fn is_owner_in_view(view: &RoutingView, service: &ServiceView, cached: &CachedOwner) -> bool {
-    let has_host = |service: &ServiceView| {
-        let mut hosts = service.hosts().iter();
-        hosts.any(|host| host.record.packets == cached.host)
-    };
-    if cached.tag == service.tag {
-        return has_host(service);
-    }
-    view.services()
-        .any(|other| other.tag == cached.tag && has_host(other))
-}
--- a/crates/core/tests/possible_owners.rs
+++ b/crates/core/tests/possible_owners.rs
@@ -12,7 +12,7 @@
     ControlEvent, DocumentId, DocumentItem, DocumentKind, EntryControl, HostRecord, HostRevision,
     HostState, ObjectVersion, PassthroughRouter, RerouteDecision, ServiceKind, TimePoint,
 };
-use common::{data, entry, host};
+use common::{data, entry, host, key};
 
 const DATACENTER: &str = "honam-1";
 const LISTED_HOSTS: usize = 4;
@@ -169,3 +169,31 @@
     run.load_roster(&hosts[2..]);
     assert!(!run.queried_hosts().contains(&hosts[1].packets));
 }
+
+#[test]
+fn packets_go_to_an_owner_that_is_no_longer_in_the_view() {
+    let mut run = EntryRun::start();
+    run.register(unlisted_host());
+    let owner = unlisted_host().packets;
+    run.router.record_owner(run.control.view(), key(1), owner);
+    run.load_roster(&listed_hosts()[1..]);
+    let view = Arc::clone(run.control.view());
+    let plan = run.router.route(&view, &data(1, 700), run.now).unwrap();
+    assert_eq!(plan.hops, [owner]);
+}
+
+#[test]
+fn packets_go_to_an_owner_that_was_looked_up_at_a_host_of_another_service() {
+    let mut view = common::passthrough_view(LISTED_HOSTS);
+    let mut spec = common::spec();
+    spec.id = "dalbit/patterns".parse().unwrap();
+    spec.address = "10.20.0.2:7000".parse().unwrap();
+    let mut record = unlisted_host();
+    record.service = spec.id.clone();
+    let tag = spec.id.tag();
+    common::put_passthrough(&mut view, spec, vec![record.clone()]);
+    let mut router = common::passthrough_router(&view);
+    router.record_owner(&view, key(1), record.packets);
+    let plan = router.route(&view, &data(1, 700), TimePoint(0)).unwrap();
+    assert_eq!((plan.hops, plan.tag), (vec![record.packets], tag));
+}
