In small fleets hosts register with every entry VM, in larger ones unlisted hosts get no flows

Callers saw open flows reset while their host served (FLOW), second cause: an entry VM that a host had never registered with, or no longer registered with, offered or reset flows of that host while no roster listed it.

Cause: hosts in no roster were offered flows 'while no entry VM resets any', which each entry VM inferred from its own view not being fresh. Other entry VMs may have a fresh view at the same time (the store refuses some and serves others) and know nothing of the host: a host registered with eight entry VMs.

Change: a fleet of up to 12 entry VMs is a full mesh: hosts register with all of them, listed or not, so each entry VM knows every live host. The limit keeps the datagram that names the entry VMs under 1,400 bytes. A small fleet pays at most four keep-alives more per host and half second.

Tests: with a fan-out of eight for all, and without the condition on the fleet, both new tests and the one of members.rs fail.

--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -26,7 +26,7 @@
 use crate::roster::HostRecord;
 use crate::timer::{TimerKind, TimerService};
 use crate::units::TimePoint;
-use crate::view::RoutingView;
+use crate::view::{RegistrationReach, RoutingView};
 use crate::view_builder::ViewBuilder;
 
 /// Number of random peers that each change is gossiped to immediately.
@@ -237,6 +237,14 @@
             .map(|(datacenter, entries)| (datacenter, MemberRing::new(entries)))
             .collect();
         self.global_ring = MemberRing::new(entries);
+        let reach = if self.global_ring.find(&self.me.name).is_none() {
+            RegistrationReach::Unknown
+        } else if self.global_ring.is_full_mesh() {
+            RegistrationReach::AllEntries
+        } else {
+            RegistrationReach::SomeEntries
+        };
+        self.view_builder.set_registration_reach(reach);
     }
 
     /// Handles an event and returns the actions to carry out.
--- a/crates/core/src/known_hosts.rs
+++ b/crates/core/src/known_hosts.rs
@@ -15,12 +15,12 @@
 use crate::chart::HostState;
 use crate::ids::{FirmName, ServiceId, ServiceTag};
 use crate::units::TimePoint;
-use crate::view::RoutingView;
+use crate::view::{RegistrationReach, RoutingView};
 
 /// Time for which an entry VM offers no flows to a host that has appeared in the roster.
 /// Within this time all entry VMs know it: one that did not would take its flows for flows
 /// without an owner. A host in no roster is offered flows after this time only if the view
-/// is not fresh. Without a fresh view no entry VM decides that a flow has no owner.
+/// is not fresh, since it is listed soon otherwise, and if it registers with every entry VM.
 pub const NEW_HOST_DELAY: Duration = Duration::from_secs(1);
 
 /// Time for which a host that left the view counts as a possible owner of flows. A host that
@@ -65,6 +65,7 @@
     viewed: HashMap<SocketAddrV4, ViewedHost>,
     vanished: HashMap<SocketAddrV4, VanishedHost>,
     new_hosts: HashMap<SocketAddrV4, NewHost>,
+    registration_reach: RegistrationReach,
     // Whether the platform confirmed the view recently.
     has_fresh_view: bool,
     // Whether it did since the start of this process. The hosts in the view until then are
@@ -86,6 +87,7 @@
 
     /// Records the hosts of a new view.
     pub fn update(&mut self, view: &RoutingView, now: TimePoint) {
+        self.registration_reach = view.registration_reach;
         let viewed = hosts_in_view(view);
         self.new_hosts = viewed
             .keys()
@@ -179,9 +181,11 @@
 
     /// Returns whether other entry VMs may not know the host yet.
     pub fn is_new(&self, host: SocketAddrV4, now: TimePoint) -> bool {
+        let must_be_listed =
+            self.has_fresh_view || self.registration_reach != RegistrationReach::AllEntries;
         self.new_hosts
             .get(&host)
-            .is_some_and(|new| new.is_delayed(now) || (!new.is_listed && self.has_fresh_view))
+            .is_some_and(|new| new.is_delayed(now) || (!new.is_listed && must_be_listed))
     }
 }
 
--- a/crates/core/src/members.rs
+++ b/crates/core/src/members.rs
@@ -16,8 +16,13 @@
 /// Number of entry VMs that track a host.
 pub const TRACKERS_PER_HOST: usize = 2;
 
-/// Number of registration targets of a host in a small fleet, its trackers first.
-/// The other targets receive the host's changes without the platform.
+/// Maximum number of entry VMs of a fleet in which every host registers with all of them,
+/// limited by the size of the datagram that names them. Each entry VM then knows every live
+/// host, whether a roster lists it or not.
+pub const FULL_MESH_FLEET: usize = 12;
+
+/// Number of registration targets of a host in a small fleet above [`FULL_MESH_FLEET`], its
+/// trackers first. The other targets receive the host's changes without the platform.
 pub const REGISTRATION_FANOUT: usize = 8;
 
 /// Maximum number of entry VMs in a small fleet. In a larger fleet, registrations
@@ -166,17 +171,26 @@
         if global_ring.ring.len() > SMALL_FLEET {
             return registration_targets;
         }
+        let fanout = if global_ring.is_full_mesh() {
+            FULL_MESH_FLEET
+        } else {
+            REGISTRATION_FANOUT
+        };
         let subject = HostSeed::of(host.as_str());
-        for entry in global_ring.ranked(subject, REGISTRATION_FANOUT + TRACKERS_PER_HOST) {
-            if registration_targets.len() < REGISTRATION_FANOUT
-                && !registration_targets.contains(&entry)
-            {
+        for entry in global_ring.ranked(subject, fanout + TRACKERS_PER_HOST) {
+            if registration_targets.len() < fanout && !registration_targets.contains(&entry) {
                 registration_targets.push(entry);
             }
         }
         registration_targets
     }
 
+    /// Returns whether hosts register with every entry VM of this ring, which is that of all
+    /// data centres.
+    pub fn is_full_mesh(&self) -> bool {
+        self.ring.len() <= FULL_MESH_FLEET
+    }
+
     /// Returns whether the ring has enough entry VMs to track the hosts of its data
     /// centre without those of others.
     pub fn has_enough_trackers(&self) -> bool {
--- a/crates/core/src/view.rs
+++ b/crates/core/src/view.rs
@@ -179,6 +179,19 @@
     pub is_listed: bool,
 }
 
+/// Which entry VMs hosts register with. It tells whether an entry VM knows the hosts that are
+/// in no roster.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum RegistrationReach {
+    /// Not known: this entry VM is not among the members yet.
+    #[default]
+    Unknown,
+    /// With all of them.
+    AllEntries,
+    /// With some of them.
+    SomeEntries,
+}
+
 /// The services of all firms, by address and by name.
 #[derive(Debug, Clone, Default)]
 pub struct RoutingView {
@@ -187,6 +200,8 @@
     /// Packet addresses of hosts that have registered here and are in no roster yet, so that
     /// other entry VMs may not know them.
     pub unlisted_hosts: BTreeSet<SocketAddrV4>,
+    /// Which entry VMs hosts register with.
+    pub registration_reach: RegistrationReach,
     /// Packet addresses of hosts that have announced their departure here.
     pub departed_hosts: BTreeSet<SocketAddrV4>,
     by_address: HashMap<SocketAddrV4, Arc<ServiceView>>,
--- a/crates/core/src/view_builder.rs
+++ b/crates/core/src/view_builder.rs
@@ -14,7 +14,7 @@
 use crate::manifest::ServiceKind;
 use crate::roster::HostRecord;
 use crate::units::TimePoint;
-use crate::view::{RoutingView, ServiceView};
+use crate::view::{RegistrationReach, RoutingView, ServiceView};
 
 /// Minimum interval between two views unless a change is urgent. Ranking the hosts of a
 /// large service for all buckets takes milliseconds of CPU time, which small entry VMs
@@ -34,6 +34,7 @@
     registered: BTreeMap<HostName, HostRecord>,
     hosts: HashMap<ServiceId, Vec<Arc<HostRecord>>>,
     grants: GrantIndex,
+    registration_reach: RegistrationReach,
     view: Arc<RoutingView>,
 }
 
@@ -131,6 +132,15 @@
         self.mark_changed(changed_services);
     }
 
+    /// Records which entry VMs hosts register with.
+    pub fn set_registration_reach(&mut self, reach: RegistrationReach) {
+        if reach != self.registration_reach {
+            self.registration_reach = reach;
+            let services: Vec<_> = self.view.ids().cloned().collect();
+            self.mark_changed(services);
+        }
+    }
+
     /// Replaces the suspected hosts.
     pub fn set_suspects(&mut self, suspects: BTreeMap<HostName, ServiceId>) {
         if suspects == self.suspects {
@@ -164,6 +174,7 @@
                 None => view.remove(id),
             }
         }
+        view.registration_reach = self.registration_reach;
         view.unlisted_hosts = self.unlisted_hosts();
         view.departed_hosts = self.departed_hosts();
         self.view = Arc::new(view);
--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use chestnutlb_core::manifest::{HostLimits, ServiceTiming};
-use chestnutlb_core::view::ServiceView;
+use chestnutlb_core::view::{RegistrationReach, ServiceView};
 use chestnutlb_core::{
     ByteCount, EntryRecord, FlowKey, HostRecord, HostState, HostWeight, Incarnation, ObjectVersion,
     PassthroughRouter, PercentShare, RequestClass, RouteRule, RoutingView, ServiceKind,
@@ -123,6 +123,7 @@
         .map(|number| host(number, HostState::Serving))
         .collect();
     let mut view = RoutingView::default();
+    view.registration_reach = RegistrationReach::AllEntries;
     put_passthrough(&mut view, spec(), records);
     view
 }
--- a/crates/core/tests/members.rs
+++ b/crates/core/tests/members.rs
@@ -2,7 +2,9 @@
 
 use std::net::SocketAddrV4;
 
-use chestnutlb_core::members::{MemberRing, REGISTRATION_FANOUT, SMALL_FLEET, TRACKERS_PER_HOST};
+use chestnutlb_core::members::{
+    FULL_MESH_FLEET, MemberRing, REGISTRATION_FANOUT, SMALL_FLEET, TRACKERS_PER_HOST,
+};
 use chestnutlb_core::{EntryRecord, HostName, Incarnation};
 
 fn ring(entries: usize) -> MemberRing {
@@ -34,6 +36,8 @@
     };
     assert_eq!(target_count(1), 1);
     assert_eq!(target_count(4), 4);
+    assert_eq!(target_count(FULL_MESH_FLEET), FULL_MESH_FLEET);
+    assert_eq!(target_count(FULL_MESH_FLEET + 1), REGISTRATION_FANOUT);
     assert_eq!(target_count(SMALL_FLEET), REGISTRATION_FANOUT);
     assert_eq!(target_count(SMALL_FLEET + 1), TRACKERS_PER_HOST);
 }
--- a/crates/core/tests/possible_owners.rs
+++ b/crates/core/tests/possible_owners.rs
@@ -7,12 +7,14 @@
 use std::num::NonZeroUsize;
 use std::sync::Arc;
 
-use chestnutlb_core::known_hosts::VANISHED_HOST_MEMORY;
+use chestnutlb_core::known_hosts::{NEW_HOST_DELAY, VANISHED_HOST_MEMORY};
+use chestnutlb_core::members::FULL_MESH_FLEET;
 use chestnutlb_core::{
-    ControlEvent, DocumentId, DocumentItem, DocumentKind, EntryControl, HostRecord, HostRevision,
-    HostState, ObjectVersion, PassthroughRouter, RerouteDecision, ServiceKind, TimePoint,
+    ControlAction, ControlEvent, DocumentId, DocumentItem, DocumentKind, EntryControl, HostRecord,
+    HostRevision, HostState, ObjectVersion, PassthroughRouter, RerouteDecision, ServiceKind,
+    TimePoint,
 };
-use common::{data, entry, host, key};
+use common::{data, entry, host, key, syn};
 
 const DATACENTER: &str = "honam-1";
 const LISTED_HOSTS: usize = 4;
@@ -75,12 +77,7 @@
     }
 
     fn register(&mut self, record: HostRecord) {
-        self.handle(ControlEvent::HostRegistered {
-            from: record.packets,
-            record,
-            revision: HostRevision(1),
-            manifest: ObjectVersion(0),
-        });
+        self.handle(registration(record));
         self.advance(STEP_MS);
     }
 
@@ -100,6 +97,15 @@
         }
     }
 
+    // Returns whether a SYN may be sent to this host, without a fresh view.
+    fn is_offered(&mut self, host: SocketAddrV4) -> bool {
+        self.flows += 1;
+        self.router.record_freshness(false);
+        let view = Arc::clone(self.control.view());
+        let plan = self.router.route(&view, &syn(self.flows), self.now);
+        plan.unwrap().hops.contains(&host)
+    }
+
     // Returns the hosts that are asked for the owner of a new flow.
     fn queried_hosts(&mut self) -> Vec<SocketAddrV4> {
         self.flows += 1;
@@ -118,6 +124,15 @@
     }
 }
 
+fn registration(record: HostRecord) -> ControlEvent {
+    ControlEvent::HostRegistered {
+        from: record.packets,
+        record,
+        revision: HostRevision(1),
+        manifest: ObjectVersion(0),
+    }
+}
+
 fn listed_hosts() -> Vec<HostRecord> {
     (0..LISTED_HOSTS)
         .map(|number| host(number, HostState::Serving))
@@ -170,6 +185,29 @@
     assert!(!run.queried_hosts().contains(&hosts[1].packets));
 }
 
+#[test]
+fn unlisted_host_gets_no_flows_unless_it_registers_with_all_entries() {
+    let mut run = EntryRun::start();
+    run.register(unlisted_host());
+    run.advance(NEW_HOST_DELAY.as_millis() as u64);
+    assert!(run.is_offered(unlisted_host().packets));
+    run.load_members(FULL_MESH_FLEET + 1);
+    run.register(unlisted_host());
+    assert!(!run.is_offered(unlisted_host().packets));
+}
+
+#[test]
+fn host_registers_with_every_entry_of_a_fleet_of_nine() {
+    let mut run = EntryRun::start();
+    run.load_members(9);
+    let actions = run.control.handle(registration(unlisted_host()), run.now);
+    let targets = actions.iter().find_map(|action| match action {
+        ControlAction::ReplyToHost(_, reply) => Some(reply.targets.len()),
+        _ => None,
+    });
+    assert_eq!(targets, Some(9));
+}
+
 #[test]
 fn packets_go_to_an_owner_that_is_no_longer_in_the_view() {
     let mut run = EntryRun::start();
