No verdict of a missing owner before every live host could register

Cause: an entry VM gave the verdict with the first fresh view. Right after its start it knows no host that is in no roster, and remembers none that vanished. After a time without a fresh view it may have missed that a host was listed and lost again (trace of the model: listed in version 1, removed by mistake in version 2, of which the entry VM learns only the latter).

Change: the verdict needs a view that has been fresh for 1 s where hosts register with all entry VMs (two keep-alives), for 2 s elsewhere (a host that the roster has lost is listed again by then), and an entry VM that is among the members, since hosts do not register with others.

Callers of flows that died with everything else wait so much longer.

Tests: the three new ones of possible_owners.rs fail with the condition taken out.

--- a/crates/core/src/known_hosts.rs
+++ b/crates/core/src/known_hosts.rs
@@ -23,6 +23,18 @@
 /// is not fresh, since it is listed soon otherwise, and if it registers with every entry VM.
 pub const NEW_HOST_DELAY: Duration = Duration::from_secs(1);
 
+/// Time after which an entry VM knows every live host, if hosts register with all entry VMs:
+/// two keep-alives of a host. It begins when this entry VM starts or its view becomes fresh.
+pub const REGISTRATION_WAIT: Duration = Duration::from_secs(1);
+
+/// The same if hosts register with some entry VMs only: a host that the roster has lost is
+/// listed again within this time.
+pub const RELISTING_WAIT: Duration = Duration::from_secs(2);
+
+/// A view that was not fresh for at most this time counts as fresh throughout: each new view
+/// is confirmed a moment after it was built.
+const FRESHNESS_GAP: Duration = Duration::from_millis(500);
+
 /// Time for which a host that left the view counts as a possible owner of flows. A host that
 /// lives is listed again by then.
 pub const VANISHED_HOST_MEMORY: Duration = Duration::from_secs(60);
@@ -68,7 +80,10 @@
     registration_reach: RegistrationReach,
     // Whether the platform confirmed the view recently.
     has_fresh_view: bool,
-    // Whether it did since the start of this process. The hosts in the view until then are
+    // Since when the view has been fresh and this entry VM a member, and when it last was.
+    fresh_since: Option<TimePoint>,
+    last_fresh_at: Option<TimePoint>,
+    // Whether the platform confirmed the view since the start of this process. The hosts in the view until then are
     // not new.
     had_fresh_view: bool,
 }
@@ -174,9 +189,32 @@
     }
 
     /// Records whether the platform confirmed the view recently.
-    pub fn record_freshness(&mut self, has_fresh_view: bool) {
+    pub fn record_freshness(&mut self, has_fresh_view: bool, now: TimePoint) {
         self.has_fresh_view = has_fresh_view;
         self.had_fresh_view |= has_fresh_view;
+        if !has_fresh_view || self.registration_reach == RegistrationReach::Unknown {
+            return;
+        }
+        let is_continuous = self
+            .last_fresh_at
+            .is_some_and(|last_fresh_at| now.since(last_fresh_at) <= FRESHNESS_GAP);
+        if !is_continuous {
+            self.fresh_since = Some(now);
+        }
+        self.last_fresh_at = Some(now);
+    }
+
+    /// Returns whether this entry VM knows every live host that may own flows, if its view is
+    /// fresh. After its start and after a time without a fresh view, hosts in no roster may
+    /// not have registered here yet.
+    pub fn is_complete(&self, now: TimePoint) -> bool {
+        let wait = match self.registration_reach {
+            RegistrationReach::Unknown => return false,
+            RegistrationReach::AllEntries => REGISTRATION_WAIT,
+            RegistrationReach::SomeEntries => RELISTING_WAIT,
+        };
+        self.fresh_since
+            .is_some_and(|fresh_since| now.since(fresh_since) >= wait)
     }
 
     /// Returns whether other entry VMs may not know the host yet.
--- a/crates/core/src/passthrough_plan.rs
+++ b/crates/core/src/passthrough_plan.rs
@@ -38,10 +38,11 @@
 pub enum LookupVerdict {
     /// This host owns the flow and is cached as owner.
     Found(SocketAddrV4),
-    /// No host owns the flow, and the view of the hosts is fresh: the caller may be sent
-    /// a reset. Contains the segment that started the lookup.
+    /// No host owns the flow, and this entry VM knows all hosts: the caller may be sent a
+    /// reset. Contains the segment that started the lookup.
     NoOwner(TcpSegment),
-    /// No host in the view owns the flow, but the view is not fresh.
+    /// No known host owns the flow, but the view is not fresh or has not been for long enough to
+    /// know all hosts.
     Unconfirmed,
     /// Some hosts cannot tell whether they own the flow: the packet visits them, so that
     /// they query their backend servers.
--- a/crates/core/src/passthrough_routes.rs
+++ b/crates/core/src/passthrough_routes.rs
@@ -141,8 +141,8 @@
     }
 
     /// Records whether the platform confirmed the view recently.
-    pub fn record_freshness(&mut self, has_fresh_view: bool) {
-        self.known_hosts.record_freshness(has_fresh_view);
+    pub fn record_freshness(&mut self, has_fresh_view: bool, now: TimePoint) {
+        self.known_hosts.record_freshness(has_fresh_view, now);
     }
 
     fn is_past_grace_period(&self, address: SocketAddrV4, now: TimePoint) -> bool {
@@ -242,7 +242,9 @@
                 self.record_owner(view, key, owner);
                 LookupVerdict::Found(owner)
             }
-            LookupResult::NotFound(_) if !fresh => LookupVerdict::Unconfirmed,
+            LookupResult::NotFound(_) if !fresh || !self.known_hosts.is_complete(now) => {
+                LookupVerdict::Unconfirmed
+            }
             LookupResult::NotFound(segment) => {
                 self.walks.pop(&key);
                 LookupVerdict::NoOwner(segment)
--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -140,6 +140,13 @@
     ));
 }
 
+/// Returns a router that received the view at time zero, when the platform confirmed it.
+pub fn settled_router(view: &RoutingView) -> PassthroughRouter {
+    let mut router = passthrough_router(view);
+    router.record_freshness(true, TimePoint(0));
+    router
+}
+
 /// Returns a router that received the view at time zero.
 pub fn passthrough_router(view: &RoutingView) -> PassthroughRouter {
     let limit = NonZeroUsize::new(64).unwrap();
--- a/crates/core/tests/owner_lookup.rs
+++ b/crates/core/tests/owner_lookup.rs
@@ -14,7 +14,9 @@
     PassthroughPlan, PassthroughRouter, PassthroughVerdict, PlanSource, RerouteDecision,
     RoutingView, TcpSegment, TimePoint,
 };
-use common::{data, host, key, passthrough_router, passthrough_view, put_passthrough, syn};
+use common::{
+    data, host, key, passthrough_router, passthrough_view, put_passthrough, settled_router, syn,
+};
 
 const HOSTS: usize = 20;
 // Time between a caller's packet and its first retransmission.
@@ -102,7 +104,7 @@
 #[test]
 fn owner_outside_walk_is_found() {
     let view = passthrough_view(HOSTS);
-    let mut router = passthrough_router(&view);
+    let mut router = settled_router(&view);
     let queried = start_lookup(&mut router, &view, START_MS);
     assert_eq!(
         queried.len(),
@@ -129,7 +131,7 @@
 #[test]
 fn flow_that_all_hosts_deny_has_no_owner() {
     let view = passthrough_view(HOSTS);
-    let mut router = passthrough_router(&view);
+    let mut router = settled_router(&view);
     let queried = start_lookup(&mut router, &view, START_MS);
     let replied_ms = START_MS + WALK_MS + REPLY_MS;
     let verdict = record_not_owned(&mut router, &view, &queried, true, replied_ms);
@@ -160,7 +162,7 @@
 fn packet_visits_hosts_that_cannot_tell_before_the_verdict() {
     let mut view = passthrough_view(3);
     let other = add_service(&mut view);
-    let mut router = passthrough_router(&view);
+    let mut router = settled_router(&view);
     let queried = start_lookup(&mut router, &view, START_MS);
     let now = TimePoint(START_MS + WALK_MS + REPLY_MS);
     let verdict = record_unknown(&mut router, &view, &queried, &[other], now);
@@ -185,7 +187,7 @@
 #[test]
 fn hosts_that_never_can_tell_prevent_the_verdict_and_repeat_few_walks() {
     let view = passthrough_view(3);
-    let mut router = passthrough_router(&view);
+    let mut router = settled_router(&view);
     let mut queried = start_lookup(&mut router, &view, START_MS);
     let now = TimePoint(START_MS + WALK_MS + REPLY_MS);
     let unknown = queried.clone();
@@ -211,7 +213,7 @@
 #[test]
 fn repeated_reply_of_host_counts_once() {
     let view = passthrough_view(2);
-    let mut router = passthrough_router(&view);
+    let mut router = settled_router(&view);
     let queried = start_lookup(&mut router, &view, START_MS);
     let now = TimePoint(START_MS + WALK_MS + REPLY_MS);
     for _ in 0..3 {
@@ -230,7 +232,7 @@
 #[test]
 fn missing_owner_is_unconfirmed_with_stale_view() {
     let view = passthrough_view(HOSTS);
-    let mut router = passthrough_router(&view);
+    let mut router = settled_router(&view);
     let queried = start_lookup(&mut router, &view, START_MS);
     let replied_ms = START_MS + WALK_MS + REPLY_MS;
     let verdict = record_not_owned(&mut router, &view, &queried, false, replied_ms);
@@ -246,7 +248,7 @@
     const KNOWN_MS: u64 = 1_000;
     let view = passthrough_view(3);
     let mut router = passthrough_router(&view);
-    router.record_freshness(true);
+    router.record_freshness(true, TimePoint(START_MS));
     let grown = passthrough_view(4);
     let joined = host(3, HostState::Serving).packets;
     router.update_view(&grown, TimePoint(START_MS));
@@ -265,7 +267,7 @@
     // Hosts of the first views after a start of this process get flows at once.
     let mut started = passthrough_router(&view);
     started.update_view(&grown, TimePoint(START_MS));
-    started.record_freshness(true);
+    started.record_freshness(true, TimePoint(START_MS));
     assert!(offers(&mut started, START_MS));
 }
 
@@ -277,17 +279,17 @@
     let mut grown = passthrough_view(4);
     let joined = host(3, HostState::Serving).packets;
     grown.unlisted_hosts.insert(joined);
-    router.record_freshness(true);
+    router.record_freshness(true, TimePoint(START_MS));
     router.update_view(&grown, TimePoint(START_MS));
     let is_offered = |router: &mut PassthroughRouter, view: &RoutingView, at: u64| {
         let plan = router.route(view, &syn(at as u16), TimePoint(at)).unwrap();
         plan.hops.contains(&joined)
     };
     assert!(!is_offered(&mut router, &grown, LATER_MS));
-    router.record_freshness(false);
+    router.record_freshness(false, TimePoint(LATER_MS));
     assert!(is_offered(&mut router, &grown, LATER_MS + 1));
     // Listed now: the delay begins.
-    router.record_freshness(true);
+    router.record_freshness(true, TimePoint(LATER_MS));
     let listed = passthrough_view(4);
     router.update_view(&listed, TimePoint(LATER_MS));
     assert!(!is_offered(&mut router, &listed, LATER_MS + 999));
@@ -298,7 +300,7 @@
 #[test]
 fn new_host_gets_flows_if_there_is_no_other() {
     let mut router = passthrough_router(&passthrough_view(1));
-    router.record_freshness(true);
+    router.record_freshness(true, TimePoint(START_MS));
     let mut view = RoutingView::default();
     let replacement = host(7, HostState::Serving);
     put_passthrough(&mut view, common::spec(), vec![replacement.clone()]);
@@ -311,7 +313,7 @@
 #[test]
 fn second_walk_starts_a_lookup_if_the_first_ended_in_silence() {
     let view = passthrough_view(HOSTS);
-    let mut router = passthrough_router(&view);
+    let mut router = settled_router(&view);
     walk(&mut router, &view, &data(1, 700), START_MS);
     assert!(!router.has_pending_lookups());
     let retransmitted_at = START_MS + RETRANSMISSION_MS;
@@ -325,7 +327,7 @@
 #[test]
 fn late_replies_give_no_verdict() {
     let view = passthrough_view(2);
-    let mut router = passthrough_router(&view);
+    let mut router = settled_router(&view);
     let queried = start_lookup(&mut router, &view, START_MS);
     let late = START_MS + WALK_MS + LOOKUP_TIMEOUT.as_millis() as u64;
     assert_eq!(
@@ -338,7 +340,7 @@
 fn hosts_of_other_services_of_firm_are_queried() {
     let mut view = passthrough_view(3);
     let other = add_service(&mut view);
-    let mut router = passthrough_router(&view);
+    let mut router = settled_router(&view);
     let queried = start_lookup(&mut router, &view, START_MS);
     assert!(
         queried.contains(&other),
@@ -349,7 +351,7 @@
 #[test]
 fn queries_are_split_to_fit_datagrams() {
     let view = passthrough_view(2);
-    let mut router = passthrough_router(&view);
+    let mut router = settled_router(&view);
     for port in 1..=40 {
         walk_in_vain(&mut router, &view, &data(port, 700), START_MS);
     }
@@ -450,7 +452,7 @@
 fn run_loss(hosts: usize, flows_per_second: u64) -> (u64, u64) {
     const SECONDS: u64 = 10;
     let view = passthrough_view(hosts);
-    let mut router = passthrough_router(&view);
+    let mut router = settled_router(&view);
     let (mut queries, mut verdicts, mut port) = (0, 0, 0);
     for now in START_MS..START_MS + SECONDS * 1_000 {
         let begun = (now - START_MS) * flows_per_second / 1_000;
@@ -496,7 +498,7 @@
 fn lookup_that_waits_too_long_is_reported() {
     const LARGE_FIRM_HOSTS: usize = 250;
     let view = passthrough_view(LARGE_FIRM_HOSTS);
-    let mut router = passthrough_router(&view);
+    let mut router = settled_router(&view);
     // Twice as many as the first queries can name.
     let flows = 4 * MAX_FLOWS_PER_QUERY as u16;
     for port in 1..=flows {
@@ -523,7 +525,7 @@
 impl RepeatedLookup {
     fn new() -> Self {
         let view = passthrough_view(HOSTS);
-        let router = passthrough_router(&view);
+        let router = settled_router(&view);
         Self {
             view,
             router,
--- a/crates/core/tests/possible_owners.rs
+++ b/crates/core/tests/possible_owners.rs
@@ -7,12 +7,12 @@
 use std::num::NonZeroUsize;
 use std::sync::Arc;
 
-use chestnutlb_core::known_hosts::{NEW_HOST_DELAY, VANISHED_HOST_MEMORY};
+use chestnutlb_core::known_hosts::{NEW_HOST_DELAY, REGISTRATION_WAIT, VANISHED_HOST_MEMORY};
 use chestnutlb_core::members::FULL_MESH_FLEET;
 use chestnutlb_core::{
     ControlAction, ControlEvent, DocumentId, DocumentItem, DocumentKind, EntryControl, HostRecord,
-    HostRevision, HostState, ObjectVersion, PassthroughRouter, RerouteDecision, ServiceKind,
-    TimePoint,
+    HostRevision, HostState, LookupVerdict, ObjectVersion, OwnershipReply, PassthroughRouter,
+    RerouteDecision, ServiceKind, TimePoint,
 };
 use common::{data, entry, host, key, syn};
 
@@ -100,12 +100,33 @@
     // Returns whether a SYN may be sent to this host, without a fresh view.
     fn is_offered(&mut self, host: SocketAddrV4) -> bool {
         self.flows += 1;
-        self.router.record_freshness(false);
+        self.router.record_freshness(false, self.now);
         let view = Arc::clone(self.control.view());
         let plan = self.router.route(&view, &syn(self.flows), self.now);
         plan.unwrap().hops.contains(&host)
     }
 
+    // Lets time pass with a view that is confirmed or not.
+    fn advance_view(&mut self, millis: u64, fresh: bool) {
+        for _ in 0..millis / 50 {
+            self.advance(50);
+            self.router.record_freshness(fresh, self.now);
+        }
+    }
+
+    // Returns the verdict on a new flow that all hosts deny, with a fresh view.
+    fn verdict(&mut self) -> Option<LookupVerdict> {
+        let hosts = self.queried_hosts();
+        let view = Arc::clone(self.control.view());
+        let (key, now) = (key(self.flows), self.now);
+        let reply = OwnershipReply::NotOwned;
+        let mut verdicts = hosts.into_iter().filter_map(|host| {
+            self.router
+                .record_lookup_reply(&view, key, host, reply, true, now)
+        });
+        verdicts.next()
+    }
+
     // Returns the hosts that are asked for the owner of a new flow.
     fn queried_hosts(&mut self) -> Vec<SocketAddrV4> {
         self.flows += 1;
@@ -196,6 +217,39 @@
     assert!(!run.is_offered(unlisted_host().packets));
 }
 
+#[test]
+fn flow_is_not_declared_ownerless_before_all_hosts_could_register() {
+    let mut run = EntryRun::start();
+    let wait = REGISTRATION_WAIT.as_millis() as u64;
+    run.advance_view(wait, true);
+    assert_eq!(run.verdict(), Some(LookupVerdict::Unconfirmed));
+    run.advance_view(50, true);
+    assert!(matches!(run.verdict(), Some(LookupVerdict::NoOwner(_))));
+}
+
+#[test]
+fn flow_is_not_declared_ownerless_soon_after_a_time_without_a_fresh_view() {
+    let mut run = EntryRun::start();
+    run.advance_view(10_000, true);
+    run.advance_view(1_000, false);
+    run.advance_view(500, true);
+    assert_eq!(run.verdict(), Some(LookupVerdict::Unconfirmed));
+    run.advance_view(1_000, true);
+    assert!(matches!(run.verdict(), Some(LookupVerdict::NoOwner(_))));
+}
+
+#[test]
+fn entry_that_is_no_member_yet_declares_no_flow_ownerless() {
+    let mut run = EntryRun::start();
+    run.load(
+        DocumentKind::Members,
+        DATACENTER,
+        vec![DocumentItem::Entry(entry(2, DATACENTER))],
+    );
+    run.advance_view(10_000, true);
+    assert_eq!(run.verdict(), Some(LookupVerdict::Unconfirmed));
+}
+
 #[test]
 fn host_registers_with_every_entry_of_a_fleet_of_nine() {
     let mut run = EntryRun::start();
--- a/crates/daemon/src/entry_packets.rs
+++ b/crates/daemon/src/entry_packets.rs
@@ -85,8 +85,9 @@
                 self.passthrough.update_view(&view, now);
                 self.router.replace_view(view, now);
             }
-            let is_fresh = self.shared.is_fresh(self.router.view(), clock::now());
-            self.passthrough.record_freshness(is_fresh);
+            let now = clock::now();
+            let is_fresh = self.shared.is_fresh(self.router.view(), now);
+            self.passthrough.record_freshness(is_fresh, now);
             self.send_probes();
             self.send_lookup_queries();
             // The socket's read timeout lets the loop check for a new view.
