A difference applies only to the version that it is based on

A document at version 5 requests a difference, loads version 7 meanwhile, and applies the reply (5 to 9). If the peer did not hold version 7, the reply does not name an item that version 7 added and version 9 lacks, and the document keeps it for good. Cause: apply accepted a difference from any version up to the local one, but the sender knows only the changes between the versions that it held. Ruled out: merging such a difference. The state of an item in the base version is not kept, so an item that only the later version has can't be told from one of both. Change: DocumentPatch::applies_to; a difference needs exactly its base version, a whole document only an older one. The wire format does not change. A rejected difference is pulled again: the change that made it outdated has freed the document for a new pull. Tests: difference_is_rejected_by_document_that_loaded_later_version_than_its_base fails before the change (the difference is applied) and passes after it. documents_never_revert_under_random_events takes the base of its patches from the local document, as bases 1 and 2 were hardly ever the local version and every difference would have been rejected; the property that it checks is the same.

--- a/crates/core/src/document.rs
+++ b/crates/core/src/document.rs
@@ -121,8 +121,8 @@
 pub struct DocumentPatch {
     /// The document that the patch applies to.
     pub id: DocumentId,
-    /// The minimum version that the receiver must have, or `None` if the patch
-    /// contains the whole document.
+    /// The version that the receiver must have, or `None` if the patch contains the
+    /// whole document.
     pub since: Option<ObjectVersion>,
     /// The version after applying the patch.
     pub version: ObjectVersion,
@@ -132,6 +132,15 @@
     pub removed: Vec<(CompactString, ObjectVersion)>,
 }
 
+impl DocumentPatch {
+    /// Returns whether a document of this version can apply the patch. A difference needs
+    /// exactly the version that it is based on: the sender may not know what a later
+    /// version added.
+    pub fn applies_to(&self, version: ObjectVersion) -> bool {
+        self.version > version && self.since.is_none_or(|since| since == version)
+    }
+}
+
 /// A document in the version held by one node.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct VersionedDocument {
@@ -240,9 +249,9 @@
     }
 
     /// Applies a patch from a peer. Returns the changes, or `None` if the patch is not
-    /// newer or is based on a version later than the local one.
+    /// newer or is based on another version than the local one.
     pub fn apply(&mut self, patch: DocumentPatch) -> Option<Vec<ItemChange>> {
-        if patch.version <= self.version || patch.since.is_some_and(|since| since > self.version) {
+        if !patch.applies_to(self.version) {
             return None;
         }
         let mut dropped = if patch.since.is_none() {
--- a/crates/core/tests/control.rs
+++ b/crates/core/tests/control.rs
@@ -77,6 +77,22 @@
     }
 }
 
+#[test]
+fn difference_is_rejected_by_document_that_loaded_later_version_than_its_base() {
+    let mut peer = VersionedDocument::default();
+    let mut document = VersionedDocument::default();
+    for document in [&mut peer, &mut document] {
+        document.replace(ObjectVersion(5), items(&[1]));
+    }
+    peer.replace(ObjectVersion(9), items(&[1]));
+    let difference = peer.patch(&roster_id(), document.version()).unwrap();
+    assert_eq!(difference.since, Some(ObjectVersion(5)));
+    document.replace(ObjectVersion(7), items(&[1, 2, 3]));
+    assert_eq!(document.apply(difference), None);
+    assert_eq!(document.version(), ObjectVersion(7));
+    assert!(document.items().eq(&items(&[1, 2, 3])));
+}
+
 fn control() -> EntryControl {
     EntryControl::new(entry(1, "honam-1"), Vec::new(), 1, TimePoint(0))
 }
@@ -96,9 +112,16 @@
                     items: items(numbers),
                 }
             } else {
+                // The peer gives a difference from versions that it held: that of the local
+                // document, and one that the local document mostly does not have.
+                let since = match kind / 2 % 3 {
+                    0 => ObjectVersion(0),
+                    1 => control.documents().version(&roster_id()),
+                    _ => ObjectVersion(version.0 / 2),
+                };
                 let mut peer = VersionedDocument::default();
+                peer.replace(since, items(&[1]));
                 peer.replace(version, items(numbers));
-                let since = ObjectVersion(u64::from(kind / 2) % 3);
                 let patch = peer.patch(&roster_id(), since);
                 ControlEvent::Pulled(patch.into_iter().collect())
             };
--- a/crates/wire/src/records.rs
+++ b/crates/wire/src/records.rs
@@ -239,8 +239,8 @@
 pub struct WirePatch {
     /// The document and its version after the patch.
     pub document: WireVersion,
-    /// Earliest version that the patch applies to; `None` if the patch contains the
-    /// whole document.
+    /// Version that the patch applies to; `None` if the patch contains the whole
+    /// document.
     pub since: Option<u64>,
     /// New and changed items, each with the version that changed it.
     pub items: Vec<(u64, WireItem)>,
