A document gives differences only from versions that it has held

Cause: a document that was loaded at a version, or that skipped versions, has no record of the removals before and between, but gave a difference from every version after pruned_to, which was zero. A peer at a version between kept removed items for good. Ruled out: recognizing skipped versions by their numbers; the versions of the store are not contiguous for one object. Change: a document remembers the newest 64 versions that it has held (HELD_VERSION_LIMIT), and gives a difference only from these; any other node gets the whole document. A pruned removal drops the versions before it from the list, which replaces pruned_to; a document received whole starts a new list. Items and keys on the wire do not change. Why a label from a peer is later than each version held here that lacks the change: let a difference lead from s to v. It applies only at version s exactly (commit before), so all versions held here are at most s. (1) Content changed between s and v: the peer has held s too, so its label is later than s, and so later than all held here. (2) Content changed between a held version h and s and not since: the label here is later than h already; it stays, or is replaced by the peer's, which is in the difference only if later than s. (3) After a whole document only v is held, and labels are at most v; each later change gets a label above v, from replace or by (1). Tests: peers at a version that was held, not held, before the newest 64, and before a pruned removal; a document received whole; 300 seeds of 300 random steps, in which four nodes load (also outdated reads), skip, restart, pull and receive replies late, and hold the content of their version after each step and the newest one after pulls in turn.

--- a/crates/core/src/document.rs
+++ b/crates/core/src/document.rs
@@ -5,7 +5,7 @@
 //! receives only the items that it lacks. Versions only increase; an older
 //! document never replaces a newer one.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::fmt;
 use std::net::Ipv4Addr;
 use std::sync::Arc;
@@ -20,6 +20,9 @@
 /// Maximum number of removed items that a document keeps tombstones of.
 pub const TOMBSTONE_LIMIT: usize = 1024;
 
+/// Maximum number of versions, the newest ones, that a document remembers to have held.
+pub const HELD_VERSION_LIMIT: usize = 64;
+
 /// The kinds of documents.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum DocumentKind {
@@ -147,9 +150,9 @@
     version: ObjectVersion,
     items: BTreeMap<CompactString, VersionedItem>,
     removed: BTreeMap<CompactString, ObjectVersion>,
-    // Removals up to this version may have been pruned, so that older nodes need the
-    // whole document.
-    pruned_to: ObjectVersion,
+    // Versions that were held, oldest first. All changes and removals since each of them are
+    // recorded; a node at any other version needs the whole document.
+    held: VecDeque<ObjectVersion>,
 }
 
 impl VersionedDocument {
@@ -204,9 +207,17 @@
                 new: None,
             });
         }
+        self.record_version(version);
+        Some(changes)
+    }
+
+    fn record_version(&mut self, version: ObjectVersion) {
         self.version = version;
+        self.held.push_back(version);
+        if self.held.len() > HELD_VERSION_LIMIT {
+            self.held.pop_front();
+        }
         self.prune_removals();
-        Some(changes)
     }
 
     fn prune_removals(&mut self) {
@@ -216,17 +227,18 @@
                 return;
             };
             self.removed.remove(&key);
-            self.pruned_to = self.pruned_to.max(version);
+            // A node at an earlier version may have the item whose removal was pruned.
+            self.held.retain(|held| *held >= version);
         }
     }
 
     /// Returns the patch for a node at version `since`, or `None` if this version is
-    /// not newer.
+    /// not newer. It is a difference only if this document has held that version.
     pub fn patch(&self, id: &DocumentId, since: ObjectVersion) -> Option<DocumentPatch> {
         if since >= self.version {
             return None;
         }
-        let whole = since.0 == 0 || since < self.pruned_to;
+        let whole = !self.held.contains(&since);
         let items = self
             .items
             .values()
@@ -256,7 +268,7 @@
         }
         let mut dropped = if patch.since.is_none() {
             self.removed.clear();
-            self.pruned_to = patch.version;
+            self.held.clear();
             std::mem::take(&mut self.items)
         } else {
             BTreeMap::new()
@@ -285,8 +297,7 @@
             old: Some(versioned.item),
             new: None,
         }));
-        self.version = patch.version;
-        self.prune_removals();
+        self.record_version(patch.version);
         Some(changes)
     }
 }
--- a/crates/core/tests/control.rs
+++ b/crates/core/tests/control.rs
@@ -6,12 +6,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use chestnutlb_core::document::VersionedDocument;
+use chestnutlb_core::document::{HELD_VERSION_LIMIT, TOMBSTONE_LIMIT, VersionedDocument};
 use chestnutlb_core::{
-    ControlAction, ControlEvent, DocumentId, DocumentItem, DocumentKind, EntryControl, Heartbeat,
-    HostRecord, HostState, ObjectVersion, ServiceKind, TimePoint,
+    ControlAction, ControlEvent, DocumentId, DocumentItem, DocumentKind, DocumentPatch,
+    EntryControl, Heartbeat, HostRecord, HostState, ObjectVersion, ServiceKind, TimePoint,
 };
-use common::{entry, host, quickcheck};
+use common::{SEED, entry, host, quickcheck};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
 
 fn roster_id() -> DocumentId {
     DocumentId::new(DocumentKind::Roster, "honam-1")
@@ -77,6 +79,186 @@
     }
 }
 
+// Returns a document that was replaced by each of these versions in turn.
+fn document(versions: &[(u64, &[u8])]) -> VersionedDocument {
+    let mut document = VersionedDocument::default();
+    for (version, numbers) in versions {
+        document.replace(ObjectVersion(*version), items(numbers));
+    }
+    document
+}
+
+fn patch(document: &VersionedDocument, since: u64) -> DocumentPatch {
+    document.patch(&roster_id(), ObjectVersion(since)).unwrap()
+}
+
+#[test]
+fn peer_at_version_that_was_not_held_gets_whole_document_and_loses_what_it_lacks() {
+    let newer = document(&[(5, &[1, 2]), (9, &[1])]);
+    let mut outdated = document(&[(7, &[1, 2, 3])]);
+    let whole = patch(&newer, 7);
+    assert_eq!((whole.since, whole.items.len()), (None, 1));
+    outdated.apply(whole);
+    assert!(outdated.items().eq(newer.items()));
+}
+
+#[test]
+fn peer_at_version_that_was_held_gets_only_the_difference() {
+    let mut newer = document(&[(3, &[1, 2, 3, 4]), (5, &[1, 2, 3]), (7, &[1, 2, 5])]);
+    newer.apply(patch(
+        &document(&[(7, &[1, 2, 5]), (9, &[1, 2, 6])]),
+        newer.version().0,
+    ));
+    let difference = |since: u64| {
+        let difference = patch(&newer, since);
+        assert_eq!(difference.since, Some(ObjectVersion(since)));
+        let removed = difference.removed.into_iter().map(|(key, _)| key);
+        (difference.items.len(), removed.collect::<Vec<_>>())
+    };
+    assert_eq!(difference(7), (1, vec!["host-5".into()]));
+    assert_eq!(difference(5), (1, vec!["host-3".into(), "host-5".into()]));
+    // The number of hosts in version 3 is even, so that all have another state there.
+    let all_removed = vec!["host-3".into(), "host-4".into(), "host-5".into()];
+    assert_eq!(difference(3), (3, all_removed));
+}
+
+#[test]
+fn document_received_whole_gives_differences_only_since_then() {
+    let newer = document(&[(9, &[1])]);
+    let mut received = document(&[(5, &[1, 2])]);
+    received.apply(patch(&newer, 5));
+    received.replace(ObjectVersion(11), items(&[3]));
+    let bases = [5, 7, 9].map(|since| patch(&received, since).since);
+    assert_eq!(bases, [None, None, Some(ObjectVersion(9))]);
+}
+
+#[test]
+fn peer_at_version_before_the_newest_held_ones_gets_whole_document() {
+    let last = HELD_VERSION_LIMIT as u64 + 1;
+    let mut newer = VersionedDocument::default();
+    for version in 1..=last {
+        newer.replace(ObjectVersion(version), items(&[version as u8]));
+    }
+    let bases = [1, 2].map(|since| patch(&newer, since).since);
+    assert_eq!(bases, [None, Some(ObjectVersion(2))]);
+}
+
+#[test]
+fn peer_at_version_before_a_pruned_removal_gets_whole_document() {
+    let hosts = |count: usize| -> Vec<DocumentItem> {
+        (0..count)
+            .map(|number| DocumentItem::Host(Arc::new(host(number, HostState::Serving))))
+            .collect()
+    };
+    let mut newer = VersionedDocument::default();
+    let mut outdated = VersionedDocument::default();
+    outdated.replace(ObjectVersion(1), hosts(TOMBSTONE_LIMIT + 1));
+    for (version, count) in [(1, TOMBSTONE_LIMIT + 1), (2, TOMBSTONE_LIMIT), (3, 0)] {
+        newer.replace(ObjectVersion(version), hosts(count));
+    }
+    let bases = [1, 2].map(|since| patch(&newer, since).since);
+    assert_eq!(bases, [None, Some(ObjectVersion(2))]);
+    outdated.apply(patch(&newer, 1));
+    assert_eq!(outdated.items().count(), 0);
+}
+
+// A document, and the replies of peers that it has not received yet.
+#[derive(Default)]
+struct Node {
+    document: VersionedDocument,
+    replies: Vec<DocumentPatch>,
+}
+
+#[test]
+fn nodes_that_load_skip_restart_and_pull_in_random_order_hold_content_of_their_version() {
+    const ROUNDS: u64 = 300;
+    for seed in SEED..SEED + ROUNDS {
+        println!("seed {seed}");
+        let (nodes, contents) = run_nodes(seed);
+        assert_all_hold_newest_after_pulls(nodes, &contents);
+    }
+}
+
+const NODES: usize = 4;
+
+// Runs nodes in random order of steps. Returns them, and the content of each version.
+fn run_nodes(seed: u64) -> ([Node; NODES], Vec<Vec<DocumentItem>>) {
+    const STEPS: usize = 300;
+    const HOSTS: usize = 6;
+    // Number of versions that may be written while a read is in flight.
+    const READ_LAG: usize = 3;
+    let mut random = StdRng::seed_from_u64(seed);
+    let mut hosts = BTreeMap::new();
+    let mut contents = vec![Vec::new()];
+    let mut nodes: [Node; NODES] = Default::default();
+    for step in 0..STEPS {
+        let peer = nodes[random.random_range(0..NODES)].document.clone();
+        let Node { document, replies } = &mut nodes[random.random_range(0..NODES)];
+        match random.random_range(0..32) {
+            0..10 => {
+                change_host(&mut hosts, random.random_range(0..HOSTS), &mut random);
+                contents.push(hosts.values().cloned().collect());
+            }
+            10..18 => {
+                let lag = random.random_range(0..=READ_LAG);
+                let version = (contents.len() - 1).saturating_sub(lag);
+                document.replace(ObjectVersion(version as u64), contents[version].clone());
+            }
+            18..26 => replies.extend(peer.patch(&roster_id(), document.version())),
+            26..31 => {
+                for reply in replies.drain(..) {
+                    document.apply(reply);
+                }
+            }
+            _ => *document = VersionedDocument::default(),
+        }
+        assert!(
+            holds_content_of_its_version(document, &contents),
+            "after step {step}"
+        );
+    }
+    (nodes, contents)
+}
+
+fn assert_all_hold_newest_after_pulls(mut nodes: [Node; NODES], contents: &[Vec<DocumentItem>]) {
+    let newest = nodes.iter().map(|node| node.document.version()).max();
+    for puller in 0..NODES {
+        for peer in 0..NODES {
+            let since = nodes[puller].document.version();
+            if let Some(reply) = nodes[peer].document.patch(&roster_id(), since) {
+                nodes[puller].document.apply(reply);
+            }
+        }
+    }
+    for Node { document, .. } in &nodes {
+        assert_eq!(Some(document.version()), newest);
+        assert!(holds_content_of_its_version(document, contents));
+    }
+}
+
+// Removes a host or puts it in one of two states.
+fn change_host(hosts: &mut BTreeMap<usize, DocumentItem>, number: usize, random: &mut StdRng) {
+    let states = [HostState::Serving, HostState::Leaving];
+    match states.get(random.random_range(0..2 * states.len())) {
+        Some(state) => {
+            let record = Arc::new(host(number, *state));
+            hosts.insert(number, DocumentItem::Host(record));
+        }
+        None => {
+            hosts.remove(&number);
+        }
+    }
+}
+
+fn holds_content_of_its_version(
+    document: &VersionedDocument,
+    contents: &[Vec<DocumentItem>],
+) -> bool {
+    document
+        .items()
+        .eq(&contents[document.version().0 as usize])
+}
+
 #[test]
 fn difference_is_rejected_by_document_that_loaded_later_version_than_its_base() {
     let mut peer = VersionedDocument::default();
