A rejected patch or load neither creates nor copies a document

Seen: by reading. After a rejected difference of a document that is missing here, an empty document of version 0 is in the store, the hash of versions differs from that of a peer of equal versions, and its heartbeat triggers a pull of all documents that can't help (a document of version 0 gives no patch). After a rejected load of a held version, the whole document has been copied, as published documents share it. Cause: the store was asked for the document for modification before it was known whether the change is accepted. Change: DocumentStore::replace and apply check the version first; get_mut is private. Tests: rejected_patch_and_load_of_missing_document_leave_versions_equal_to_those_of_peer fails before the change with the pull, rejected_patch_and_load_copy_no_document as the document is another one; both pass after it.

--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -272,7 +272,7 @@
             ControlEvent::Pulled(patches) => {
                 for patch in patches {
                     let id = patch.id.clone();
-                    if let Some(changes) = self.documents.get_mut(&id).apply(patch) {
+                    if let Some(changes) = self.documents.apply(patch) {
                         self.on_changed(id, &changes, now, &mut actions);
                     }
                 }
@@ -288,7 +288,7 @@
             }
             ControlEvent::Loaded { id, version, items } => {
                 self.end_job(&id);
-                if let Some(changes) = self.documents.get_mut(&id).replace(version, items) {
+                if let Some(changes) = self.documents.replace(&id, version, items) {
                     self.on_changed(id, &changes, now, &mut actions);
                 }
             }
--- a/crates/core/src/document.rs
+++ b/crates/core/src/document.rs
@@ -321,8 +321,30 @@
         self.documents.get(id).map(Arc::as_ref)
     }
 
-    /// Returns a document for modification, creating an empty one if it is missing.
-    pub fn get_mut(&mut self, id: &DocumentId) -> &mut VersionedDocument {
+    /// Replaces the content of a document as [`VersionedDocument::replace`] does. A
+    /// rejected version neither creates nor copies a document.
+    pub fn replace(
+        &mut self,
+        id: &DocumentId,
+        version: ObjectVersion,
+        items: Vec<DocumentItem>,
+    ) -> Option<Vec<ItemChange>> {
+        if version <= self.version(id) {
+            return None;
+        }
+        self.get_mut(id).replace(version, items)
+    }
+
+    /// Applies a patch as [`VersionedDocument::apply`] does. A rejected patch neither
+    /// creates nor copies a document.
+    pub fn apply(&mut self, patch: DocumentPatch) -> Option<Vec<ItemChange>> {
+        if !patch.applies_to(self.version(&patch.id)) {
+            return None;
+        }
+        self.get_mut(&patch.id).apply(patch)
+    }
+
+    fn get_mut(&mut self, id: &DocumentId) -> &mut VersionedDocument {
         Arc::make_mut(self.documents.entry(id.clone()).or_default())
     }
 
--- a/crates/core/tests/control.rs
+++ b/crates/core/tests/control.rs
@@ -413,6 +413,46 @@
     );
 }
 
+#[test]
+fn rejected_patch_and_load_of_missing_document_leave_versions_equal_to_those_of_peer() {
+    let mut control = control();
+    let mut update = heartbeat(&control, Vec::new());
+    update.summary = control.documents().summary();
+    let difference = patch(&document(&[(5, &[1]), (9, &[1, 2])]), 5);
+    let load = ControlEvent::Loaded {
+        id: roster_id(),
+        version: ObjectVersion(0),
+        items: items(&[1]),
+    };
+    for rejected in [ControlEvent::Pulled(vec![difference]), load] {
+        control.handle(rejected, TimePoint(0));
+        let actions = control.handle(
+            ControlEvent::HeartbeatReceived(update.clone()),
+            TimePoint(5_000),
+        );
+        assert!(actions.is_empty(), "{actions:?}");
+        assert_eq!(control.documents().get(&roster_id()), None);
+    }
+}
+
+#[test]
+fn rejected_patch_and_load_copy_no_document() {
+    let mut control = control();
+    let load = |version: u64| ControlEvent::Loaded {
+        id: roster_id(),
+        version: ObjectVersion(version),
+        items: items(&[1]),
+    };
+    control.handle(load(7), TimePoint(0));
+    let shared = control.documents().clone();
+    let difference = patch(&document(&[(5, &[1]), (9, &[1, 2])]), 5);
+    for rejected in [load(7), ControlEvent::Pulled(vec![difference])] {
+        control.handle(rejected, TimePoint(0));
+        let [before, after] = [&shared, control.documents()].map(|store| store.get(&roster_id()));
+        assert!(std::ptr::eq(before.unwrap(), after.unwrap()));
+    }
+}
+
 // Guards against FLOW breaches of a trial: just after its start, an entry VM routed by the
 // first roster that it had read, and reset flows of hosts in the others.
 #[test]
