--- a/crates/core/tests/control.rs
+++ b/crates/core/tests/control.rs
@@ -373,6 +373,39 @@
     )));
 }
 
+#[test]
+fn difference_outdated_by_load_is_pulled_again_at_next_heartbeat() {
+    let mut control = control();
+    let load = |version: u64, numbers: &[u8]| ControlEvent::Loaded {
+        id: roster_id(),
+        version: ObjectVersion(version),
+        items: items(numbers),
+    };
+    control.handle(load(5, &[1]), TimePoint(0));
+    let peer = document(&[(5, &[1]), (9, &[1])]);
+    let update = heartbeat(&control, vec![(roster_id(), ObjectVersion(9))]);
+    for (now, since, loaded) in [(0, 5, Some(7)), (500, 7, None)] {
+        let now = TimePoint(now);
+        let actions = control.handle(ControlEvent::HeartbeatReceived(update.clone()), now);
+        let wanted = vec![(roster_id(), ObjectVersion(since))];
+        let pull = ControlAction::Pull(update.entry.status, wanted);
+        assert!(actions.contains(&pull), "{actions:?}");
+        if let Some(version) = loaded {
+            control.handle(load(version, &[1, 2, 3]), now);
+        }
+        control.handle(ControlEvent::Pulled(vec![patch(&peer, since)]), now);
+    }
+    let documents = control.documents();
+    assert_eq!(documents.version(&roster_id()), ObjectVersion(9));
+    assert!(
+        documents
+            .get(&roster_id())
+            .unwrap()
+            .items()
+            .eq(peer.items())
+    );
+}
+
 #[test]
 fn documents_are_confirmed_only_by_platform_or_peer_of_equal_versions() {
     let mut control = control();
