--- a/crates/core/src/document.rs
+++ b/crates/core/src/document.rs
@@ -5,7 +5,7 @@
 //! receives only the items that it lacks. Versions only increase; an older
 //! document never replaces a newer one.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::fmt;
 use std::net::Ipv4Addr;
 use std::sync::Arc;
@@ -20,6 +20,9 @@
 /// Maximum number of removed items that a document keeps tombstones of.
 pub const TOMBSTONE_LIMIT: usize = 1024;
 
+/// Maximum number of versions, the newest ones, that a document remembers to have held.
+pub const HELD_VERSION_LIMIT: usize = 64;
+
 /// The kinds of documents.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum DocumentKind {
@@ -121,8 +124,8 @@
 pub struct DocumentPatch {
     /// The document that the patch applies to.
     pub id: DocumentId,
-    /// The minimum version that the receiver must have, or `None` if the patch
-    /// contains the whole document.
+    /// The version that the receiver must have, or `None` if the patch contains the
+    /// whole document.
     pub since: Option<ObjectVersion>,
     /// The version after applying the patch.
     pub version: ObjectVersion,
@@ -132,15 +135,24 @@
     pub removed: Vec<(CompactString, ObjectVersion)>,
 }
 
+impl DocumentPatch {
+    /// Returns whether a document of this version can apply the patch. A difference needs
+    /// exactly the version that it is based on: the sender may not know what a later
+    /// version added.
+    pub fn applies_to(&self, version: ObjectVersion) -> bool {
+        self.version > version && self.since.is_none_or(|since| since == version)
+    }
+}
+
 /// A document in the version held by one node.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct VersionedDocument {
     version: ObjectVersion,
     items: BTreeMap<CompactString, VersionedItem>,
     removed: BTreeMap<CompactString, ObjectVersion>,
-    // Removals up to this version may have been pruned, so that older nodes need the
-    // whole document.
-    pruned_to: ObjectVersion,
+    // Versions that were held, oldest first. All changes and removals since each of them are
+    // recorded; a node at any other version needs the whole document.
+    held: VecDeque<ObjectVersion>,
 }
 
 impl VersionedDocument {
@@ -195,9 +207,17 @@
                 new: None,
             });
         }
+        self.record_version(version);
+        Some(changes)
+    }
+
+    fn record_version(&mut self, version: ObjectVersion) {
         self.version = version;
+        self.held.push_back(version);
+        if self.held.len() > HELD_VERSION_LIMIT {
+            self.held.pop_front();
+        }
         self.prune_removals();
-        Some(changes)
     }
 
     fn prune_removals(&mut self) {
@@ -207,17 +227,18 @@
                 return;
             };
             self.removed.remove(&key);
-            self.pruned_to = self.pruned_to.max(version);
+            // A node at an earlier version may have the item whose removal was pruned.
+            self.held.retain(|held| *held >= version);
         }
     }
 
     /// Returns the patch for a node at version `since`, or `None` if this version is
-    /// not newer.
+    /// not newer. It is a difference only if this document has held that version.
     pub fn patch(&self, id: &DocumentId, since: ObjectVersion) -> Option<DocumentPatch> {
         if since >= self.version {
             return None;
         }
-        let whole = since.0 == 0 || since < self.pruned_to;
+        let whole = !self.held.contains(&since);
         let items = self
             .items
             .values()
@@ -240,14 +261,14 @@
     }
 
     /// Applies a patch from a peer. Returns the changes, or `None` if the patch is not
-    /// newer or is based on a version later than the local one.
+    /// newer or is based on another version than the local one.
     pub fn apply(&mut self, patch: DocumentPatch) -> Option<Vec<ItemChange>> {
-        if patch.version <= self.version || patch.since.is_some_and(|since| since > self.version) {
+        if !patch.applies_to(self.version) {
             return None;
         }
         let mut dropped = if patch.since.is_none() {
             self.removed.clear();
-            self.pruned_to = patch.version;
+            self.held.clear();
             std::mem::take(&mut self.items)
         } else {
             BTreeMap::new()
@@ -276,8 +297,7 @@
             old: Some(versioned.item),
             new: None,
         }));
-        self.version = patch.version;
-        self.prune_removals();
+        self.record_version(patch.version);
         Some(changes)
     }
 }
@@ -301,8 +321,30 @@
         self.documents.get(id).map(Arc::as_ref)
     }
 
-    /// Returns a document for modification, creating an empty one if it is missing.
-    pub fn get_mut(&mut self, id: &DocumentId) -> &mut VersionedDocument {
+    /// Replaces the content of a document as [`VersionedDocument::replace`] does. A
+    /// rejected version neither creates nor copies a document.
+    pub fn replace(
+        &mut self,
+        id: &DocumentId,
+        version: ObjectVersion,
+        items: Vec<DocumentItem>,
+    ) -> Option<Vec<ItemChange>> {
+        if version <= self.version(id) {
+            return None;
+        }
+        self.get_mut(id).replace(version, items)
+    }
+
+    /// Applies a patch as [`VersionedDocument::apply`] does. A rejected patch neither
+    /// creates nor copies a document.
+    pub fn apply(&mut self, patch: DocumentPatch) -> Option<Vec<ItemChange>> {
+        if !patch.applies_to(self.version(&patch.id)) {
+            return None;
+        }
+        self.get_mut(&patch.id).apply(patch)
+    }
+
+    fn get_mut(&mut self, id: &DocumentId) -> &mut VersionedDocument {
         Arc::make_mut(self.documents.entry(id.clone()).or_default())
     }
 
