Silence of vanished hosts is no sign that an entry VM is isolated

Callers of flows that died with their hosts would wait for their own timeout instead of a reset: since lookups ask hosts that vanished from the view, for a minute. If most hosts of a small firm are lost for good, more than half of the hosts asked do not answer, and the entry VM takes itself for isolated: no verdict for that minute.

Only hosts in the view count for that rule now. Replies of vanished hosts are still required until they count as unreachable.

Test: silence_of_most_vanished_hosts_does_not_prevent_the_verdict fails with the list of vanished hosts left empty ('Incomplete', three silent).

--- a/crates/core/src/known_hosts.rs
+++ b/crates/core/src/known_hosts.rs
@@ -94,6 +94,11 @@
         self.firms.get(firm)
     }
 
+    /// Returns the hosts that vanished from the view.
+    pub fn vanished(&self) -> impl Iterator<Item = SocketAddrV4> {
+        self.vanished.keys().copied()
+    }
+
     /// Returns the tag of the service that a host runs.
     pub fn service_tag(&self, host: SocketAddrV4) -> Option<ServiceTag> {
         let viewed = self.viewed.get(&host).map(|viewed| viewed.tag);
--- a/crates/core/src/owner_lookup.rs
+++ b/crates/core/src/owner_lookup.rs
@@ -17,7 +17,7 @@
 //! limited, and a query names several flows: lookups beyond the limit wait, and share the
 //! next queries.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::net::SocketAddrV4;
 use std::sync::Arc;
 use std::time::Duration;
@@ -50,8 +50,8 @@
 /// silent host.
 pub const UNREACHABLE_AFTER: Duration = SUSPECT_AFTER;
 
-/// If more than one host in `ISOLATION_DIVISOR` is unreachable, the entry VM considers
-/// itself isolated and requires the replies of all hosts.
+/// If more than one host in `ISOLATION_DIVISOR` of those in the view is unreachable, the entry
+/// VM considers itself isolated and requires the replies of all hosts.
 const ISOLATION_DIVISOR: usize = 2;
 
 /// Maximum number of flows in one query, limited by the header size of a datagram.
@@ -176,6 +176,8 @@
     // Flows whose lookups wait for the rate limit, in order.
     waiting: VecDeque<FlowKey>,
     missed_lookups: HashMap<SocketAddrV4, MissedLookups>,
+    // Hosts that are not in the view. Their silence is no sign of isolation.
+    vanished: HashSet<SocketAddrV4>,
     finished: Vec<(FlowKey, LookupResult)>,
     // Queries that the rate limit allows, in thousandths, as of `refilled_at`.
     query_tokens: u64,
@@ -212,6 +214,11 @@
         self.waiting.push_back(segment.key);
     }
 
+    /// Replaces the hosts that are queried though they are not in the view.
+    pub fn set_vanished(&mut self, vanished: impl Iterator<Item = SocketAddrV4>) {
+        self.vanished = vanished.collect();
+    }
+
     // Takes tokens for this number of queries, if there are enough.
     fn take_tokens(&mut self, queries: usize, now: TimePoint) -> bool {
         const THOUSANDTHS: u64 = 1_000;
@@ -268,7 +275,10 @@
         let mut unreachable: Vec<_> = silent
             .filter(|host| self.is_unreachable(*host, now))
             .collect();
-        if unreachable.len() > lookup.hosts.len() / ISOLATION_DIVISOR {
+        let in_view = |host: &&SocketAddrV4| !self.vanished.contains(host);
+        let unreachable_in_view = unreachable.iter().filter(in_view).count();
+        let hosts_in_view = lookup.hosts.iter().filter(in_view).count();
+        if unreachable_in_view > hosts_in_view / ISOLATION_DIVISOR {
             unreachable.clear();
         }
         for host in lookup.silent_hosts() {
--- a/crates/core/src/passthrough_routes.rs
+++ b/crates/core/src/passthrough_routes.rs
@@ -137,6 +137,7 @@
             self.address_added_at.entry(address).or_insert(now);
         }
         self.known_hosts.update(view, now);
+        self.lookups.set_vanished(self.known_hosts.vanished());
         self.loads.expire(now);
     }
 
--- a/crates/core/tests/possible_owners.rs
+++ b/crates/core/tests/possible_owners.rs
@@ -127,6 +127,25 @@
         verdicts.next()
     }
 
+    // Returns the verdict on a flow after lookups for four seconds, to which only these hosts
+    // reply.
+    fn verdict_of(&mut self, replying: &[SocketAddrV4]) -> LookupVerdict {
+        let mut verdict = None;
+        for _ in 0..8 {
+            let queried = self.queried_hosts();
+            let view = Arc::clone(self.control.view());
+            for host in queried.iter().filter(|host| replying.contains(host)) {
+                let (key, reply) = (key(self.flows), OwnershipReply::NotOwned);
+                let (router, now) = (&mut self.router, self.now);
+                router.record_lookup_reply(&view, key, *host, reply, true, now);
+            }
+            self.advance_view(500, true);
+            let finished = self.router.take_finished_lookups(&view, true, self.now);
+            verdict = finished.into_iter().map(|(_, verdict)| verdict).next();
+        }
+        verdict.unwrap()
+    }
+
     // Returns the hosts that are asked for the owner of a new flow.
     fn queried_hosts(&mut self) -> Vec<SocketAddrV4> {
         self.flows += 1;
@@ -250,6 +269,17 @@
     assert_eq!(run.verdict(), Some(LookupVerdict::Unconfirmed));
 }
 
+#[test]
+fn silence_of_most_vanished_hosts_does_not_prevent_the_verdict() {
+    let mut run = EntryRun::start();
+    run.advance_view(2_000, true);
+    let remaining = &listed_hosts()[..1];
+    run.load_roster(remaining);
+    run.advance_view(2_000, true);
+    let verdict = run.verdict_of(&[remaining[0].packets]);
+    assert!(matches!(verdict, LookupVerdict::NoOwner(_)), "{verdict:?}");
+}
+
 #[test]
 fn host_registers_with_every_entry_of_a_fleet_of_nine() {
     let mut run = EntryRun::start();
