No verdict of a missing owner while a service has new hosts only

Cause: two rules contradicted each other. New hosts get no flows until all entry VMs know them, but 'a new host is better than none': an entry VM offers flows to it at once if the service has no other. Another entry VM, which does not know that host yet, sees a service without established hosts and resets its flows.

The same condition now bars the verdict: no host of the service that accepts flows and is known for long enough. A flow that really lost its host then gets no reset until there is a host that its caller could use.

Test: flow_of_a_service_with_new_hosts_only_is_not_declared_ownerless fails without the condition.

--- a/crates/core/src/passthrough_routes.rs
+++ b/crates/core/src/passthrough_routes.rs
@@ -243,7 +243,7 @@
                 self.record_owner(view, key, owner);
                 LookupVerdict::Found(owner)
             }
-            LookupResult::NotFound(_) if !fresh || !self.known_hosts.is_complete(now) => {
+            LookupResult::NotFound(_) if !fresh || !self.knows_all_owners(view, key, now) => {
                 LookupVerdict::Unconfirmed
             }
             LookupResult::NotFound(segment) => {
@@ -256,6 +256,18 @@
         }
     }
 
+    // Returns whether every host that may own the flow is known here, if the view is fresh. A
+    // service without an established host gives its flows to new hosts, which other entry VMs
+    // may know and this one not.
+    fn knows_all_owners(&self, view: &RoutingView, key: FlowKey, now: TimePoint) -> bool {
+        let is_established = |host: &ViewHost| {
+            host.accepts_flows() && !self.known_hosts.is_new(host.record.packets, now)
+        };
+        let service = view.service_at(key.service);
+        self.known_hosts.is_complete(now)
+            && service.is_some_and(|service| service.hosts().iter().any(is_established))
+    }
+
     // Plans a walk of the hosts that replied `Unknown`. Its end starts another lookup. A walk
     // visits hosts of one service only, since a packet names the service of its hosts.
     fn plan_query(
--- a/crates/core/tests/possible_owners.rs
+++ b/crates/core/tests/possible_owners.rs
@@ -280,6 +280,22 @@
     assert!(matches!(verdict, LookupVerdict::NoOwner(_)), "{verdict:?}");
 }
 
+#[test]
+fn flow_of_a_service_with_new_hosts_only_is_not_declared_ownerless() {
+    let mut run = EntryRun::start();
+    run.advance_view(2_000, true);
+    let mut hosts = listed_hosts();
+    for host in &mut hosts {
+        host.state = HostState::Leaving;
+    }
+    hosts.push(unlisted_host());
+    run.load_roster(&hosts);
+    run.advance_view(100, true);
+    assert_eq!(run.verdict(), Some(LookupVerdict::Unconfirmed));
+    run.advance_view(NEW_HOST_DELAY.as_millis() as u64, true);
+    assert!(matches!(run.verdict(), Some(LookupVerdict::NoOwner(_))));
+}
+
 #[test]
 fn host_registers_with_every_entry_of_a_fleet_of_nine() {
     let mut run = EntryRun::start();
