Often changing rosters do not postpone the edits of lower ranks

Cause: the delay of a lower rank began again whenever the host's own state changed (warming to serving, 31.23 s, the same entry for the roster), and whenever a new version of the roster had to be followed by the host's next keep-alive (versions at 31.86 and 32.46 s).

The delay begins again only if the entry that the roster should have changes, or the roster comes to agree.

Test: lower_rank_adds_host_in_time_though_the_roster_changes_often fails before (nothing proposed in 3 s).

--- a/crates/core/src/host_tracker.rs
+++ b/crates/core/src/host_tracker.rs
@@ -92,6 +92,14 @@
             && !self.is_silent(now)
     }
 
+    // Returns whether the host registered here, and is expected to be heard again since the
+    // last change of the roster.
+    fn is_awaited(&self, now: TimePoint) -> bool {
+        self.revision != HostRevision::UNREGISTERED
+            && !self.heard_since_change
+            && !self.is_silent(now)
+    }
+
     // Discards what the host registered. Its silence is measured from now on.
     fn require_registration(&mut self, now: TimePoint) {
         self.revision = HostRevision::UNREGISTERED;
@@ -129,7 +137,7 @@
         match self.hosts.get_mut(&record.name) {
             Some(tracked) if tracked.record.incarnation > record.incarnation => {}
             Some(tracked) => {
-                if tracked.record != record {
+                if listed_record(&tracked.record) != listed_record(&record) {
                     tracked.differs_since = None;
                 }
                 tracked.record = record;
@@ -260,6 +268,9 @@
             }
             let edit = needed_edit(host, listed.as_ref(), isolated, now);
             match edit {
+                // The delay of the rank continues: a roster that changes often must not
+                // postpone the edit.
+                None if host.is_awaited(now) => {}
                 None => host.differs_since = None,
                 Some(edit) => {
                     let since = *host.differs_since.get_or_insert(now);
--- a/crates/core/tests/host_tracker.rs
+++ b/crates/core/tests/host_tracker.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use chestnutlb_core::host_tracker::{GONE_AFTER, REGISTRATION_GRACE, SUSPECT_AFTER};
+use chestnutlb_core::members::RANK_DELAY;
 use chestnutlb_core::{
     HostRecord, HostRevision, HostState, HostTracker, Incarnation, RosterEdit, TimePoint,
 };
@@ -181,3 +182,38 @@
     let edits = tick_in_silence(&mut tracker, &roster, suspect_at - 400, suspect_at);
     assert_eq!(describe(&edits), ["put host-1 suspect"]);
 }
+
+#[test]
+fn lower_rank_adds_host_in_time_though_the_roster_changes_often() {
+    const RANK: u32 = 2;
+    const KEEP_ALIVE_MS: u64 = 500;
+    let mut tracker = HostTracker::default();
+    tracker.edits(|_| None, TimePoint(0));
+    let record = host(1, HostState::Warming);
+    tracker.record_registration(record.clone(), HostRevision(1), RANK, TimePoint(0));
+    let due = RANK_DELAY.as_millis() as u64 * u64::from(RANK);
+    let mut proposed_at = None;
+    for at in (200..=due + 1_000).step_by(100) {
+        // A version of the roster that does not list the host.
+        if at % 700 == 0 {
+            tracker.record_roster(record.datacenter.as_str(), |_| None);
+        }
+        if at % KEEP_ALIVE_MS == 0 {
+            let revision = HostRevision(1);
+            tracker.record_keep_alive(&record.name, record.incarnation, revision, TimePoint(at));
+        }
+        if at == due - 100 {
+            let serving = host(1, HostState::Serving);
+            tracker.record_registration(serving, HostRevision(1), RANK, TimePoint(at));
+        }
+        let edits = tracker.edits(|_| None, TimePoint(at));
+        if proposed_at.is_none() && !edits.is_empty() {
+            assert_eq!(describe(&edits), ["put host-1 serving"]);
+            proposed_at = Some(at);
+        }
+    }
+    assert!(
+        proposed_at.is_some_and(|at| at <= due + KEEP_ALIVE_MS),
+        "{proposed_at:?}"
+    );
+}
