Hosts learn of a new entry VM with their next keep-alive

An entry VM that joined, or was removed while it was away and came back, was unknown to the hosts for up to 5 s, until their next full registration.

A tracker whose members have changed since a host's last full registration requests another one in reply to the keep-alive; the host sends it at once, and again at once to targets that are new to it. All targets request it at about the same time, so a request within 100 ms after a full registration is ignored.

Test: host_learns_of_a_new_entry_with_its_next_keep_alive (the entry VM's side) fails before; the host's side is covered by the process tests only.

--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -67,6 +67,9 @@
     pub manifest: ObjectVersion,
     /// When the host last reported this version.
     pub last_seen: TimePoint,
+    /// When its last full registration was received here, which was answered with its
+    /// registration targets.
+    pub registered_at: TimePoint,
 }
 
 /// A read, pull or write in flight to the platform or a peer.
@@ -89,6 +92,8 @@
     entry_monitor: EntryMonitor,
     progress: BTreeMap<HostName, HostProgress>,
     silent_entries: HashMap<EntryName, TimePoint>,
+    // When the members last changed, and with them the registration targets of hosts.
+    members_changed_at: TimePoint,
     recent: VecDeque<(DocumentId, ObjectVersion)>,
     jobs: HashMap<ControlJob, TimePoint>,
     view_builder: ViewBuilder,
@@ -127,6 +132,7 @@
             entry_monitor: EntryMonitor::default(),
             progress: BTreeMap::new(),
             silent_entries: HashMap::new(),
+            members_changed_at: now,
             recent: VecDeque::new(),
             jobs: HashMap::new(),
             view_builder: ViewBuilder::default(),
@@ -353,7 +359,13 @@
         if record.state == HostState::Gone {
             self.progress.remove(&record.name);
         } else {
-            self.record_progress(record.name.clone(), record.service.clone(), manifest, now);
+            let progress = HostProgress {
+                service: record.service.clone(),
+                manifest,
+                last_seen: now,
+                registered_at: now,
+            };
+            self.progress.insert(record.name.clone(), progress);
         }
         let service = record.service.clone();
         self.tracker
@@ -377,18 +389,28 @@
         manifest: ObjectVersion,
         now: TimePoint,
     ) -> RegistrationReply {
-        match known_service {
-            Some(service) => {
-                let reply = self.reply_for_service(&service, now);
-                self.record_progress(name, service, manifest, now);
-                reply
+        let registered_at = self
+            .progress
+            .get(&name)
+            .map(|progress| progress.registered_at);
+        if let Some(service) = known_service {
+            let has_current_targets = registered_at.is_some_and(|at| at >= self.members_changed_at);
+            let progress = HostProgress {
+                service: service.clone(),
+                manifest,
+                last_seen: now,
+                registered_at: registered_at.unwrap_or_default(),
+            };
+            self.progress.insert(name, progress);
+            if has_current_targets {
+                return self.reply_for_service(&service, now);
             }
-            None => RegistrationReply {
-                targets: Vec::new(),
-                slice_hash: 0,
-                fresh: false,
-                resend: true,
-            },
+        }
+        RegistrationReply {
+            targets: Vec::new(),
+            slice_hash: 0,
+            fresh: false,
+            resend: true,
         }
     }
 
@@ -406,21 +428,6 @@
         }
     }
 
-    fn record_progress(
-        &mut self,
-        name: HostName,
-        service: ServiceId,
-        manifest: ObjectVersion,
-        now: TimePoint,
-    ) {
-        let progress = HostProgress {
-            service,
-            manifest,
-            last_seen: now,
-        };
-        self.progress.insert(name, progress);
-    }
-
     // Returns the entry VMs that a host registers at, its trackers first, or this
     // entry VM if the rings are empty.
     fn registration_targets_of(&self, record: &HostRecord) -> Vec<EntryRecord> {
@@ -556,6 +563,7 @@
         let version = self.documents.version(&id);
         match id.kind {
             DocumentKind::Members => {
+                self.members_changed_at = now;
                 self.rebuild_member_rings();
                 self.reassign_hosts(now);
                 self.roster_scan_due = true;
--- a/crates/core/src/known_hosts.rs
+++ b/crates/core/src/known_hosts.rs
@@ -24,7 +24,7 @@
 pub const NEW_HOST_DELAY: Duration = Duration::from_secs(1);
 
 /// Time after which an entry VM knows every live host, if hosts register with all entry VMs:
-/// two keep-alives of a host. It begins when this entry VM starts or its view becomes fresh.
+/// two keep-alives of a host. It begins when this entry VM is a member and its view is fresh.
 pub const REGISTRATION_WAIT: Duration = Duration::from_secs(1);
 
 /// The same if hosts register with some entry VMs only: a host that the roster has lost is
--- a/crates/core/tests/possible_owners.rs
+++ b/crates/core/tests/possible_owners.rs
@@ -81,6 +81,23 @@
         self.advance(STEP_MS);
     }
 
+    // Returns whether the reply to a keep-alive requests a full registration.
+    fn requests_registration(&mut self, record: &HostRecord) -> bool {
+        let keep_alive = ControlEvent::HostKeepAlive {
+            name: record.name.clone(),
+            incarnation: record.incarnation,
+            revision: HostRevision(1),
+            manifest: ObjectVersion(0),
+            from: record.packets,
+        };
+        let actions = self.control.handle(keep_alive, self.now);
+        let mut replies = actions.iter().filter_map(|action| match action {
+            ControlAction::ReplyToHost(_, reply) => Some(reply.resend),
+            _ => None,
+        });
+        replies.next().unwrap()
+    }
+
     fn handle(&mut self, event: ControlEvent) {
         self.control.handle(event, self.now);
     }
@@ -296,6 +313,17 @@
     assert!(matches!(run.verdict(), Some(LookupVerdict::NoOwner(_))));
 }
 
+#[test]
+fn host_learns_of_a_new_entry_with_its_next_keep_alive() {
+    let mut run = EntryRun::start();
+    run.register(unlisted_host());
+    assert!(!run.requests_registration(&unlisted_host()));
+    run.load_members(3);
+    assert!(run.requests_registration(&unlisted_host()));
+    run.register(unlisted_host());
+    assert!(!run.requests_registration(&unlisted_host()));
+}
+
 #[test]
 fn host_registers_with_every_entry_of_a_fleet_of_nine() {
     let mut run = EntryRun::start();
--- a/crates/daemon/src/registration.rs
+++ b/crates/daemon/src/registration.rs
@@ -19,6 +19,9 @@
 pub const REGISTRATION_PERIOD: Duration = Duration::from_millis(500);
 /// Interval between two full registrations; keep-alives are sent in between.
 const FULL_REGISTRATION_PERIOD: Duration = Duration::from_secs(5);
+/// Time after a full registration in which requests for one are ignored: they answer the
+/// keep-alive before it. Every registration target sends one if the entry VMs change.
+const REQUEST_DELAY: Duration = Duration::from_millis(100);
 /// Longest wait for a datagram.
 const RECEIVE_TIMEOUT: Duration = Duration::from_millis(50);
 /// Time without a reply from any entry VM after which the seeds are contacted too.
@@ -57,9 +60,11 @@
     registered: Option<HostRecord>,
     revision: HostRevision,
     full_registration_due: TimePoint,
+    full_registration_at: Option<TimePoint>,
     registration_targets: Vec<EntryRecord>,
-    // Whether the first targets were received and nothing was sent to them yet.
-    has_new_targets: bool,
+    // Whether an entry VM has requested a registration, or new targets were named, and none was
+    // sent since.
+    is_requested: bool,
     last_reply: Option<TimePoint>,
 }
 
@@ -80,8 +85,9 @@
             registered: None,
             revision: HostRevision::default(),
             full_registration_due: now,
+            full_registration_at: None,
             registration_targets: Vec::new(),
-            has_new_targets: false,
+            is_requested: false,
             last_reply: None,
         })
     }
@@ -94,10 +100,10 @@
             .collect()
     }
 
-    /// Returns whether a registration is due at once: the seeds have named the first
-    /// registration targets, among them the trackers, which list the host.
+    /// Returns whether a registration is due at once: an entry VM has requested one or named
+    /// new registration targets.
     pub fn is_due_at_once(&self) -> bool {
-        self.has_new_targets
+        self.is_requested
     }
 
     /// Sends a full registration if the host changed or one is due, and a keep-alive
@@ -110,6 +116,7 @@
         }
         let message = if self.full_registration_due <= now {
             self.full_registration_due = now + FULL_REGISTRATION_PERIOD;
+            self.full_registration_at = Some(now);
             PeerMessage::Announce(WireRegistration {
                 host: (&record).into(),
                 revision: self.revision.0,
@@ -123,7 +130,7 @@
                 manifest: manifest.0,
             })
         };
-        self.has_new_targets = false;
+        self.is_requested = false;
         let bytes = write_message(&message);
         for target in self.target_addresses(now) {
             // A lost registration is not retransmitted: the next one replaces it.
@@ -170,17 +177,26 @@
         };
         self.last_reply = Some(now);
         if reply.resend {
-            self.full_registration_due = now;
+            let is_answered = self
+                .full_registration_at
+                .is_some_and(|sent_at| now.since(sent_at) < REQUEST_DELAY);
+            if !is_answered {
+                self.request_registration(now);
+            }
             return None;
         }
         if !reply.targets.is_empty() && self.registration_targets != reply.targets {
             let known = |target| self.registration_targets.contains(target);
             if !reply.targets.iter().all(known) {
-                self.full_registration_due = now;
+                self.request_registration(now);
             }
-            self.has_new_targets |= self.registration_targets.is_empty();
             self.registration_targets = reply.targets.clone();
         }
         Some(reply)
     }
+
+    fn request_registration(&mut self, now: TimePoint) {
+        self.full_registration_due = now;
+        self.is_requested = true;
+    }
 }
