Specification of verdicts: resets of flows whose host is in no roster

Why: an entry VM reset an open flow of a live host. The store had refused the writes of the host's trackers, so the host was in no roster; entry VMs without a fresh view offered it flows, and one with a fresh view had forgotten its registration and did not ask it.

Modelled (verdicts.rs): one host and one flow, versions of the roster (additions, removals by mistake, restores of an older copy, other changes), and per entry VM the version held, freshness, registration, remembered host, restart and settle time. A refusing store and late messages are steps that do not happen. Not modelled: time, replies to lookups, expiry of memory, several hosts, restarts of the host, members, the order of versions after a restore. No function of the core is called; the core does not follow these rules yet.

An entry VM whose view is stale while the host is listed, then removed by mistake or by a restore, never knew the host. With its next fresh view it resets the host's flow, since the settle time followed only its start. Added guard: the settle time begins each time the view becomes fresh. The proposal also needs three readings that the model makes explicit, each with a trace: a host registers with all entry VMs although its trackers hold an old version that lists it; an entry VM that went past the version with the host does not count as told of it; and the delay of a listed host holds after a start too (known_hosts.rs has none until the first fresh view). The condition that an unlisted host is offered flows only without a fresh view changes nothing in the model.

Verdicts on flows of departed and lost hosts, on other flows beside a live unlisted host, and flows at an unlisted host are reachable. Without removals by mistake the traces of the four cases are the same with a restore, as far as they need one.

--- a/crates/spec/src/lib.rs
+++ b/crates/spec/src/lib.rs
@@ -23,5 +23,6 @@
 pub mod passthrough;
 pub mod relays;
 pub mod rosters;
+pub mod verdicts;
 
 pub use checker::{SearchResult, SpecStep, search};
--- a/crates/spec/tests/properties.rs
+++ b/crates/spec/tests/properties.rs
@@ -6,6 +6,7 @@
 use chestnutlb_spec::passthrough::{PassthroughMutation, PassthroughSpec};
 use chestnutlb_spec::relays::{RelayMutation, RelaySpec};
 use chestnutlb_spec::rosters::{RosterMutation, RosterSpec};
+use chestnutlb_spec::verdicts::{VerdictMutation, VerdictSpec};
 use chestnutlb_spec::{SearchResult, search};
 
 fn describe(name: &str, result: &SearchResult) -> String {
@@ -253,3 +254,135 @@
     ];
     insta::assert_snapshot!(results.join("\n"));
 }
+
+/// Bounds that contain every violation found: two entry VMs and five versions.
+type SmallVerdictSpec = VerdictSpec<2, 5>;
+
+fn search_verdicts(
+    mutation: VerdictMutation,
+    property: impl Fn(&SmallVerdictSpec) -> bool,
+) -> SearchResult {
+    search(
+        SmallVerdictSpec::start(),
+        |state| state.next(mutation),
+        property,
+    )
+}
+
+fn describe_verdict_mutations(mutations: &[(&str, VerdictMutation)]) -> String {
+    let results: Vec<_> = mutations
+        .iter()
+        .map(|(name, mutation)| {
+            let property = SmallVerdictSpec::no_live_flow_is_judged;
+            describe(name, &search_verdicts(*mutation, property))
+        })
+        .collect();
+    results.join("\n")
+}
+
+#[test]
+fn verdict_properties_hold() {
+    let results = describe_verdict_mutations(&[
+        ("two entry VMs, five versions", VerdictMutation::None),
+        // Not a guard: the view of the entry VM that offers the flow makes no difference here.
+        (
+            "an unlisted host is offered with a fresh view",
+            VerdictMutation::OfferedWithFreshView,
+        ),
+    ]);
+    insta::assert_snapshot!(results);
+}
+
+#[test]
+fn verdict_properties_hold_with_three_entry_vms() {
+    let result = search(
+        VerdictSpec::<3, 3>::start(),
+        |state| state.next(VerdictMutation::None),
+        VerdictSpec::no_live_flow_is_judged,
+    );
+    insta::assert_snapshot!(describe("three entry VMs, three versions", &result));
+}
+
+#[test]
+fn verdict_properties_fail_without_a_guard() {
+    let results = describe_verdict_mutations(&[
+        (
+            "a version without the host makes its registration forgotten",
+            VerdictMutation::RegistrationForgotten,
+        ),
+        (
+            "a host that vanished from the roster is forgotten",
+            VerdictMutation::VanishedHostForgotten,
+        ),
+        (
+            "a host whose registration lapsed is forgotten",
+            VerdictMutation::LapsedHostForgotten,
+        ),
+        (
+            "an unlisted host is offered without all registrations",
+            VerdictMutation::OfferedWithoutRegistrations,
+        ),
+        (
+            "the first fresh view judges",
+            VerdictMutation::FirstFreshViewJudges,
+        ),
+        ("a stale view judges", VerdictMutation::StaleViewJudges),
+        (
+            "a listed host is offered at once",
+            VerdictMutation::ListedHostOfferedAtOnce,
+        ),
+    ]);
+    insta::assert_snapshot!(results);
+}
+
+// Cases that the guards as first proposed did not exclude.
+#[test]
+fn verdict_properties_fail_with_guards_as_first_proposed() {
+    let results = describe_verdict_mutations(&[
+        (
+            "the settle time follows the start only",
+            VerdictMutation::SettlesOnlyAtStart,
+        ),
+        (
+            "a host that an old version lists does not register",
+            VerdictMutation::HostTrustsOldVersions,
+        ),
+        (
+            "an entry VM that skipped the version with the host counts as told",
+            VerdictMutation::LaterVersionsCount,
+        ),
+        (
+            "a listed host is offered at once after a start",
+            VerdictMutation::OfferedAtOnceAfterStart,
+        ),
+    ]);
+    insta::assert_snapshot!(results);
+}
+
+// These states must be reachable; otherwise the guards would permit nothing.
+#[test]
+fn verdicts_and_flows_are_reachable_with_all_guards() {
+    let none = VerdictMutation::None;
+    let results = [
+        describe(
+            "no verdict on a flow of a departed host",
+            &search_verdicts(none, VerdictSpec::no_flow_of_departed_host_is_judged),
+        ),
+        describe(
+            "no verdict on a flow of a lost host",
+            &search_verdicts(none, VerdictSpec::no_flow_of_lost_host_is_judged),
+        ),
+        describe(
+            "no verdict on another flow beside a live unlisted host",
+            &search_verdicts(
+                none,
+                VerdictSpec::no_other_flow_is_judged_beside_unlisted_host,
+            ),
+        ),
+        describe(
+            "no flow at an unlisted host",
+            &search_verdicts(none, VerdictSpec::unlisted_host_has_no_flow),
+        ),
+    ];
+    insta::assert_snapshot!(results.join("\n"));
+}
