Versions are ordered by the era of the store, then by revision

Callers saw: a configuration change that was acknowledged after the store had been restored from an older copy did not come into force. An entry VM with version 20 ignored the documents that the store wrote as 18, 19 and 20.

Cause: an object version was the store's revision alone. After a restore, the store assigns revisions again, so a newer object may have a lower or an equal one.

Change: an ObjectVersion has the era in its upper 20 bits and the revision in the lower 44. It stays one number on the wire and in all comparisons; era 0 means that the store names none, and its versions are as before. The text is REVISION in era 0 and ERA.REVISION in later ones. Values that do not fit are rejected. A patch for a node of another era contains the whole document, and a document that changes its era counts all earlier removals as pruned: items may have changed in versions that did not arrive.

Ruled out: a pair of fields on the wire; every message and stored report would change, and comparisons by the first field alone would compile.

--- a/crates/core/src/document.rs
+++ b/crates/core/src/document.rs
@@ -3,7 +3,8 @@
 //! A document is an object of the platform, split into items. Each item carries
 //! the version in which it last changed, so that a node with an older version
 //! receives only the items that it lacks. Versions only increase; an older
-//! document never replaces a newer one.
+//! document never replaces a newer one. A node with a version of another era of the store
+//! receives the whole document.
 
 use std::collections::BTreeMap;
 use std::fmt;
@@ -169,6 +170,10 @@
         if version <= self.version {
             return None;
         }
+        if version.era() != self.version.era() {
+            // Items may have changed in versions of this era that did not arrive here.
+            self.pruned_to = version;
+        }
         let mut changes = Vec::new();
         let mut old = std::mem::take(&mut self.items);
         for item in items {
@@ -217,7 +222,8 @@
         if since >= self.version {
             return None;
         }
-        let whole = since.0 == 0 || since < self.pruned_to;
+        let is_other_era = since.era() != self.version.era();
+        let whole = since.0 == 0 || since < self.pruned_to || is_other_era;
         let items = self
             .items
             .values()
--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -24,6 +24,10 @@
         Character(found: char) {
             display("contains {:?}, allowed are a-z, 0-9 and '-'", found)
         }
+        /// A part of an object version does not fit.
+        Version(part: &'static str, found: u64) {
+            display("{} {} of a version is too large", part, found)
+        }
         /// The text is not a whole number.
         Number(text: CompactString) {
             display("{:?} is not a whole number", text)
@@ -130,8 +134,14 @@
     Incarnation
 );
 number_type!(
-    /// Version of an object of the platform.
-    ObjectVersion
+    /// Number of times that the platform's store was restored from an older copy. Zero if the
+    /// store names no era.
+    StoreEra
+);
+number_type!(
+    /// Revision that the platform's store assigned to a change. After a restore, the store
+    /// assigns revisions again that it had assigned before.
+    StoreRevision
 );
 number_type!(
     /// Identifies a request within the system.
@@ -142,6 +152,75 @@
     ServiceTag
 );
 
+/// Number of bits of the revision in an [`ObjectVersion`]; the era has the others.
+pub const REVISION_BITS: u32 = 44;
+
+const MAX_ERA: StoreEra = StoreEra(u64::MAX >> REVISION_BITS);
+const MAX_REVISION: StoreRevision = StoreRevision((1 << REVISION_BITS) - 1);
+
+/// Version of an object of the platform: the era of the store, then the revision within it.
+///
+/// The era is in the upper bits of the number, so that versions are ordered by era first and
+/// versions of era zero are plain revisions. The text is `REVISION` in era zero and
+/// `ERA.REVISION` in later eras.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ObjectVersion(pub u64);
+
+impl ObjectVersion {
+    /// Creates the version of this revision in this era.
+    pub fn new(era: StoreEra, revision: StoreRevision) -> Result<Self, IdError> {
+        if era > MAX_ERA {
+            return Err(IdError::Version("era", era.0));
+        }
+        if revision > MAX_REVISION {
+            return Err(IdError::Version("revision", revision.0));
+        }
+        Ok(Self(era.0 << REVISION_BITS | revision.0))
+    }
+
+    /// Returns the version of an object that does not exist in the era of this version. It is
+    /// above every version of earlier eras.
+    pub fn absent(self) -> Self {
+        Self(self.0 & !MAX_REVISION.0)
+    }
+
+    /// Returns whether this is the version of an object that does not exist.
+    pub fn is_absent(self) -> bool {
+        self.revision() == StoreRevision(0)
+    }
+
+    /// Returns the era of the store.
+    pub fn era(self) -> StoreEra {
+        StoreEra(self.0 >> REVISION_BITS)
+    }
+
+    /// Returns the revision within the era.
+    pub fn revision(self) -> StoreRevision {
+        StoreRevision(self.0 & MAX_REVISION.0)
+    }
+}
+
+impl fmt::Display for ObjectVersion {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if self.era() == StoreEra(0) {
+            self.revision().fmt(f)
+        } else {
+            write!(f, "{}.{}", self.era(), self.revision())
+        }
+    }
+}
+
+impl FromStr for ObjectVersion {
+    type Err = IdError;
+
+    fn from_str(text: &str) -> Result<Self, IdError> {
+        match text.split_once('.') {
+            Some((era, revision)) => Self::new(era.parse()?, revision.parse()?),
+            None => Self::new(StoreEra(0), text.parse()?),
+        }
+    }
+}
+
 /// A service together with the firm that owns it.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ServiceId {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -59,7 +59,7 @@
 pub use host_tracker::{HostRevision, HostTracker, RosterEdit};
 pub use ids::{
     DatacenterName, EntryName, FirmName, HostName, Incarnation, ObjectVersion, RequestId,
-    ServiceId, ServiceName, ServiceTag,
+    ServiceId, ServiceName, ServiceTag, StoreEra, StoreRevision,
 };
 pub use load::{HostLoad, LoadTable};
 pub use manifest::{
