--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -31,6 +31,11 @@
         Status(code: u16) {
             display("the platform answered with status {}", code)
         }
+        /// The store was restored from an older copy during the call, so the answer does not
+        /// belong to the revisions of the call.
+        Restored {
+            display("the platform was restored from an older copy during the call")
+        }
         /// The response or the object has the wrong format.
         Format(text: String) {
             display("the platform's answer can't be read: {}", text)
