--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -49,7 +49,8 @@
     /// The write took effect; the object has this version now.
     Written(ObjectVersion),
     /// The object had this version instead of the expected one; nothing was
-    /// written.
+    /// written. Revision zero stands for an object that does not exist or, after a restore
+    /// of the store, for one that has to be read again.
     Conflict(ObjectVersion),
     /// The write may or may not have taken effect.
     Unknown(StoreError),
--- a/crates/store/src/objects.rs
+++ b/crates/store/src/objects.rs
@@ -105,18 +105,21 @@
 ///
 /// Hosts are added or replaced only in the version `base`, from which the edits were
 /// derived: a later version may lack a host because it has left. The outcome then contains
-/// that version, for new edits to be derived from it.
+/// that version, for new edits to be derived from it. An object that does not exist has the
+/// same version in all eras of the store.
 pub fn edit_roster(
     client: &dyn StoreCalls,
     id: &DocumentId,
     base: ObjectVersion,
     edits: &[RosterEdit],
 ) -> EditOutcome {
+    let is_base =
+        |version: ObjectVersion| version == base || (version.is_absent() && base.is_absent());
     edit(client, id, base, |version, value| {
         let mut roster: WireRoster = value.map_or(Ok(WireRoster::default()), parse_value)?;
         for edit in edits {
             match edit {
-                RosterEdit::Put(record) if version == base => {
+                RosterEdit::Put(record) if is_base(version) => {
                     put_host(&mut roster.hosts, record.into());
                 }
                 RosterEdit::Put(_) => {}
@@ -207,7 +210,8 @@
                     Err(error) => EditOutcome::Unknown(error),
                 };
             }
-            WriteOutcome::Conflict(_) => {}
+            // A write of which the revision may have matched by accident is read back.
+            WriteOutcome::Conflict(_) | WriteOutcome::Unknown(StoreError::Restored) => {}
             WriteOutcome::Unknown(error) => return EditOutcome::Unknown(error),
         }
     }
