Rosters and members are written again after a restore of the store

Callers saw (in virtual time): after the store had been restored from an older copy, an entry VM dropped the records of registered hosts that the copy lacks, and offered them no flows until their next full registration; it offered flows to hosts that had left since the copy, for seconds. A roster or members object that the copy lacks altogether was not written again while an entry VM held it.

Cause: a host missing from a roster was taken for a removal by another tracker, and a tracker forgot a departure as soon as the roster had not listed the host. Edits derive from the held document, which a list without the object left as it was. The rings followed the older members, so duties moved to and fro.

Change: a document that is replaced by one of a later era is a restore, not a change by another tracker. - Hosts that are confirmed here stay in the view as registered, until they are listed again or silent. If a restored roster lists the host again, the record is back: a departed host is hidden at once and its removal proposed, a crashed one keeps the time of its silence. - A list of all rosters and members (AllListed) replaces a document of an earlier era that it lacks by an empty one, of the later era and revision zero, on which edits that create the object are based. - The rings follow restored members after 3 s, in which the running entry VMs add themselves again. Whether that is due is decided by the document.

Ruled out: proposing a host on a word from before the restored roster. It may have left, and been added and removed by versions that did not arrive.

--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -3,7 +3,9 @@
 //!
 //! [`EntryControl`] takes events together with the current time and returns
 //! actions. A received document replaces the local one only if its version is
-//! higher, regardless of the sender, so no document reverts. A change is
+//! higher, regardless of the sender, so no document reverts. A store that is restored from
+//! an older copy begins a new era, whose versions are higher: what its rosters and members
+//! lack is written again by the entry VMs that know it. A change is
 //! gossiped immediately to a few random peers, which pull the documents they
 //! lack and gossip in turn. Heartbeats carry a hash of all versions, by which a
 //! peer detects missing updates and pulls them.
@@ -53,6 +55,11 @@
 /// Time after which an unanswered read, pull or write may be retried.
 pub const JOB_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Time for which duties stay with the entry VMs that have them after the store was restored
+/// from an older copy, which lists other members. In this time the running entry VMs add
+/// themselves again.
+pub const RESTORE_SETTLE_TIME: Duration = Duration::from_secs(3);
+
 /// Maximum time since the last confirmation by the platform for which the
 /// documents of an entry VM count as fresh.
 pub const FRESH_AGE: Duration = Duration::from_secs(5);
@@ -95,6 +102,8 @@
     global_ring: MemberRing,
     datacenter_rings: BTreeMap<DatacenterName, MemberRing>,
     roster_scan_due: bool,
+    // When the rings follow the members documents again after a restore of the store.
+    settled_at: Option<TimePoint>,
     // Whether a view was built for which `Publish` has not been returned yet.
     publish_due: bool,
     // When the platform last confirmed that the documents are current.
@@ -133,6 +142,7 @@
             global_ring: MemberRing::default(),
             datacenter_rings: BTreeMap::new(),
             roster_scan_due: false,
+            settled_at: None,
             publish_due: false,
             confirmed_at: None,
             view_confirmed_at: None,
@@ -272,8 +282,9 @@
             ControlEvent::Pulled(patches) => {
                 for patch in patches {
                     let id = patch.id.clone();
+                    let before = self.documents.version(&id);
                     if let Some(changes) = self.documents.get_mut(&id).apply(patch) {
-                        self.on_changed(id, &changes, now, &mut actions);
+                        self.on_changed(id, before, &changes, now, &mut actions);
                     }
                 }
             }
@@ -288,9 +299,10 @@
             }
             ControlEvent::Loaded { id, version, items } => {
                 self.end_job(&id);
-                if let Some(changes) = self.documents.get_mut(&id).replace(version, items) {
-                    self.on_changed(id, &changes, now, &mut actions);
-                }
+                self.replace_document(id, version, items, now, &mut actions);
+            }
+            ControlEvent::AllListed { version, listed } => {
+                self.on_all_listed(version, &listed, now, &mut actions);
             }
             ControlEvent::VersionsListed { list, stale } => {
                 self.on_listed(list, stale, now, &mut actions);
@@ -536,9 +548,46 @@
         }
     }
 
+    // Replaces the documents of an earlier era that a list of all rosters and members lacks by
+    // empty ones: the copy that the store was restored from is older than them.
+    fn on_all_listed(
+        &mut self,
+        version: ObjectVersion,
+        listed: &[DocumentId],
+        now: TimePoint,
+        actions: &mut Vec<ControlAction>,
+    ) {
+        let is_lost = |id: &DocumentId| {
+            matches!(id.kind, DocumentKind::Roster | DocumentKind::Members) && !listed.contains(id)
+        };
+        let held = self.documents.iter();
+        let lost: Vec<DocumentId> = held
+            .filter(|(id, document)| is_lost(id) && document.version().era() < version.era())
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in lost {
+            self.replace_document(id, version.absent(), Vec::new(), now, actions);
+        }
+    }
+
+    fn replace_document(
+        &mut self,
+        id: DocumentId,
+        version: ObjectVersion,
+        items: Vec<DocumentItem>,
+        now: TimePoint,
+        actions: &mut Vec<ControlAction>,
+    ) {
+        let before = self.documents.version(&id);
+        if let Some(changes) = self.documents.get_mut(&id).replace(version, items) {
+            self.on_changed(id, before, &changes, now, actions);
+        }
+    }
+
     fn on_changed(
         &mut self,
         id: DocumentId,
+        before: ObjectVersion,
         changes: &[ItemChange],
         now: TimePoint,
         actions: &mut Vec<ControlAction>,
@@ -546,10 +595,16 @@
         self.end_job(&id);
         self.jobs.remove(&ControlJob::Repair);
         let version = self.documents.version(&id);
+        let is_restored = before != ObjectVersion(0) && before.era() != version.era();
         match id.kind {
             DocumentKind::Members => {
-                self.rebuild_member_rings();
-                self.reassign_hosts(now);
+                if is_restored {
+                    self.settled_at = Some(now + RESTORE_SETTLE_TIME);
+                }
+                self.update_member_rings(now);
+            }
+            DocumentKind::Roster if is_restored => {
+                self.track_restored_roster(&id, now);
                 self.roster_scan_due = true;
             }
             DocumentKind::Roster => {
@@ -581,7 +636,7 @@
     ) {
         for change in changes {
             if let (Some(DocumentItem::Host(record)), None) = (&change.old, &change.new)
-                && self.tracker.record_removal(&record.name)
+                && self.tracker.record_removal(&record.name, now)
             {
                 actions.push(ControlAction::OutdatedHostDropped(record.name.clone()));
             }
@@ -592,6 +647,25 @@
         self.update_registered(now);
     }
 
+    fn track_restored_roster(&mut self, id: &DocumentId, now: TimePoint) {
+        let documents = &self.documents;
+        let listed = |record: &HostRecord| find_host(documents, record);
+        self.tracker.record_restored_roster(&id.name, listed, now);
+        self.update_registered(now);
+    }
+
+    // Rebuilds the rings from the members documents, unless these are to be completed after a
+    // restore of the store.
+    fn update_member_rings(&mut self, now: TimePoint) {
+        if self.settled_at.is_some_and(|settled_at| now < settled_at) {
+            return;
+        }
+        self.settled_at = None;
+        self.rebuild_member_rings();
+        self.reassign_hosts(now);
+        self.roster_scan_due = true;
+    }
+
     fn random_peers(&mut self) -> Vec<EntryRecord> {
         let me = &self.me.name;
         let peers = self.global_ring.entries().filter(|entry| entry.name != *me);
@@ -683,6 +757,9 @@
     }
 
     fn check_liveness(&mut self, now: TimePoint, actions: &mut Vec<ControlAction>) {
+        if self.settled_at.is_some() {
+            self.update_member_rings(now);
+        }
         self.progress
             .retain(|_, progress| now.since(progress.last_seen) < SUSPECT_AFTER * 5);
         let watching = !self.stopping && self.is_watcher();
@@ -725,11 +802,15 @@
         }
         let members = self.members_id();
         // A restart with unchanged addresses needs no write of the members document.
-        let listed = self
-            .global_ring
-            .find(&self.me.name)
-            .is_some_and(|entry| (entry.peers, entry.status) == (self.me.peers, self.me.status));
-        if !listed && self.claim_document(&members, now) {
+        let document = self.documents.get(&members);
+        let own_item = document.and_then(|document| document.item(self.me.name.as_str()));
+        let is_listed = own_item.is_some_and(|item| match item {
+            DocumentItem::Entry(entry) => {
+                (entry.peers, entry.status) == (self.me.peers, self.me.status)
+            }
+            _ => false,
+        });
+        if !is_listed && self.claim_document(&members, now) {
             let edit = MemberEdit::Put(self.me.clone());
             actions.push(ControlAction::WriteMembers(members, vec![edit]));
         }
--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -89,6 +89,13 @@
         /// Its items.
         items: Vec<DocumentItem>,
     },
+    /// The platform listed all rosters and members documents that it has.
+    AllListed {
+        /// Version of the store at the time of the list.
+        version: ObjectVersion,
+        /// The listed documents.
+        listed: Vec<DocumentId>,
+    },
     /// The platform listed the current versions.
     VersionsListed {
         /// Versions of all documents or of those that changed.
--- a/crates/core/src/host_tracker.rs
+++ b/crates/core/src/host_tracker.rs
@@ -10,14 +10,17 @@
 //! this entry VM received within [`SUSPECT_AFTER`], and after the last change of the roster
 //! that it knows of. The record of a removed host is dropped, so that its next keep-alive is
 //! answered with a request for a full registration, which a host that has left never sends.
+//! A roster of a later era of the store, which was restored from an older copy, is no such
+//! removal: hosts that it lacks stay in use here while they are heard, and hosts that it lists
+//! again after their departure are proposed for removal again.
 //! About a host that is only listed or has become silent, a tracker proposes nothing but its
 //! suspicion and, in the end, its removal.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
 use crate::chart::{HostEvent, HostState};
-use crate::ids::{HostName, Incarnation};
+use crate::ids::{DatacenterName, HostName, Incarnation};
 use crate::members::{RANK_DELAY, TRACKERS_PER_HOST};
 use crate::roster::HostRecord;
 use crate::units::TimePoint;
@@ -33,6 +36,15 @@
 /// roster.
 pub const GONE_AFTER: Duration = Duration::from_secs(30);
 
+/// Time for which the record of a host that was removed from the roster is kept. A store that
+/// is restored from an older copy may list the host again.
+pub const REMOVAL_MEMORY: Duration = Duration::from_secs(60);
+
+/// Time after a restore of the store in which the hosts that the roster lost are only heard.
+/// Each of them sends a keep-alive in this time, so that one write lists all of them: every
+/// write requires the others to be heard again.
+pub const RESTORE_HEARING_TIME: Duration = Duration::from_millis(600);
+
 /// If more than one in this many tracked hosts is silent, the tracker considers
 /// itself isolated and proposes no edits for silent hosts.
 const ISOLATION_DIVISOR: usize = 2;
@@ -76,10 +88,20 @@
     // Whether the host was heard since the roster last changed in another way than the host
     // registered here.
     heard_since_change: bool,
+    // Whether the record was confirmed when a restore of the store changed the roster, which
+    // does not contain the record since.
+    outlives_restore: bool,
     differs_since: Option<TimePoint>,
     rank: u32,
 }
 
+// A host that was removed from the roster.
+#[derive(Debug)]
+struct RemovedHost {
+    host: TrackedHost,
+    removed_at: TimePoint,
+}
+
 impl TrackedHost {
     fn is_tracker_rank(&self) -> bool {
         (self.rank as usize) < TRACKERS_PER_HOST
@@ -92,6 +114,13 @@
             && !self.is_silent(now)
     }
 
+    // Returns whether the host is used as it registered here, whatever the roster contains.
+    fn is_used_as_registered(&self, now: TimePoint) -> bool {
+        let is_recent = self.revision != HostRevision::UNREGISTERED && !self.is_silent(now);
+        self.record.state == HostState::Gone
+            || (is_recent && (self.heard_since_change || self.outlives_restore))
+    }
+
     // Discards what the host registered. Its silence is measured from now on.
     fn require_registration(&mut self, now: TimePoint) {
         self.revision = HostRevision::UNREGISTERED;
@@ -113,6 +142,10 @@
 #[derive(Debug, Default)]
 pub struct HostTracker {
     hosts: HashMap<HostName, TrackedHost>,
+    // Hosts that were removed from the roster within `REMOVAL_MEMORY`.
+    removed: HashMap<HostName, RemovedHost>,
+    // When the store was last restored from an older copy.
+    restored_at: Option<TimePoint>,
     last_tick: TimePoint,
 }
 
@@ -126,6 +159,7 @@
         rank: u32,
         now: TimePoint,
     ) {
+        self.update_removed(&record);
         match self.hosts.get_mut(&record.name) {
             Some(tracked) if tracked.record.incarnation > record.incarnation => {}
             Some(tracked) => {
@@ -145,6 +179,7 @@
                     revision,
                     last_seen: now,
                     heard_since_change: true,
+                    outlives_restore: false,
                     differs_since: None,
                     rank,
                 };
@@ -153,6 +188,15 @@
         }
     }
 
+    // A registration here is newer than the removal; the departure may be repeated after it.
+    fn update_removed(&mut self, record: &HostRecord) {
+        if record.state != HostState::Gone {
+            self.removed.remove(&record.name);
+        } else if let Some(removed) = self.removed.get_mut(&record.name) {
+            removed.host.record.state = HostState::Gone;
+        }
+    }
+
     /// Records a keep-alive. Returns the host record if its incarnation and revision
     /// match; otherwise the host has to send a full registration.
     pub fn record_keep_alive(
@@ -201,6 +245,10 @@
                 host.require_registration(now);
             }
         }
+        for removed in self.removed.values_mut() {
+            let host = &mut removed.host;
+            host.rank = rank(&host.record).unwrap_or(TRACKERS_PER_HOST as u32);
+        }
     }
 
     /// Records a new version of a roster. `listed` finds a host in it. Of a host whose entry
@@ -213,29 +261,83 @@
         listed: impl Fn(&HostRecord) -> Option<HostRecord>,
     ) {
         for host in self.hosts.values_mut() {
-            if host.record.datacenter.as_str() == datacenter
-                && listed(&host.record) != listed_record(&host.record)
-            {
+            if host.record.datacenter.as_str() != datacenter {
+                continue;
+            }
+            if listed(&host.record) == listed_record(&host.record) {
+                host.outlives_restore = false;
+            } else {
+                host.heard_since_change = false;
+            }
+        }
+        // They have registered again at another tracker.
+        self.removed.retain(|_, removed| {
+            let record = &removed.host.record;
+            record.datacenter.as_str() != datacenter || listed(record).is_none()
+        });
+    }
+
+    /// Records a roster of a later era of the store, which was restored from an older copy.
+    /// Hosts that the roster lacks or shows in an earlier state are used as they registered
+    /// here until they are silent, and proposed again when they are next heard. The removal of
+    /// a host that it lists again is proposed again unless the host is heard.
+    pub fn record_restored_roster(
+        &mut self,
+        datacenter: &str,
+        listed: impl Fn(&HostRecord) -> Option<HostRecord>,
+        now: TimePoint,
+    ) {
+        self.restored_at = Some(now);
+        for host in self.hosts.values_mut() {
+            if host.record.datacenter.as_str() != datacenter {
+                continue;
+            }
+            if listed(&host.record) == listed_record(&host.record) {
+                host.outlives_restore = false;
+            } else {
+                host.outlives_restore |= host.is_confirmed(now);
                 host.heard_since_change = false;
             }
         }
+        let is_listed_again = |_: &HostName, removed: &mut RemovedHost| {
+            let record = &removed.host.record;
+            record.datacenter.as_str() == datacenter
+                && listed(record).is_some_and(|listed| listed.incarnation <= record.incarnation)
+        };
+        for (name, mut removed) in self.removed.extract_if(is_listed_again) {
+            if removed.host.record.state == HostState::Gone {
+                removed.host.last_seen = now;
+            }
+            self.hosts.entry(name).or_insert(TrackedHost {
+                heard_since_change: false,
+                outlives_restore: false,
+                differs_since: None,
+                ..removed.host
+            });
+        }
     }
 
     /// Drops the record of a host that was removed from the roster. Until the host sends a
     /// full registration, nothing is proposed for it. Returns whether the record was
     /// outdated: the host had not announced its departure here.
-    pub fn record_removal(&mut self, name: &HostName) -> bool {
-        let dropped = self.hosts.remove(name);
-        dropped.is_some_and(|host| host.record.state != HostState::Gone)
+    pub fn record_removal(&mut self, name: &HostName, now: TimePoint) -> bool {
+        let Some(host) = self.hosts.remove(name) else {
+            return false;
+        };
+        let is_outdated = host.record.state != HostState::Gone;
+        let removed_at = now;
+        let removed = RemovedHost { host, removed_at };
+        self.removed.insert(name.clone(), removed);
+        is_outdated
     }
 
     /// Returns the records that hosts registered here and that are newer than those of the
     /// roster: of the hosts that are not silent, and of those that have left and are still
-    /// listed.
+    /// listed. After a restore of the store, a record of the roster is no newer.
     pub fn registered_hosts(&self, now: TimePoint) -> impl Iterator<Item = &HostRecord> {
         self.hosts
             .values()
-            .filter(move |host| host.is_confirmed(now) || host.record.state == HostState::Gone)
+            .filter(move |host| host.is_used_as_registered(now))
             .map(|host| &host.record)
     }
 
@@ -246,8 +348,15 @@
         now: TimePoint,
     ) -> Vec<RosterEdit> {
         self.reset_after_pause(now);
+        self.removed
+            .retain(|_, removed| now.since(removed.removed_at) < REMOVAL_MEMORY);
         let isolated = self.appears_isolated(now);
+        let is_hearing = self
+            .restored_at
+            .is_some_and(|restored_at| now.since(restored_at) < RESTORE_HEARING_TIME);
         let mut edits = Vec::new();
+        // Edits of hosts that a restored roster lost, with whether each is due by the rank.
+        let mut lost = Vec::new();
         self.hosts.retain(|_, host| {
             let listed = current(&host.record);
             if let Some(newer) = &listed
@@ -263,13 +372,19 @@
                 None => host.differs_since = None,
                 Some(edit) => {
                     let since = *host.differs_since.get_or_insert(now);
-                    if now.since(since) >= RANK_DELAY * host.rank {
+                    let is_due = now.since(since) >= RANK_DELAY * host.rank;
+                    if host.outlives_restore {
+                        lost.push((edit, is_due));
+                    } else if is_due {
                         edits.push(edit);
                     }
                 }
             }
             is_worth_tracking(host, listed.is_some(), now)
         });
+        if !is_hearing {
+            edits.extend(lost_host_edits(lost));
+        }
         edits
     }
 
@@ -277,6 +392,7 @@
     // their keep-alives, and they may have left.
     fn reset_after_pause(&mut self, now: TimePoint) {
         if now.since(self.last_tick) >= SUSPECT_AFTER / 2 {
+            self.removed.clear();
             for host in self.hosts.values_mut() {
                 if host.record.state != HostState::Gone {
                     host.require_registration(now);
@@ -299,6 +415,19 @@
     }
 }
 
+// Returns the edits of the rosters for which one is due: a write for one host that a restored
+// roster lost lists the others too.
+fn lost_host_edits(lost: Vec<(RosterEdit, bool)>) -> impl Iterator<Item = RosterEdit> {
+    let due: BTreeSet<DatacenterName> = lost
+        .iter()
+        .filter(|(_, is_due)| *is_due)
+        .map(|(edit, _)| edit.record().datacenter.clone())
+        .collect();
+    lost.into_iter()
+        .map(|(edit, _)| edit)
+        .filter(move |edit| due.contains(&edit.record().datacenter))
+}
+
 // Returns whether a tracked host may still need an edit: it is listed, or has registered
 // recently.
 fn is_worth_tracking(host: &TrackedHost, is_listed: bool, now: TimePoint) -> bool {
--- a/crates/daemon/src/entry_store.rs
+++ b/crates/daemon/src/entry_store.rs
@@ -178,15 +178,39 @@
 ) -> (ObjectVersion, bool) {
     let is_stale = |revision| after.is_some_and(|after| revision < after);
     match update {
-        FeedUpdate::Versions(object_list) => {
-            let revision = ObjectVersion(object_list.revision);
-            let stale = is_stale(revision);
-            let event = listed_event(&object_list, stale || !all_read);
+        FeedUpdate::Versions { list, has_all } => {
+            let version = ObjectVersion(list.revision);
+            let stale = is_stale(version);
+            let list = document_versions(&list);
+            if has_all {
+                let listed = list.iter().map(|(id, _)| id.clone()).collect();
+                try_push(
+                    events,
+                    ControlEvent::AllListed { version, listed },
+                    counters,
+                );
+            }
+            let event = ControlEvent::VersionsListed {
+                list,
+                stale: stale || !all_read,
+            };
             try_push(events, event, counters);
-            (revision, stale)
+            (version, stale)
         }
-        FeedUpdate::Objects { revision, objects } => {
-            let stale = is_stale(revision);
+        FeedUpdate::Objects {
+            revision: version,
+            objects,
+            has_all,
+        } => {
+            let stale = is_stale(version);
+            if has_all {
+                let listed = objects.iter().map(|object| object.id.clone()).collect();
+                try_push(
+                    events,
+                    ControlEvent::AllListed { version, listed },
+                    counters,
+                );
+            }
             for object in objects {
                 load_object(object, events, counters);
             }
@@ -195,7 +219,7 @@
                 stale: stale || !all_read,
             };
             try_push(events, listed, counters);
-            (revision, stale)
+            (version, stale)
         }
     }
 }
@@ -218,12 +242,11 @@
     }
 }
 
-// Returns the event for listed versions. Objects that are not documents of the project
-// are skipped.
-fn listed_event(object_list: &ObjectList, stale: bool) -> ControlEvent {
-    let list = object_list
-        .objects
-        .iter()
+// Returns the listed documents with their versions. Objects that are not documents of the
+// project are skipped.
+fn document_versions(object_list: &ObjectList) -> Vec<(DocumentId, ObjectVersion)> {
+    let objects = object_list.objects.iter();
+    objects
         .filter_map(|object| {
             let wire = WireVersion {
                 kind: object.kind.clone(),
@@ -233,8 +256,7 @@
             let id = DocumentId::try_from(&wire).ok()?;
             Some((id, ObjectVersion(object.version)))
         })
-        .collect();
-    ControlEvent::VersionsListed { list, stale }
+        .collect()
 }
 
 /// Runs the thread that pulls documents from peers.
--- a/crates/store/src/calls.rs
+++ b/crates/store/src/calls.rs
@@ -31,13 +31,20 @@
 #[derive(Debug, Clone, PartialEq)]
 pub enum FeedUpdate {
     /// Versions of objects; the changed objects have to be read separately.
-    Versions(ObjectList),
+    Versions {
+        /// The objects with their versions.
+        list: ObjectList,
+        /// Whether these are all objects of the store.
+        has_all: bool,
+    },
     /// The objects themselves.
     Objects {
         /// Version of the store after this update.
         revision: ObjectVersion,
         /// All objects of the feed, or only the changed ones.
         objects: Vec<FeedObject>,
+        /// Whether these are all rosters and members of the store.
+        has_all: bool,
     },
 }
 
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -111,11 +111,12 @@
         after: Option<ObjectVersion>,
         wait: Duration,
     ) -> Result<FeedUpdate, StoreError> {
-        match after {
+        let list = match after {
             None => self.list(),
             Some(after) => self.watch(after, wait),
-        }
-        .map(FeedUpdate::Versions)
+        }?;
+        let has_all = after.is_none();
+        Ok(FeedUpdate::Versions { list, has_all })
     }
 
     fn read(&self, id: &DocumentId) -> Result<Option<ObjectReply>, StoreError> {
