A watch recognizes a restored store and logs it

Callers saw: nothing in an entry VM's log told that the store had been restored. With bare revisions, an update after a restore counted as outdated, so that it did not confirm the documents, and the position of the watch stayed behind.

Cause: the position of a watch was one version, kept only between successful calls and compared without regard to the reason of a lower one.

Change: FeedPosition decides how an update relates to the ones before. An earlier era is stale even if calls have failed since; a later one never is and is logged once per feed at level warn: "store restored from an older copy", with the eras and the feed.

Ruled out: logging in the client of the store. It sees each answer, but does not know the feed.

--- a/crates/daemon/src/entry_store.rs
+++ b/crates/daemon/src/entry_store.rs
@@ -6,9 +6,10 @@
 
 use crossbeam_channel::{Receiver, Sender};
 
-use chestnutlb_core::{ControlEvent, DocumentId, DocumentPatch, ObjectVersion};
+use chestnutlb_core::{ControlEvent, DocumentId, DocumentPatch, ObjectVersion, StoreEra};
 use chestnutlb_store::{
-    EditOutcome, FeedIndex, FeedObject, FeedUpdate, LoadedDocument, StoreCalls, objects,
+    EditOutcome, FeedIndex, FeedObject, FeedPosition, FeedStep, FeedUpdate, LoadedDocument,
+    StoreCalls, objects,
 };
 use chestnutlb_wire::ObjectList;
 use chestnutlb_wire::peer::{
@@ -121,17 +122,18 @@
     events: &Sender<ControlEvent>,
     counters: &CounterSet,
 ) {
-    let mut after: Option<ObjectVersion> = None;
+    let mut position = FeedPosition::default();
     let mut retry_delay = FIRST_RETRY_DELAY;
     let mut has_succeeded = false;
     let wait = client.watch_wait(feed);
     loop {
         if !state.enabled.load(Ordering::Relaxed) {
-            after = None;
+            position.reset();
             std::thread::sleep(DISABLED_POLL_PERIOD);
             continue;
         }
         counters.add(Counter::PlatformCalls);
+        let after = position.after();
         match client.fetch_updates(feed, after, wait) {
             Ok(update) => {
                 retry_delay = FIRST_RETRY_DELAY;
@@ -139,7 +141,12 @@
                     state.unread_feeds.fetch_sub(1, Ordering::SeqCst);
                 }
                 let all_read = state.unread_feeds.load(Ordering::SeqCst) == 0;
-                let (revision, stale) = forward_update(update, after, all_read, events, counters);
+                let step = position.advance(update.version());
+                if let FeedStep::Restored(earlier_era) = step {
+                    log_restore(earlier_era, update.version().era(), feed);
+                }
+                let is_stale = step == FeedStep::Stale;
+                forward_update(update, is_stale || !all_read, events, counters);
                 if feed != OPERATORS_FEED {
                     let watch_delay = if after.is_none() {
                         FIRST_WATCH_DELAY
@@ -148,15 +155,14 @@
                     };
                     std::thread::sleep(watch_delay);
                 }
-                after = Some(revision.max(after.unwrap_or_default()));
-                if stale {
+                if is_stale {
                     std::thread::sleep(RETRY_DELAY);
                 }
             }
             Err(error) => {
                 counters.add(Counter::PlatformFailed);
                 log::warn!(target: "platform", feed = feed.0, cause:% = error; "watch failed");
-                after = None;
+                position.reset();
                 std::thread::sleep(retry_delay);
                 if has_succeeded {
                     retry_delay = RETRY_DELAY;
@@ -166,62 +172,55 @@
     }
 }
 
-// Sends the content of a feed update to the control thread; `all_read` states whether it
-// may confirm the documents. Returns the store version after the update, and whether that
-// is older than `after`.
+fn log_restore(earlier_era: StoreEra, era: StoreEra, feed: FeedIndex) {
+    log::warn!(
+        target: "platform",
+        feed = feed.0, from = earlier_era.0, era = era.0;
+        "store restored from an older copy"
+    );
+}
+
+// Sends the content of a feed update to the control thread; `stale` states whether it does not
+// confirm the documents.
 fn forward_update(
     update: FeedUpdate,
-    after: Option<ObjectVersion>,
-    all_read: bool,
+    stale: bool,
     events: &Sender<ControlEvent>,
     counters: &CounterSet,
-) -> (ObjectVersion, bool) {
-    let is_stale = |revision| after.is_some_and(|after| revision < after);
-    match update {
+) {
+    let version = update.version();
+    let all_listed = |listed: Vec<DocumentId>| {
+        try_push(
+            events,
+            ControlEvent::AllListed { version, listed },
+            counters,
+        );
+    };
+    let list = match update {
         FeedUpdate::Versions { list, has_all } => {
-            let version = ObjectVersion(list.revision);
-            let stale = is_stale(version);
             let list = document_versions(&list);
             if has_all {
-                let listed = list.iter().map(|(id, _)| id.clone()).collect();
-                try_push(
-                    events,
-                    ControlEvent::AllListed { version, listed },
-                    counters,
-                );
+                all_listed(list.iter().map(|(id, _)| id.clone()).collect());
             }
-            let event = ControlEvent::VersionsListed {
-                list,
-                stale: stale || !all_read,
-            };
-            try_push(events, event, counters);
-            (version, stale)
+            list
         }
         FeedUpdate::Objects {
-            revision: version,
-            objects,
-            has_all,
+            objects, has_all, ..
         } => {
-            let stale = is_stale(version);
             if has_all {
-                let listed = objects.iter().map(|object| object.id.clone()).collect();
-                try_push(
-                    events,
-                    ControlEvent::AllListed { version, listed },
-                    counters,
-                );
+                all_listed(objects.iter().map(|object| object.id.clone()).collect());
             }
             for object in objects {
                 load_object(object, events, counters);
             }
-            let listed = ControlEvent::VersionsListed {
-                list: Vec::new(),
-                stale: stale || !all_read,
-            };
-            try_push(events, listed, counters);
-            (version, stale)
+            Vec::new()
         }
-    }
+    };
+    try_push(
+        events,
+        ControlEvent::VersionsListed { list, stale },
+        counters,
+    );
 }
 
 // Parses an object of a feed and sends its document to the control thread.
--- a/crates/store/src/calls.rs
+++ b/crates/store/src/calls.rs
@@ -6,7 +6,7 @@
 
 use serde_json::Value;
 
-use chestnutlb_core::{DocumentId, ObjectVersion};
+use chestnutlb_core::{DocumentId, ObjectVersion, StoreEra};
 use chestnutlb_wire::{ObjectList, ObjectReply};
 
 use crate::client::{StoreError, WriteOutcome};
@@ -48,6 +48,65 @@
     },
 }
 
+impl FeedUpdate {
+    /// Returns the version of the store after this update.
+    pub fn version(&self) -> ObjectVersion {
+        match self {
+            Self::Versions { list, .. } => ObjectVersion(list.revision),
+            Self::Objects { revision, .. } => *revision,
+        }
+    }
+}
+
+/// How an update of a feed relates to the ones before.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum FeedStep {
+    /// It is as recent as the ones before.
+    Current,
+    /// It is older than one before.
+    Stale,
+    /// It is the first one since the store was restored from an older copy, which ended this
+    /// era.
+    Restored(StoreEra),
+}
+
+/// How far a feed was received.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct FeedPosition {
+    after: Option<ObjectVersion>,
+    latest: ObjectVersion,
+}
+
+impl FeedPosition {
+    /// Returns the version that the next update follows, or `None` if the whole feed is due.
+    pub fn after(&self) -> Option<ObjectVersion> {
+        self.after
+    }
+
+    /// Makes the whole feed due, since updates may have been missed.
+    pub fn reset(&mut self) {
+        self.after = None;
+    }
+
+    /// Records an update up to `version`.
+    pub fn advance(&mut self, version: ObjectVersion) -> FeedStep {
+        let earlier_era = self.latest.era();
+        if version.era() < earlier_era {
+            return FeedStep::Stale;
+        }
+        let is_first = self.latest == ObjectVersion(0);
+        self.latest = self.latest.max(version);
+        match self.after.replace(version) {
+            Some(after) if version < after => {
+                self.after = Some(after);
+                FeedStep::Stale
+            }
+            _ if version.era() > earlier_era && !is_first => FeedStep::Restored(earlier_era),
+            _ => FeedStep::Current,
+        }
+    }
+}
+
 /// Calls of a store. A store has one or more feeds, each of which is watched
 /// separately.
 pub trait StoreCalls: Debug + Send {
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -18,7 +18,7 @@
 pub mod commit;
 pub mod objects;
 
-pub use calls::{FeedIndex, FeedObject, FeedUpdate, StoreCalls};
+pub use calls::{FeedIndex, FeedObject, FeedPosition, FeedStep, FeedUpdate, StoreCalls};
 pub use client::{StoreClient, StoreError, WriteOutcome};
 pub use commit::{CommitOutcome, CommitPlan, CurrentManifest};
 pub use objects::{EditOutcome, LoadedDocument};
