Logs and output name the era of a version

Change: log fields `version` and `generation`, and the output of commit, plan, status and explain contain a number in era 0, as before, and the text ERA.REVISION in later ones, also as JSON. /v1/status keeps one number per version, since clients compare it. The header of a packet contains only the revision of the roster generation: side processes log it and compare nothing.

Ruled out: text in all eras; tools read the log field as a number. The era in the packet header, which no process uses.

--- a/crates/client/src/entry_commands.rs
+++ b/crates/client/src/entry_commands.rs
@@ -9,6 +9,7 @@
 use serde::Serialize;
 
 use chestnutlb_core::{FirmName, ObjectVersion};
+use chestnutlb_wire::records::VersionField;
 use chestnutlb_wire::status::{EntryStatus, FlowExplanation, HopExplanation};
 
 use crate::output::{CommandOutcome, print_error, print_result};
@@ -109,7 +110,7 @@
     /// Time since the platform confirmed the documents, in milliseconds.
     age_ms: Option<u64>,
     /// Versions of the documents in force, by `kind/name`.
-    versions: BTreeMap<String, u64>,
+    versions: BTreeMap<String, VersionField>,
 }
 
 /// Status of all entry VMs and hosts.
@@ -118,7 +119,7 @@
 struct SystemStatus {
     entries: Vec<EntryRow>,
     /// Highest manifest version that an entry VM reports for each host.
-    hosts: BTreeMap<String, u64>,
+    hosts: BTreeMap<String, VersionField>,
 }
 
 impl fmt::Display for SystemStatus {
@@ -175,7 +176,7 @@
                 return CommandOutcome::Unknown;
             }
         };
-        let mut hosts = BTreeMap::new();
+        let mut hosts: BTreeMap<String, u64> = BTreeMap::new();
         let mut entries = Vec::new();
         for (name, status) in entry_statuses {
             let mut row = EntryRow {
@@ -190,7 +191,8 @@
                 row.age_ms = status.age_ms;
                 for document in &status.documents {
                     let document_path = format!("{}/{}", document.kind, document.name);
-                    row.versions.insert(document_path, document.version);
+                    let version = ObjectVersion(document.version);
+                    row.versions.insert(document_path, version.into());
                 }
                 for host in &status.hosts {
                     let version = hosts.entry(host.name.to_string()).or_insert(host.manifest);
@@ -199,6 +201,10 @@
             }
             entries.push(row);
         }
+        let hosts = hosts
+            .into_iter()
+            .map(|(host, version)| (host, ObjectVersion(version).into()))
+            .collect();
         print_result(self.json, &SystemStatus { entries, hosts });
         CommandOutcome::Done
     }
--- a/crates/client/src/manifests.rs
+++ b/crates/client/src/manifests.rs
@@ -9,6 +9,7 @@
 
 use chestnutlb_core::{FirmManifest, ObjectVersion};
 use chestnutlb_store::{CommitOutcome, CurrentManifest, StoreClient, commit, objects};
+use chestnutlb_wire::records::VersionField;
 use chestnutlb_wire::{DocumentError, WireManifest, parse_json};
 
 use crate::output::{CommandOutcome, print_error, print_result};
@@ -90,7 +91,7 @@
 #[derive(Debug)]
 #[derive(Serialize)]
 struct PlanResult {
-    base: u64,
+    base: VersionField,
     changes: Vec<String>,
 }
 
@@ -109,7 +110,7 @@
 #[derive(Debug)]
 #[derive(Serialize)]
 struct CommitResult {
-    version: u64,
+    version: VersionField,
     id: String,
 }
 
@@ -190,7 +191,7 @@
         commit::current(client, wire).map_err(|error| outcome_unknown(&error))?;
     let plan = commit::plan(&current, manifest).map_err(|error| refused(&error))?;
     Ok(PlanResult {
-        base: plan.base.0,
+        base: plan.base.into(),
         changes: plan.changes.iter().map(ToString::to_string).collect(),
     })
 }
@@ -225,7 +226,7 @@
         };
         let (outcome, text) = match commit::commit(&client, &wire, base, &id) {
             CommitOutcome::Committed(version) => {
-                let version = version.0;
+                let version = version.into();
                 print_result(self.json, &CommitResult { version, id });
                 return CommandOutcome::Done;
             }
--- a/crates/daemon/src/entry_control.rs
+++ b/crates/daemon/src/entry_control.rs
@@ -16,6 +16,7 @@
 
 use crate::clock;
 use crate::entry_http::EntryShared;
+use crate::logs::LoggedVersion;
 use crate::metrics::{Counter, try_push};
 
 /// Longest wait for an event.
@@ -180,7 +181,8 @@
                 log::info!(target: "members", host:% = host; "outdated record dropped");
             }
             ControlAction::InForce(id, version) => {
-                log::info!(target: "document", document:% = id, version = version.0; "in force");
+                let version = LoggedVersion::from(version);
+                log::info!(target: "document", document:% = id, version = version; "in force");
                 self.shared.publish_documents(self.control.documents());
             }
         }
--- a/crates/daemon/src/entry_http.rs
+++ b/crates/daemon/src/entry_http.rs
@@ -240,7 +240,7 @@
     Some(FlowExplanation {
         service: service.id().to_compact_string(),
         bucket: key.hash().bucket().0,
-        generation: view.generation.0,
+        generation: view.generation.into(),
         opening,
         walk,
         complete,
--- a/crates/daemon/src/entry_packets.rs
+++ b/crates/daemon/src/entry_packets.rs
@@ -24,6 +24,7 @@
 use crate::clock;
 use crate::entry_http::EntryShared;
 use crate::flow_log::FlowLog;
+use crate::logs::LoggedVersion;
 use crate::metrics::{Counter, CounterSet, Timing};
 use crate::packet_format::PacketFormat;
 use crate::settings::EntrySettings;
@@ -196,7 +197,7 @@
         log::info!(
             target: "route",
             flow:% = key, verdict = verdict.as_str(), host:? = verdict.owner(),
-            fresh = fresh, generation = view.generation.0,
+            fresh = fresh, generation = LoggedVersion::from(view.generation),
             unsure = incomplete.map(|lookup| lookup.unknown),
             silent = incomplete.map(|lookup| lookup.silent),
             silent_host:? = incomplete.and_then(|lookup| lookup.silent_host);
@@ -270,7 +271,7 @@
         if self.should_log(&segment) {
             log::info!(
                 target: "route",
-                flow:% = segment.key, from:% = from, generation = view.generation.0,
+                flow:% = segment.key, from:% = from, generation = LoggedVersion::from(view.generation),
                 hops = plan.as_ref().map_or(0, |plan| plan.hops.len());
                 "reroute"
             );
@@ -319,7 +320,7 @@
     fn send_plan(&mut self, view: &RoutingView, plan: &PassthroughPlan, packet: &[u8]) {
         let header = PacketHeader {
             tag: plan.tag.0,
-            generation: view.generation.0,
+            generation: view.generation.revision().0,
             complete: plan.complete,
             entry: (u32::from(*self.own_address.ip()), self.own_address.port()),
             hops: plan.hops.iter().copied().map(WireHop::from).collect(),
@@ -353,7 +354,7 @@
             .collect();
         let header = PacketHeader {
             tag: service.tag.0,
-            generation: view.generation.0,
+            generation: view.generation.revision().0,
             complete: plan.complete,
             entry: (u32::from(*self.own_address.ip()), self.own_address.port()),
             hops,
@@ -364,7 +365,7 @@
             log::info!(
                 target: "route",
                 flow:% = segment.key, service:% = service.id(), host:% = first.name,
-                generation = view.generation.0, hops = plan.hops().len();
+                generation = LoggedVersion::from(view.generation), hops = plan.hops().len();
                 "open"
             );
         } else {
@@ -402,7 +403,7 @@
     log::info!(
         target: "route",
         flow:% = segment.key, host:% = plan.hops[0], hops = plan.hops.len(),
-        generation = view.generation.0, complete = plan.complete,
+        generation = LoggedVersion::from(view.generation), complete = plan.complete,
         at_work = report.map(|(load, _)| load.at_work),
         report_age_ms = report.map(|(_, age)| age.as_millis() as u64);
         "open"
--- a/crates/daemon/src/logs.rs
+++ b/crates/daemon/src/logs.rs
@@ -7,9 +7,12 @@
 use std::time::SystemTime;
 
 use crossbeam_channel::{Receiver, Sender, bounded};
-use log::kv::{Key, Value, VisitSource};
+use log::kv::{Key, ToValue, Value, VisitSource};
 use quick_error::quick_error;
 
+use chestnutlb_core::ObjectVersion;
+use chestnutlb_wire::records::VersionField;
+
 use crate::metrics::{Counter, CounterSet};
 use crate::settings::LogSettings;
 
@@ -110,6 +113,25 @@
     }
 }
 
+/// A version as field of a log line.
+#[derive(Debug)]
+pub struct LoggedVersion(VersionField);
+
+impl From<ObjectVersion> for LoggedVersion {
+    fn from(version: ObjectVersion) -> Self {
+        Self(version.into())
+    }
+}
+
+impl ToValue for LoggedVersion {
+    fn to_value(&self) -> Value<'_> {
+        match &self.0 {
+            VersionField::Revision(revision) => Value::from(*revision),
+            VersionField::Text(text) => Value::from(text.as_str()),
+        }
+    }
+}
+
 struct FieldVisitor<'a>(&'a mut serde_json::Map<String, serde_json::Value>);
 
 impl<'kvs> VisitSource<'kvs> for FieldVisitor<'_> {
--- a/crates/daemon/src/side_control.rs
+++ b/crates/daemon/src/side_control.rs
@@ -16,6 +16,7 @@
 
 use crate::clock;
 use crate::http::read_body;
+use crate::logs::LoggedVersion;
 use crate::metrics::Counter;
 use crate::registration::{HostRegistration, REGISTRATION_PERIOD, SeedList};
 use crate::settings::SideSettings;
@@ -289,7 +290,7 @@
                     .store(slice.manifest, Ordering::Relaxed);
                 log::info!(
                     target: "document",
-                    service:% = self.settings.service, version = slice.manifest;
+                    service:% = self.settings.service, version = LoggedVersion::from(ObjectVersion(slice.manifest));
                     "in force"
                 );
                 true
--- a/crates/wire/src/packet.rs
+++ b/crates/wire/src/packet.rs
@@ -14,7 +14,7 @@
 
 use chestnutlb_core::entry::FlowProbe;
 use chestnutlb_core::{
-    FlowKey, HostLoad, HostRecord, Incarnation, ObjectVersion, OwnershipReply, ServiceTag,
+    FlowKey, HostLoad, HostRecord, Incarnation, OwnershipReply, ServiceTag, StoreRevision,
     TcpSegment,
 };
 
@@ -113,7 +113,8 @@
 pub struct PacketHeader {
     /// Tag of the service.
     pub tag: u64,
-    /// Roster generation that the hop plan was made from.
+    /// Revision of the roster generation that the hop plan was made from. Side processes only
+    /// log it; without its era the header is shorter.
     pub generation: u64,
     /// Whether the hop plan contains every possible owner of the flow.
     pub complete: bool,
@@ -129,9 +130,9 @@
         ServiceTag(self.tag)
     }
 
-    /// Returns the roster generation that the hop plan was made from.
-    pub fn generation(&self) -> ObjectVersion {
-        ObjectVersion(self.generation)
+    /// Returns the revision of the roster generation that the hop plan was made from.
+    pub fn generation(&self) -> StoreRevision {
+        StoreRevision(self.generation)
     }
 
     /// Returns the address that owner notices are sent to.
--- a/crates/wire/src/records.rs
+++ b/crates/wire/src/records.rs
@@ -1,5 +1,6 @@
 //! Wire types of hosts, entry VMs, documents and document patches.
 
+use std::fmt;
 use std::sync::Arc;
 
 use compact_str::{CompactString, ToCompactString};
@@ -9,7 +10,7 @@
 use chestnutlb_core::flow::{BUCKET_COUNT, BucketIndex};
 use chestnutlb_core::{
     DocumentId, DocumentItem, DocumentKind, DocumentPatch, EntryRecord, FirmName, HostRecord,
-    HostWeight, Incarnation, ObjectVersion, ServiceId,
+    HostWeight, Incarnation, ObjectVersion, ServiceId, StoreEra,
 };
 
 use crate::manifest::{DocumentError, WireGrant, WireService, parse_text};
@@ -197,6 +198,37 @@
     }
 }
 
+/// A version for operators, in logs and in the client's output: a number in era zero, and
+/// text with the era in later ones.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[serde(untagged)]
+pub enum VersionField {
+    /// The revision of a version of era zero.
+    Revision(u64),
+    /// The text of a version of a later era.
+    Text(CompactString),
+}
+
+impl From<ObjectVersion> for VersionField {
+    fn from(version: ObjectVersion) -> Self {
+        if version.era() == StoreEra(0) {
+            Self::Revision(version.revision().0)
+        } else {
+            Self::Text(version.to_compact_string())
+        }
+    }
+}
+
+impl fmt::Display for VersionField {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Revision(revision) => revision.fmt(f),
+            Self::Text(text) => text.fmt(f),
+        }
+    }
+}
+
 /// A version of a document.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
--- a/crates/wire/src/status.rs
+++ b/crates/wire/src/status.rs
@@ -5,7 +5,7 @@
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 
-use crate::records::{WireEntry, WireVersion};
+use crate::records::{VersionField, WireEntry, WireVersion};
 
 /// Status of an entry VM.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -75,7 +75,7 @@
     /// Bucket of the flow.
     pub bucket: u16,
     /// Roster generation that the hops were chosen from.
-    pub generation: u64,
+    pub generation: VersionField,
     /// Hops of the flow's SYN.
     pub opening: Vec<HopExplanation>,
     /// Hops of all other packets.
