The object API names its era; commits conflict across eras

Callers saw: the project's own object API draws versions from one counter like the users' store, so that a restore had the same effects: skipped changes, writes that match by accident, and a commit that was acknowledged and lost.

Change: the response header Object-Era, 0 if it is missing, in every response. The client of the API follows the same rules as that of the users' store, by the same reader of eras: a watch from another era lists all objects, a write that expects an earlier era conflicts without a call, one that is answered by another era has an unknown outcome. A commit based on a version of an earlier era conflicts and states both versions, and the client says that the platform was restored or stores no manifest.

Ruled out: the era in the bodies. Errors have none.

--- a/crates/client/src/manifests.rs
+++ b/crates/client/src/manifests.rs
@@ -196,6 +196,20 @@
     })
 }
 
+fn conflict_text(expected: ObjectVersion, found: ObjectVersion) -> String {
+    let cause = if found.is_absent() {
+        "the platform stores no manifest"
+    } else if found.era() > expected.era() && !expected.is_absent() {
+        "the platform was restored from an older copy"
+    } else {
+        "another commit came first"
+    };
+    format!(
+        "conflict: {cause}; expected version {expected}, found {found}; nothing was changed, \
+         plan again"
+    )
+}
+
 // Error text for a platform without the object that all grants are stored in.
 const NO_GRANTS: &str = "the platform stores no grants of addresses (object grants/all)";
 
@@ -230,13 +244,9 @@
                 print_result(self.json, &CommitResult { version, id });
                 return CommandOutcome::Done;
             }
-            CommitOutcome::Conflict { expected, found } => (
-                CommandOutcome::NotMet,
-                format!(
-                    "conflict: another commit came first; expected version {expected}, \
-                     found {found}; nothing was changed, plan again"
-                ),
-            ),
+            CommitOutcome::Conflict { expected, found } => {
+                (CommandOutcome::NotMet, conflict_text(expected, found))
+            }
             CommitOutcome::Refused(error) => (CommandOutcome::Refused, error.to_string()),
             CommitOutcome::NoGrants => (CommandOutcome::Refused, NO_GRANTS.to_owned()),
             CommitOutcome::Unknown(error) => (
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -1,13 +1,19 @@
-//! Client of the platform's object API. A write has a type of outcome instead of
+//! Client of the platform's object API. All versions carry the era that the answer with them
+//! names; no version is sent to the platform in a later era than its own. A write has a type of outcome instead of
 //! a `Result`: a write whose response was lost is neither a success nor a
 //! failure.
 
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use compact_str::CompactString;
 use quick_error::quick_error;
 
-use chestnutlb_core::{DocumentId, ObjectVersion};
+use serde::de::DeserializeOwned;
+
+use chestnutlb_core::{DocumentId, ObjectVersion, StoreEra, StoreRevision};
+use chestnutlb_wire::object::ERA_HEADER;
 use chestnutlb_wire::{ObjectList, ObjectReply, WriteReply};
 
 use crate::calls::{FeedIndex, FeedUpdate, StoreCalls};
@@ -56,11 +62,101 @@
     Unknown(StoreError),
 }
 
+/// An answer of a store with the era that it names.
+#[derive(Debug)]
+pub struct StoreAnswer {
+    /// The era, zero if the answer names none.
+    pub era: StoreEra,
+    response: ureq::Response,
+}
+
+impl StoreAnswer {
+    /// Returns the status.
+    pub fn status(&self) -> u16 {
+        self.response.status()
+    }
+
+    /// Returns the version that a revision in this answer stands for.
+    pub fn version(era: StoreEra, revision: u64) -> Result<ObjectVersion, StoreError> {
+        ObjectVersion::new(era, StoreRevision(revision)).map_err(format_error)
+    }
+
+    /// Decodes the body of a successful answer; any other status is an error.
+    pub fn read<T: DeserializeOwned>(self) -> Result<T, StoreError> {
+        match self.status() {
+            200..300 => self.read_body(),
+            status => Err(StoreError::Status(status)),
+        }
+    }
+
+    /// Decodes the body, whatever the status.
+    pub fn read_body<T: DeserializeOwned>(self) -> Result<T, StoreError> {
+        self.response.into_json().map_err(format_error)
+    }
+}
+
+/// Reads the era of each answer and remembers the latest. Clones share it.
+#[derive(Debug, Clone)]
+pub struct EraReader {
+    header: &'static str,
+    latest: Arc<AtomicU64>,
+}
+
+impl EraReader {
+    /// Creates a reader of the header with this name.
+    pub fn new(header: &'static str) -> Self {
+        Self {
+            header,
+            latest: Arc::default(),
+        }
+    }
+
+    /// Returns the latest era that an answer named.
+    pub fn latest(&self) -> StoreEra {
+        StoreEra(self.latest.load(Ordering::SeqCst))
+    }
+
+    /// Returns whether a later era than that of the version is known. An object that does not
+    /// exist is the same in all eras.
+    pub fn is_outdated(&self, version: ObjectVersion) -> bool {
+        !version.is_absent() && version.era() < self.latest()
+    }
+
+    /// Stands for the version of an object that has not been read in the latest era.
+    pub fn unread_version(&self) -> ObjectVersion {
+        StoreAnswer::version(self.latest(), 0).unwrap_or_default()
+    }
+
+    /// Reads the era of an answer, whatever its status.
+    pub fn read(
+        &self,
+        result: Result<ureq::Response, ureq::Error>,
+    ) -> Result<StoreAnswer, StoreError> {
+        let response = match result {
+            Ok(response) | Err(ureq::Error::Status(_, response)) => response,
+            Err(error) => return Err(error.into()),
+        };
+        let era = match response.header(self.header) {
+            Some(text) => text.trim().parse().map_err(format_error)?,
+            None => StoreEra(0),
+        };
+        // Rejects an era that does not fit before it is compared with others.
+        StoreAnswer::version(era, 0)?;
+        self.latest.fetch_max(era.0, Ordering::SeqCst);
+        Ok(StoreAnswer { era, response })
+    }
+}
+
+fn format_error(error: impl std::fmt::Display) -> StoreError {
+    StoreError::Format(error.to_string())
+}
+
 /// A client of the object API.
 #[derive(Debug, Clone)]
 pub struct StoreClient {
     base: CompactString,
     agent: ureq::Agent,
+    eras: EraReader,
 }
 
 impl StoreClient {
@@ -72,6 +168,7 @@
             agent: ureq::AgentBuilder::new()
                 .timeout_connect(CALL_TIMEOUT)
                 .build(),
+            eras: EraReader::new(ERA_HEADER),
         }
     }
 
@@ -82,17 +179,51 @@
     /// Lists all objects with their versions.
     pub fn list(&self) -> Result<ObjectList, StoreError> {
         let call = self.agent.get(&format!("{}/v1/objects", self.base));
-        read_object_list(call.timeout(CALL_TIMEOUT))
+        let answer = self.eras.read(call.timeout(CALL_TIMEOUT).call())?;
+        read_object_list(answer)
     }
 
-    /// Waits up to `wait` for a version above `after`.
-    pub fn watch(&self, after: ObjectVersion, wait: Duration) -> Result<ObjectList, StoreError> {
+    // Waits up to `wait` for a version above `after`. Returns `None` if the platform was
+    // restored since: versions above `after` do not show what has changed.
+    fn watch(
+        &self,
+        after: ObjectVersion,
+        wait: Duration,
+    ) -> Result<Option<ObjectList>, StoreError> {
+        if after.era() < self.eras.latest() {
+            return Ok(None);
+        }
         let call = self
             .agent
             .get(&format!("{}/v1/watch", self.base))
-            .query("after", &after.to_string())
+            .query("after", &after.revision().to_string())
             .query("wait_ms", &wait.as_millis().to_string());
-        read_object_list(call.timeout(wait + CALL_TIMEOUT))
+        let answer = self.eras.read(call.timeout(wait + CALL_TIMEOUT).call())?;
+        if answer.era != after.era() {
+            return Ok(None);
+        }
+        read_object_list(answer).map(Some)
+    }
+
+    fn write_outcome(
+        &self,
+        expected: ObjectVersion,
+        answer: StoreAnswer,
+    ) -> Result<WriteOutcome, StoreError> {
+        let (era, status) = (answer.era, answer.status());
+        let reply: WriteReply = match status {
+            409 => answer.read_body()?,
+            _ => answer.read()?,
+        };
+        let version = StoreAnswer::version(era, reply.version)?;
+        if status == 409 {
+            return Ok(WriteOutcome::Conflict(version));
+        }
+        if !expected.is_absent() && era != expected.era() {
+            // The object may have been another one that has the same version in this era.
+            return Err(StoreError::Restored);
+        }
+        Ok(WriteOutcome::Written(version))
     }
 }
 
@@ -111,24 +242,28 @@
         after: Option<ObjectVersion>,
         wait: Duration,
     ) -> Result<FeedUpdate, StoreError> {
-        let list = match after {
-            None => self.list(),
-            Some(after) => self.watch(after, wait),
-        }?;
-        let has_all = after.is_none();
+        let changes = match after {
+            None => None,
+            Some(after) => self.watch(after, wait)?,
+        };
+        let has_all = changes.is_none();
+        let list = match changes {
+            Some(changes) => changes,
+            None => self.list()?,
+        };
         Ok(FeedUpdate::Versions { list, has_all })
     }
 
     fn read(&self, id: &DocumentId) -> Result<Option<ObjectReply>, StoreError> {
         let call = self.agent.get(&self.object_url(id)).timeout(CALL_TIMEOUT);
-        match call.call() {
-            Ok(response) => response
-                .into_json()
-                .map(Some)
-                .map_err(|error| StoreError::Format(error.to_string())),
-            Err(ureq::Error::Status(404, _)) => Ok(None),
-            Err(error) => Err(error.into()),
+        let answer = self.eras.read(call.call())?;
+        if answer.status() == 404 {
+            return Ok(None);
         }
+        let era = answer.era;
+        let mut reply: ObjectReply = answer.read()?;
+        reply.version = StoreAnswer::version(era, reply.version)?.0;
+        Ok(Some(reply))
     }
 
     fn write(
@@ -137,30 +272,30 @@
         expected: ObjectVersion,
         value: &serde_json::Value,
     ) -> WriteOutcome {
+        if self.eras.is_outdated(expected) {
+            return WriteOutcome::Conflict(self.eras.unread_version());
+        }
         let call = self
             .agent
             .put(&self.object_url(id))
             .timeout(CALL_TIMEOUT)
-            .query("if_version", &expected.to_string());
-        match call.send_json(value) {
-            Ok(response) => match response.into_json::<WriteReply>() {
-                Ok(reply) => WriteOutcome::Written(ObjectVersion(reply.version)),
-                Err(error) => WriteOutcome::Unknown(StoreError::Format(error.to_string())),
-            },
-            Err(ureq::Error::Status(409, response)) => match response.into_json::<WriteReply>() {
-                Ok(reply) => WriteOutcome::Conflict(ObjectVersion(reply.version)),
-                Err(error) => WriteOutcome::Unknown(StoreError::Format(error.to_string())),
-            },
-            Err(error) => WriteOutcome::Unknown(error.into()),
-        }
+            .query("if_version", &expected.revision().to_string());
+        self.eras
+            .read(call.send_json(value))
+            .and_then(|answer| self.write_outcome(expected, answer))
+            .unwrap_or_else(WriteOutcome::Unknown)
     }
 }
 
-fn read_object_list(call: ureq::Request) -> Result<ObjectList, StoreError> {
-    call.call()
-        .map_err(StoreError::from)?
-        .into_json()
-        .map_err(|error| StoreError::Format(error.to_string()))
+// Reads a list, with the era in all its versions.
+fn read_object_list(answer: StoreAnswer) -> Result<ObjectList, StoreError> {
+    let era = answer.era;
+    let mut list: ObjectList = answer.read()?;
+    list.revision = StoreAnswer::version(era, list.revision)?.0;
+    for object in &mut list.objects {
+        object.version = StoreAnswer::version(era, object.version)?.0;
+    }
+    Ok(list)
 }
 
 impl From<ureq::Error> for StoreError {
--- a/crates/store/src/commit.rs
+++ b/crates/store/src/commit.rs
@@ -2,7 +2,8 @@
 //!
 //! A commit is conditional on the version that the operator saw, and carries
 //! an id. If the response to a write is lost, the object is read again: it
-//! contains the id if and only if the write took effect.
+//! contains the id if and only if the write took effect. If the platform was restored from an
+//! older copy, the id of a commit that it lost is missing too: the commit conflicts.
 
 use std::time::Duration;
 
@@ -188,7 +189,15 @@
 ) -> CommitOutcome {
     match current(client, manifest) {
         Ok(current) if has_commit(&current, commit_id) => CommitOutcome::Committed(current.version),
-        Ok(_) => CommitOutcome::Conflict { expected, found },
+        Ok(current) => {
+            // After a restore of the platform, the conflict does not state the version.
+            let found = if found.is_absent() {
+                current.version
+            } else {
+                found
+            };
+            CommitOutcome::Conflict { expected, found }
+        }
         Err(error) => CommitOutcome::Unknown(error),
     }
 }
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -2,13 +2,13 @@
 //! commits that determine whether a write with a lost response took effect.
 //!
 //! ```no_run
-//! use chestnutlb_core::{DocumentId, DocumentKind};
+//! use chestnutlb_core::{DocumentId, DocumentKind, ObjectVersion};
 //! use chestnutlb_store::{StoreCalls, StoreClient};
 //!
 //! let client = StoreClient::new("http://127.0.0.1:7100");
 //! let roster = DocumentId::new(DocumentKind::Roster, "honam-1");
 //! if let Some(reply) = client.read(&roster)? {
-//!     println!("version {}", reply.version);
+//!     println!("version {}", ObjectVersion(reply.version));
 //! }
 //! # Ok::<(), chestnutlb_store::StoreError>(())
 //! ```
@@ -19,6 +19,6 @@
 pub mod objects;
 
 pub use calls::{FeedIndex, FeedObject, FeedPosition, FeedStep, FeedUpdate, StoreCalls};
-pub use client::{StoreClient, StoreError, WriteOutcome};
+pub use client::{EraReader, StoreAnswer, StoreClient, StoreError, WriteOutcome};
 pub use commit::{CommitOutcome, CommitPlan, CurrentManifest};
 pub use objects::{EditOutcome, LoadedDocument};
--- a/crates/wire/src/object.rs
+++ b/crates/wire/src/object.rs
@@ -7,13 +7,20 @@
 //! | `GET /v1/objects` | lists all objects with their versions |
 //! | `GET /v1/watch?after=N&wait_ms=T` | waits for a version above N |
 //!
-//! The platform draws all versions from one counter, so they only increase.
+//! The platform draws all versions from one counter, so they only increase. If it was restored
+//! from an older copy, it loses what was written since and assigns versions again. The response
+//! header `Object-Era`, a whole number in every response, whatever its status, is then higher by
+//! one. A missing header stands for era 0. In queries and responses a version is the number
+//! within the era; the clients keep both and order versions by era first.
 
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 
 use crate::manifest::WireManifest;
 
+/// Response header with the era of the platform.
+pub const ERA_HEADER: &str = "Object-Era";
+
 /// Response to a read.
 #[derive(Debug, Clone, PartialEq)]
 #[derive(Serialize, Deserialize)]
