Test: a stopped entry VM that a restored store lists again

An older copy may list an entry VM that has left. The rings follow the restored members after 3 s, and its neighbours remove it for its silence, as after a crash. No change of behaviour.

--- a/crates/core/tests/restored_store.rs
+++ b/crates/core/tests/restored_store.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 
 use chestnutlb_core::control::{JOB_TIMEOUT, RESTORE_SETTLE_TIME};
+use chestnutlb_core::members::{ENTRY_SILENCE, RANK_DELAY};
 use chestnutlb_core::{
     ControlAction, ControlEvent, DocumentId, DocumentItem, DocumentKind, EntryControl, HostRecord,
     HostRevision, HostState, MemberEdit, ObjectVersion, RosterEdit, ServiceKind, StoreEra,
@@ -132,6 +133,7 @@
     // Version of the store up to which each entry VM has watched it; `None` if it does not.
     watched: Vec<Option<ObjectVersion>>,
     is_watching: Vec<bool>,
+    is_stopped: Vec<bool>,
     hosts: Vec<Host>,
     in_flight: Vec<(usize, ControlEvent)>,
 }
@@ -154,6 +156,7 @@
             entries: (0..ENTRIES).map(control).collect(),
             watched: vec![None; ENTRIES],
             is_watching: vec![false; ENTRIES],
+            is_stopped: vec![false; ENTRIES],
             hosts: Vec::new(),
             in_flight: Vec::new(),
         };
@@ -198,7 +201,17 @@
         }
     }
 
+    // An entry VM removes itself from the members and ends.
+    fn stop_entry(&mut self, index: usize) {
+        self.handle(index, ControlEvent::Stop);
+        self.is_stopped[index] = true;
+        self.is_watching[index] = false;
+    }
+
     fn handle(&mut self, index: usize, event: ControlEvent) -> bool {
+        if self.is_stopped[index] {
+            return false;
+        }
         let mut resend = false;
         for action in self.entries[index].handle(event, at(self.now)) {
             match action {
@@ -538,3 +551,21 @@
         assert_eq!(listed, world.running_hosts(), "round {round}");
     }
 }
+
+// It is not heard, as if it had crashed; only the time until the rings follow is added.
+#[test]
+fn stopped_entry_vm_that_the_restored_store_lists_again_is_removed_again() {
+    let mut world = world_with_copy(HOSTS);
+    world.store.keep_copy();
+    world.stop_entry(ENTRIES - 1);
+    world.run(3_000);
+    assert_eq!(world.stored_names(DocumentKind::Members).len(), ENTRIES - 1);
+    world.store.restore();
+    let limit = RESTORE_SETTLE_TIME + ENTRY_SILENCE + RANK_DELAY;
+    let took = world.run_until(limit.as_millis() as u64, |world| {
+        world.stored_names(DocumentKind::Members).len() == ENTRIES - 1
+    });
+    println!("removed after {took} ms");
+    let listed = world.stored_names(DocumentKind::Roster);
+    assert_eq!(listed, world.running_hosts());
+}
