wait is met only by versions of the same era

Cause: wait compared versions, and every version of a later era is higher.

Change: a version of another era does not meet the condition. wait exits with 1, its result names that the platform was restored (`restored` in JSON), and the text asks to plan again. A commit that the copy contains is not reported either: its version of the earlier era does not show that.

Ruled out: comparing the revisions of two eras. They are given out again.

Measured: client/tests/commands.rs, 7 cases; with the comparison before, the cases of a later era exit with 0.

--- a/crates/client/src/entry_commands.rs
+++ b/crates/client/src/entry_commands.rs
@@ -218,6 +218,9 @@
     after_ms: u64,
     /// Entry VMs and hosts on which the manifest version is not in force.
     behind: Vec<String>,
+    /// Whether a version of a later era is in force, so that the platform may have lost this
+    /// one in a restore from an older copy.
+    restored: bool,
 }
 
 impl fmt::Display for WaitResult {
@@ -225,7 +228,12 @@
         if self.in_force {
             write!(f, "in force everywhere after {} ms", self.after_ms)
         } else {
-            write!(f, "not in force on: {}", self.behind.join(", "))
+            write!(f, "not in force on: {}", self.behind.join(", "))?;
+            if self.restored {
+                let text = "the platform was restored from an older copy since: plan again";
+                write!(f, "\n{text}")?;
+            }
+            Ok(())
         }
     }
 }
@@ -247,12 +255,17 @@
                     in_force: true,
                     after_ms: start.elapsed().as_millis() as u64,
                     behind: Vec::new(),
+                    restored: false,
                 };
                 print_result(self.json, &result);
                 return CommandOutcome::Done;
             }
             if start.elapsed() >= limit {
-                return self.report_timeout(behind.map_err(Clone::clone), start.elapsed());
+                let restored = entry_statuses
+                    .as_ref()
+                    .is_ok_and(|entry_statuses| self.is_restored(entry_statuses));
+                let behind = behind.map_err(Clone::clone);
+                return self.report_timeout(behind, restored, start.elapsed());
             }
             std::thread::sleep(POLL_INTERVAL);
         }
@@ -261,6 +274,7 @@
     fn report_timeout(
         &self,
         behind: Result<Vec<String>, String>,
+        restored: bool,
         waited: Duration,
     ) -> CommandOutcome {
         match behind {
@@ -269,6 +283,7 @@
                     in_force: false,
                     after_ms: waited.as_millis() as u64,
                     behind,
+                    restored,
                 };
                 print_result(self.json, &result);
                 CommandOutcome::NotMet
@@ -280,6 +295,27 @@
         }
     }
 
+    // A version of a later era may lack what the manifest version contains.
+    fn is_met_by(&self, version: ObjectVersion) -> bool {
+        version.era() == self.manifest.era() && version >= self.manifest
+    }
+
+    fn is_restored(&self, entry_statuses: &[(String, Option<EntryStatus>)]) -> bool {
+        let statuses = entry_statuses
+            .iter()
+            .filter_map(|(_, status)| status.as_ref());
+        let mut versions = statuses.filter_map(|status| self.version_in_force(status));
+        versions.any(|version| version.era() > self.manifest.era())
+    }
+
+    // Returns the manifest version of the firm that is in force on an entry VM.
+    fn version_in_force(&self, status: &EntryStatus) -> Option<ObjectVersion> {
+        let mut documents = status.documents.iter();
+        let document = documents
+            .find(|document| document.kind == "manifest" && document.name == self.firm.as_str())?;
+        Some(ObjectVersion(document.version))
+    }
+
     // Returns the entry VMs and hosts on which the manifest version is not in force, including
     // entry VMs whose status can't be read.
     fn find_behind(&self, entry_statuses: &[(String, Option<EntryStatus>)]) -> Vec<String> {
@@ -290,12 +326,8 @@
                 behind.push(name.clone());
                 continue;
             };
-            let has_version = status.documents.iter().any(|document| {
-                document.kind == "manifest"
-                    && document.name == self.firm.as_str()
-                    && document.version >= self.manifest.0
-            });
-            if !has_version {
+            let version = self.version_in_force(status);
+            if !version.is_some_and(|version| self.is_met_by(version)) {
                 behind.push(name.clone());
             }
             let service_prefix = format!("{}/", self.firm);
@@ -310,7 +342,7 @@
         }
         let outdated = hosts
             .into_iter()
-            .filter(|(_, version)| *version < self.manifest.0);
+            .filter(|(_, version)| !self.is_met_by(ObjectVersion(*version)));
         behind.extend(outdated.map(|(name, _)| name));
         behind
     }
--- a/crates/client/tests/commands.rs
+++ b/crates/client/tests/commands.rs
@@ -1,5 +1,7 @@
 //! Output and exit codes of commands that need no running processes.
 
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::process::Command;
 
@@ -71,3 +73,56 @@
     let other_flow = run(&["story", "--flow", "10.9.0.1:2>10.20.0.1:7000", &entry]);
     assert!(other_flow.ends_with("exit 1\n"), "{other_flow}");
 }
+
+// Starts an entry VM's status server that reports this version of a manifest in force.
+fn start_entry(version: u64) -> SocketAddr {
+    let status = format!(
+        r#"{{"name":"entry-1","datacenter":"honam-1","stopping":false,"watching":true,
+        "age_ms":1,"documents":[{{"kind":"manifest","name":"dalbit","version":{version}}}],
+        "entries":[],"hosts":[],"counters":{{}}}}"#
+    );
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        for stream in listener.incoming() {
+            let stream = stream.unwrap();
+            let lines = BufReader::new(&stream).lines();
+            // Reads the request up to the empty line.
+            lines.map_while(Result::ok).find(String::is_empty);
+            let _ = write!(
+                &stream,
+                "HTTP/1.1 200 OK\r\nContent-Length: {}\r\nConnection: close\r\n\r\n{status}",
+                status.len()
+            );
+        }
+    });
+    address
+}
+
+// A version of the earlier era may have been lost, whatever its revision.
+#[test]
+fn wait_is_met_only_by_versions_of_the_same_era() {
+    const ERA: u64 = 1 << 44;
+    let wait = |in_force: u64, version: &str| {
+        let entry = start_entry(in_force).to_string();
+        let arguments = [
+            "wait",
+            "--firm",
+            "dalbit",
+            "--seconds",
+            "0",
+            "--entry",
+            &entry,
+        ];
+        let output = run(&[&arguments[..], &["--manifest", version]].concat());
+        let code = output.trim_end().chars().last().unwrap();
+        (code, output.contains("restored"))
+    };
+    assert_eq!(wait(20, "20"), ('0', false));
+    assert_eq!(wait(20, "21"), ('1', false));
+    assert_eq!(wait(ERA + 18, "20"), ('1', true));
+    assert_eq!(wait(ERA + 30, "20"), ('1', true));
+    assert_eq!(wait(ERA + 18, "1.18"), ('0', false));
+    assert_eq!(wait(ERA + 18, "1.19"), ('1', false));
+    assert_eq!(wait(ERA + 18, "2.1"), ('1', false));
+}
