--- a/crates/client/src/entry_commands.rs
+++ b/crates/client/src/entry_commands.rs
@@ -9,6 +9,7 @@
 use serde::Serialize;
 
 use chestnutlb_core::{FirmName, ObjectVersion};
+use chestnutlb_wire::records::VersionField;
 use chestnutlb_wire::status::{EntryStatus, FlowExplanation, HopExplanation};
 
 use crate::output::{CommandOutcome, print_error, print_result};
@@ -109,7 +110,7 @@
     /// Time since the platform confirmed the documents, in milliseconds.
     age_ms: Option<u64>,
     /// Versions of the documents in force, by `kind/name`.
-    versions: BTreeMap<String, u64>,
+    versions: BTreeMap<String, VersionField>,
 }
 
 /// Status of all entry VMs and hosts.
@@ -118,7 +119,7 @@
 struct SystemStatus {
     entries: Vec<EntryRow>,
     /// Highest manifest version that an entry VM reports for each host.
-    hosts: BTreeMap<String, u64>,
+    hosts: BTreeMap<String, VersionField>,
 }
 
 impl fmt::Display for SystemStatus {
@@ -175,7 +176,7 @@
                 return CommandOutcome::Unknown;
             }
         };
-        let mut hosts = BTreeMap::new();
+        let mut hosts: BTreeMap<String, u64> = BTreeMap::new();
         let mut entries = Vec::new();
         for (name, status) in entry_statuses {
             let mut row = EntryRow {
@@ -190,7 +191,8 @@
                 row.age_ms = status.age_ms;
                 for document in &status.documents {
                     let document_path = format!("{}/{}", document.kind, document.name);
-                    row.versions.insert(document_path, document.version);
+                    let version = ObjectVersion(document.version);
+                    row.versions.insert(document_path, version.into());
                 }
                 for host in &status.hosts {
                     let version = hosts.entry(host.name.to_string()).or_insert(host.manifest);
@@ -199,6 +201,10 @@
             }
             entries.push(row);
         }
+        let hosts = hosts
+            .into_iter()
+            .map(|(host, version)| (host, ObjectVersion(version).into()))
+            .collect();
         print_result(self.json, &SystemStatus { entries, hosts });
         CommandOutcome::Done
     }
@@ -212,6 +218,9 @@
     after_ms: u64,
     /// Entry VMs and hosts on which the manifest version is not in force.
     behind: Vec<String>,
+    /// Whether a version of a later era is in force, so that the platform may have lost this
+    /// one in a restore from an older copy.
+    restored: bool,
 }
 
 impl fmt::Display for WaitResult {
@@ -219,7 +228,12 @@
         if self.in_force {
             write!(f, "in force everywhere after {} ms", self.after_ms)
         } else {
-            write!(f, "not in force on: {}", self.behind.join(", "))
+            write!(f, "not in force on: {}", self.behind.join(", "))?;
+            if self.restored {
+                let text = "the platform was restored from an older copy since: plan again";
+                write!(f, "\n{text}")?;
+            }
+            Ok(())
         }
     }
 }
@@ -241,12 +255,17 @@
                     in_force: true,
                     after_ms: start.elapsed().as_millis() as u64,
                     behind: Vec::new(),
+                    restored: false,
                 };
                 print_result(self.json, &result);
                 return CommandOutcome::Done;
             }
             if start.elapsed() >= limit {
-                return self.report_timeout(behind.map_err(Clone::clone), start.elapsed());
+                let restored = entry_statuses
+                    .as_ref()
+                    .is_ok_and(|entry_statuses| self.is_restored(entry_statuses));
+                let behind = behind.map_err(Clone::clone);
+                return self.report_timeout(behind, restored, start.elapsed());
             }
             std::thread::sleep(POLL_INTERVAL);
         }
@@ -255,6 +274,7 @@
     fn report_timeout(
         &self,
         behind: Result<Vec<String>, String>,
+        restored: bool,
         waited: Duration,
     ) -> CommandOutcome {
         match behind {
@@ -263,6 +283,7 @@
                     in_force: false,
                     after_ms: waited.as_millis() as u64,
                     behind,
+                    restored,
                 };
                 print_result(self.json, &result);
                 CommandOutcome::NotMet
@@ -274,6 +295,27 @@
         }
     }
 
+    // A version of a later era may lack what the manifest version contains.
+    fn is_met_by(&self, version: ObjectVersion) -> bool {
+        version.era() == self.manifest.era() && version >= self.manifest
+    }
+
+    fn is_restored(&self, entry_statuses: &[(String, Option<EntryStatus>)]) -> bool {
+        let statuses = entry_statuses
+            .iter()
+            .filter_map(|(_, status)| status.as_ref());
+        let mut versions = statuses.filter_map(|status| self.version_in_force(status));
+        versions.any(|version| version.era() > self.manifest.era())
+    }
+
+    // Returns the manifest version of the firm that is in force on an entry VM.
+    fn version_in_force(&self, status: &EntryStatus) -> Option<ObjectVersion> {
+        let mut documents = status.documents.iter();
+        let document = documents
+            .find(|document| document.kind == "manifest" && document.name == self.firm.as_str())?;
+        Some(ObjectVersion(document.version))
+    }
+
     // Returns the entry VMs and hosts on which the manifest version is not in force, including
     // entry VMs whose status can't be read.
     fn find_behind(&self, entry_statuses: &[(String, Option<EntryStatus>)]) -> Vec<String> {
@@ -284,12 +326,8 @@
                 behind.push(name.clone());
                 continue;
             };
-            let has_version = status.documents.iter().any(|document| {
-                document.kind == "manifest"
-                    && document.name == self.firm.as_str()
-                    && document.version >= self.manifest.0
-            });
-            if !has_version {
+            let version = self.version_in_force(status);
+            if !version.is_some_and(|version| self.is_met_by(version)) {
                 behind.push(name.clone());
             }
             let service_prefix = format!("{}/", self.firm);
@@ -304,7 +342,7 @@
         }
         let outdated = hosts
             .into_iter()
-            .filter(|(_, version)| *version < self.manifest.0);
+            .filter(|(_, version)| !self.is_met_by(ObjectVersion(*version)));
         behind.extend(outdated.map(|(name, _)| name));
         behind
     }
--- a/crates/client/src/manifests.rs
+++ b/crates/client/src/manifests.rs
@@ -9,6 +9,7 @@
 
 use chestnutlb_core::{FirmManifest, ObjectVersion};
 use chestnutlb_store::{CommitOutcome, CurrentManifest, StoreClient, commit, objects};
+use chestnutlb_wire::records::VersionField;
 use chestnutlb_wire::{DocumentError, WireManifest, parse_json};
 
 use crate::output::{CommandOutcome, print_error, print_result};
@@ -90,7 +91,7 @@
 #[derive(Debug)]
 #[derive(Serialize)]
 struct PlanResult {
-    base: u64,
+    base: VersionField,
     changes: Vec<String>,
 }
 
@@ -109,7 +110,7 @@
 #[derive(Debug)]
 #[derive(Serialize)]
 struct CommitResult {
-    version: u64,
+    version: VersionField,
     id: String,
 }
 
@@ -190,11 +191,25 @@
         commit::current(client, wire).map_err(|error| outcome_unknown(&error))?;
     let plan = commit::plan(&current, manifest).map_err(|error| refused(&error))?;
     Ok(PlanResult {
-        base: plan.base.0,
+        base: plan.base.into(),
         changes: plan.changes.iter().map(ToString::to_string).collect(),
     })
 }
 
+fn conflict_text(expected: ObjectVersion, found: ObjectVersion) -> String {
+    let cause = if found.is_absent() {
+        "the platform stores no manifest"
+    } else if found.era() > expected.era() && !expected.is_absent() {
+        "the platform was restored from an older copy"
+    } else {
+        "another commit came first"
+    };
+    format!(
+        "conflict: {cause}; expected version {expected}, found {found}; nothing was changed, \
+         plan again"
+    )
+}
+
 // Error text for a platform without the object that all grants are stored in.
 const NO_GRANTS: &str = "the platform stores no grants of addresses (object grants/all)";
 
@@ -225,17 +240,13 @@
         };
         let (outcome, text) = match commit::commit(&client, &wire, base, &id) {
             CommitOutcome::Committed(version) => {
-                let version = version.0;
+                let version = version.into();
                 print_result(self.json, &CommitResult { version, id });
                 return CommandOutcome::Done;
             }
-            CommitOutcome::Conflict { expected, found } => (
-                CommandOutcome::NotMet,
-                format!(
-                    "conflict: another commit came first; expected version {expected}, \
-                     found {found}; nothing was changed, plan again"
-                ),
-            ),
+            CommitOutcome::Conflict { expected, found } => {
+                (CommandOutcome::NotMet, conflict_text(expected, found))
+            }
             CommitOutcome::Refused(error) => (CommandOutcome::Refused, error.to_string()),
             CommitOutcome::NoGrants => (CommandOutcome::Refused, NO_GRANTS.to_owned()),
             CommitOutcome::Unknown(error) => (
--- a/crates/daemon/src/entry_control.rs
+++ b/crates/daemon/src/entry_control.rs
@@ -16,6 +16,7 @@
 
 use crate::clock;
 use crate::entry_http::EntryShared;
+use crate::logs::LoggedVersion;
 use crate::metrics::{Counter, try_push};
 
 /// Longest wait for an event.
@@ -188,7 +189,8 @@
                 log::info!(target: "members", host:% = host; "outdated record dropped");
             }
             ControlAction::InForce(id, version) => {
-                log::info!(target: "document", document:% = id, version = version.0; "in force");
+                let version = LoggedVersion::from(version);
+                log::info!(target: "document", document:% = id, version = version; "in force");
                 self.shared.publish_documents(self.control.documents());
             }
         }
@@ -224,14 +226,14 @@
             target: "host",
             host:% = change.name, packets:% = change.packets, listed = change.is_listed,
             from = state_name(change.before).as_str(), state = state_name(change.after).as_str(),
-            generation = view.generation.0;
+            generation = LoggedVersion::from(view.generation);
             "in view"
         );
     }
     if let Some(unlogged) = changes.len().checked_sub(MAX_LOGGED_HOST_CHANGES)
         && unlogged > 0
     {
-        log::info!(target: "host", changes = unlogged, generation = view.generation.0; "more in view");
+        log::info!(target: "host", changes = unlogged, generation = LoggedVersion::from(view.generation); "more in view");
     }
 }
 
