--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -20,7 +20,7 @@
 use crate::fabric::{FabricEntry, FabricFaults, FabricPlan};
 use crate::free_ports::{free_address, lock_ports};
 use crate::http;
-use crate::platform::PlatformSwitch;
+use crate::platform::{PlatformSwitch, RestorePoint, RestoreReply};
 use crate::proxy::{LinkFault, LinkProxy};
 
 /// Timeout for a condition, far longer than any condition takes to become true.
@@ -261,6 +261,18 @@
         }
     }
 
+    /// Puts back an older copy of the platform's objects.
+    pub fn restore(&self, point: RestorePoint) -> FleetResult<RestoreReply> {
+        let body = serde_json::to_string(&point).unwrap_or_default();
+        let (status, text) = http::send_request(self.platform, "POST", "/restore", &body)?;
+        serde_json::from_str(&text)
+            .ok()
+            .filter(|_| status == 200)
+            .ok_or(FleetError::Failed(format!(
+                "platform not restored to {point:?}: {status} {text}"
+            )))
+    }
+
     /// Runs the operators' client and returns its output.
     pub fn run_client(&self, arguments: &[&str]) -> FleetResult<Output> {
         Ok(Command::new(self.binaries.join("chestnutlb"))
