Fault soak: restore the platform from an older copy

What: the new step restores the store from a copy up to 5 s old, half of the times after it was down for up to 1.5 s, overlapping with the other faults.

--- a/crates/standin/src/soak_plan.rs
+++ b/crates/standin/src/soak_plan.rs
@@ -22,6 +22,20 @@
 /// Largest number of steps in a series; all steps of a series are the same.
 const SERIES_LIMIT: u32 = 3;
 
+/// Combined with the seed for the restores, which have random numbers of their own: the
+/// other steps of a seed are the same as before there were restores.
+const RESTORE_STREAM: u64 = 0x7265_7374_6f72_6573;
+
+/// Approximate mean time between two restores; the time is drawn from 100 ms to twice this
+/// value.
+const RESTORE_GAP: Duration = Duration::from_secs(4);
+
+/// Largest age of a copy that the platform is restored from, in milliseconds.
+const RESTORE_AGE_LIMIT_MS: u64 = 5_000;
+
+/// Longest time for which the platform is down before a restore, in milliseconds.
+const AWAY_LIMIT_MS: u64 = 1_500;
+
 /// Size of the fleet and duration of the fault phase.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct SoakShape {
@@ -76,6 +90,9 @@
     Fabric(u32, u32, Duration),
     /// Commits a changed manifest.
     Commit,
+    /// Restores the platform from a copy of the first age, after it was down for the second
+    /// time.
+    Restore(Duration, Duration),
 }
 
 impl SoakStep {
@@ -85,7 +102,8 @@
             Self::Freeze(_, time)
             | Self::Link(_, _, time)
             | Self::Platform(_, time)
-            | Self::Fabric(_, _, time) => *time,
+            | Self::Fabric(_, _, time)
+            | Self::Restore(_, time) => *time,
             Self::Kill(_) | Self::KillEntries | Self::Stop(_) | Self::Reload(_) | Self::Commit => {
                 Duration::ZERO
             }
@@ -105,6 +123,14 @@
             Self::Platform(switch, _) => write!(f, "platform: {switch:?}"),
             Self::Fabric(loss, repeat, _) => write!(f, "fabric: {loss}% lost, {repeat}% twice"),
             Self::Commit => f.write_str("commit"),
+            Self::Restore(age, Duration::ZERO) => {
+                write!(f, "restore of {} ms ago", age.as_millis())
+            }
+            Self::Restore(age, _) => write!(
+                f,
+                "platform: down before a restore of {} ms ago",
+                age.as_millis()
+            ),
         }
     }
 }
@@ -144,11 +170,29 @@
         }
         series_start += random_millis(&mut random, 100, 2 * SERIES_GAP.as_millis() as u64);
     }
+    steps.extend(draw_restores(seed, shape));
     steps.retain(|planned| planned.start + planned.step.duration() < shape.fault_time);
     steps.sort_by_key(|planned| planned.start);
     steps
 }
 
+// Draws restores of copies that were taken after the start of the soak. Before half of them
+// the platform is down.
+fn draw_restores(seed: u64, shape: SoakShape) -> Vec<PlannedStep> {
+    let mut random = StdRng::seed_from_u64(seed ^ RESTORE_STREAM);
+    let gap_limit = 2 * RESTORE_GAP.as_millis() as u64;
+    let mut restores = Vec::new();
+    let mut start = random_millis(&mut random, 100, gap_limit);
+    while start < shape.fault_time {
+        let age = random_millis(&mut random, 100, RESTORE_AGE_LIMIT_MS).min(start);
+        let away = random_millis(&mut random, 100, AWAY_LIMIT_MS) * random.random_range(0..2);
+        let step = SoakStep::Restore(age, away);
+        restores.push(PlannedStep { start, step });
+        start += random_millis(&mut random, 100, gap_limit);
+    }
+    restores
+}
+
 fn random_millis(random: &mut StdRng, from: u64, to: u64) -> Duration {
     Duration::from_millis(random.random_range(from..to))
 }
