Fault soak and wait_ready compare what entry VMs hold with what the platform stores

What: Fleet::wait_ready compares the members of each entry VM with the stored ones. After all faults, the soak also checks that each entry VM routes to exactly the stored hosts. Why: after a restore the versions of lost members or rosters are assigned again, so equal versions may have different content.

--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -10,12 +10,14 @@
 use std::time::{Duration, Instant};
 
 use quick_error::quick_error;
+use serde::de::DeserializeOwned;
 use serde_json::json;
 
 use chestnutlb_core::{DocumentId, DocumentKind, ObjectVersion};
 use chestnutlb_store::{StoreCalls, StoreClient, WriteOutcome, objects};
-use chestnutlb_wire::status::{EntryStatus, SideStatus};
-use chestnutlb_wire::{WireHost, WireRoster};
+use chestnutlb_wire::records::WireEntry;
+use chestnutlb_wire::status::{EntryStatus, FlowExplanation, SideStatus};
+use chestnutlb_wire::{WireHost, WireMembers, WireRoster};
 
 use crate::fabric::{FabricEntry, FabricFaults, FabricPlan};
 use crate::free_ports::{free_address, lock_ports};
@@ -307,13 +309,13 @@
             .ok_or(FleetError::Failed(format!("plan printed no base: {text}")))
     }
 
-    /// Returns the service that an entry VM knows at an address, if there is one.
-    pub fn service_at(&self, entry: &str, address: &str) -> Option<String> {
+    /// Returns how an entry VM routes a flow to a service address, or `None` if it knows no
+    /// service there.
+    pub fn explain(&self, entry: &str, address: &str) -> Option<FlowExplanation> {
         let status = self.entries.get(entry)?.status;
         let path = format!("/v1/explain?caller=10.9.1.1:10000&service={address}");
         let (_, body) = http::send_request(status, "GET", &path, "").ok()?;
-        let explanation: serde_json::Value = serde_json::from_str(&body).ok()?;
-        Some(explanation["service"].as_str()?.to_owned())
+        serde_json::from_str(&body).ok()
     }
 
     /// Waits through the client until a manifest version is in force everywhere; returns
@@ -548,13 +550,15 @@
     }
 
     // Returns whether an entry VM has exactly the version of each document that the platform
-    // lists. A higher version is one that the platform has lost.
+    // lists, and its members. A higher version, or other members, are what the platform has
+    // lost.
     fn has_all_documents(&self, entry: &str) -> bool {
         let expected = self.document_versions();
         let Some(status) = self.entry_status(entry) else {
             return false;
         };
         !expected.is_empty()
+            && sort_by_name(status.entries) == self.stored_members()
             && expected.iter().all(|(id, version)| {
                 status.documents.iter().any(|document| {
                     document.kind == id.kind.as_str()
@@ -566,14 +570,25 @@
 
     /// Returns all hosts in the platform's rosters.
     pub fn roster_hosts(&self) -> Vec<WireHost> {
+        let rosters = self.read_all::<WireRoster>(DocumentKind::Roster);
+        rosters.flat_map(|roster| roster.hosts).collect()
+    }
+
+    // Returns all entry VMs in the platform's members, by name.
+    fn stored_members(&self) -> Vec<WireEntry> {
+        let members = self.read_all::<WireMembers>(DocumentKind::Members);
+        let entries = members.flat_map(|members| members.entries);
+        sort_by_name(entries.collect())
+    }
+
+    // Reads all objects of a kind; skips those that can't be read.
+    fn read_all<T: DeserializeOwned>(&self, kind: DocumentKind) -> impl Iterator<Item = T> {
         let client = self.client();
         self.document_versions()
-            .iter()
-            .filter(|(id, _)| id.kind == DocumentKind::Roster)
-            .filter_map(|(id, _)| client.read(id).ok().flatten())
-            .filter_map(|reply| serde_json::from_value::<WireRoster>(reply.value).ok())
-            .flat_map(|roster| roster.hosts)
-            .collect()
+            .into_iter()
+            .filter(move |(id, _)| id.kind == kind)
+            .filter_map(move |(id, _)| client.read(&id).ok().flatten())
+            .filter_map(|reply| serde_json::from_value(reply.value).ok())
     }
 
     /// Returns the id and version of each document on the platform; the list is empty if
@@ -690,6 +705,11 @@
     }
 }
 
+fn sort_by_name(mut entries: Vec<WireEntry>) -> Vec<WireEntry> {
+    entries.sort_by(|entry, other| entry.name.cmp(&other.name));
+    entries
+}
+
 impl Drop for Fleet {
     fn drop(&mut self) {
         for child in self.processes.values_mut() {
--- a/crates/standin/src/soak.rs
+++ b/crates/standin/src/soak.rs
@@ -14,6 +14,7 @@
 use serde::Serialize;
 use signal_hook::consts::{SIGCONT, SIGHUP, SIGKILL, SIGSTOP, SIGTERM};
 
+use chestnutlb_core::placement::CHAIN_HOPS;
 use chestnutlb_core::{DocumentId, DocumentKind};
 use chestnutlb_store::StoreCalls;
 
@@ -586,6 +587,11 @@
         if let Err(error) = self.fleet.wait_ready(&entries, &hosts) {
             violations.push(format!("no convergence after all faults: {error}"));
         }
+        for entry in &entries {
+            if let Err(error) = self.check_routes(entry) {
+                violations.push(format!("routes after all faults: {error}"));
+            }
+        }
         for firm in FIRMS {
             if let Err(error) = self.check_stored_manifest(firm, &entries) {
                 violations.push(format!("manifest of {firm} after all faults: {error}"));
@@ -594,6 +600,32 @@
         Ok(violations)
     }
 
+    // Checks that an entry VM routes to exactly the hosts in the platform's rosters; of a large
+    // service, to as many of them as a walk has.
+    fn check_routes(&self, entry: &str) -> Result<(), FleetError> {
+        for (address, service) in [
+            (FEED_SERVICE, "dalbit/catalogue"),
+            (ORDER_SERVICE, "calinawan/order-desk"),
+        ] {
+            let what = format!("{entry} to route {service} as the platform lists it");
+            self.fleet.wait_for(&what, || {
+                let hosts = self.fleet.roster_hosts().into_iter();
+                let listed: BTreeMap<_, _> = hosts
+                    .filter(|host| host.service == service)
+                    .map(|host| (host.name, host.packets))
+                    .collect();
+                self.fleet
+                    .explain(entry, address)
+                    .is_some_and(|explanation| {
+                        let mut hops = explanation.walk.iter();
+                        explanation.walk.len() >= listed.len().min(CHAIN_HOPS)
+                            && hops.all(|hop| listed.get(&hop.host) == Some(&hop.packets))
+                    })
+            })?;
+        }
+        Ok(())
+    }
+
     // Checks that the platform has the last acknowledged commit of a firm or a later one, and
     // that exactly this manifest is in force everywhere.
     fn check_stored_manifest(&self, firm: &str, entries: &[String]) -> Result<(), FleetError> {
@@ -613,7 +645,7 @@
         for entry in entries {
             self.fleet
                 .wait_for(&format!("{entry} to know the service at {address}"), || {
-                    self.fleet.service_at(entry, address).is_some()
+                    self.fleet.explain(entry, address).is_some()
                 })?;
         }
         let (version, _) = self.fleet.plan(&self.manifest_path(firm))?;
