Stand-in tools read versions with an era

What: Fleet::commit and plan read a version printed as a number or as text, and wait_in_force passes it on in the client's own form. The soak's log check reads numbers as era 0 and `1.7` as era 1; a line without a version it can read is a violation.

--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -290,7 +290,7 @@
         let text = String::from_utf8_lossy(&output.stdout).into_owned();
         serde_json::from_str::<serde_json::Value>(&text)
             .ok()
-            .and_then(|value| value["version"].as_u64())
+            .and_then(|value| parse_version(&value["version"]))
             .ok_or(FleetError::Failed(format!(
                 "commit printed no version: {text}"
             )))
@@ -305,7 +305,12 @@
         let text = String::from_utf8_lossy(&output.stdout).into_owned();
         serde_json::from_str::<serde_json::Value>(&text)
             .ok()
-            .and_then(|plan| Some((plan["base"].as_u64()?, plan["changes"].as_array()?.len())))
+            .and_then(|plan| {
+                Some((
+                    parse_version(&plan["base"])?,
+                    plan["changes"].as_array()?.len(),
+                ))
+            })
             .ok_or(FleetError::Failed(format!("plan printed no base: {text}")))
     }
 
@@ -326,7 +331,8 @@
             .values()
             .next()
             .ok_or(FleetError::Failed("the fleet has no entry VM".to_owned()))?;
-        let (entry, version) = (entry.status.to_string(), version.to_string());
+        let entry = entry.status.to_string();
+        let version = ObjectVersion(version).to_string();
         let output = self.run_client(&[
             "wait",
             "--json",
@@ -705,6 +711,14 @@
     }
 }
 
+// Parses a version as the client prints it: a number, or text with an era.
+fn parse_version(printed: &serde_json::Value) -> Option<u64> {
+    match printed.as_str() {
+        Some(text) => text.parse::<ObjectVersion>().ok().map(|version| version.0),
+        None => printed.as_u64(),
+    }
+}
+
 fn sort_by_name(mut entries: Vec<WireEntry>) -> Vec<WireEntry> {
     entries.sort_by(|entry, other| entry.name.cmp(&other.name));
     entries
--- a/crates/standin/src/soak_check.rs
+++ b/crates/standin/src/soak_check.rs
@@ -67,7 +67,7 @@
 
 /// Returns a violation for each document version in an entry VM's log that is not above
 /// the previous one of the same document since the last start of the process. Versions are
-/// ordered by the platform's era first; a line without an era has era 0.
+/// ordered by the platform's era first: `1.7` is in era 1, and a number in era 0.
 pub fn find_regressions(entry: &str, log: &str) -> Vec<String> {
     let mut versions: HashMap<String, (u64, u64)> = HashMap::new();
     let mut violations = Vec::new();
@@ -78,22 +78,33 @@
         if line["event"] != "in force" {
             continue;
         }
-        let (Some(document), Some(version)) = (line["document"].as_str(), line["version"].as_u64())
-        else {
+        let Some(document) = line["document"].as_str() else {
             continue;
         };
-        let era = line["era"].as_u64().unwrap_or_default();
-        let previous = versions.insert(document.to_owned(), (era, version));
-        if let Some((previous_era, previous)) = previous.filter(|last| *last >= (era, version)) {
+        let Some(version) = parse_logged_version(&line["version"]) else {
+            violations.push(format!("{entry} logged no version of {document}: {line}"));
+            continue;
+        };
+        let previous = versions.insert(document.to_owned(), version);
+        if let Some(previous) = previous.filter(|previous| *previous >= version) {
+            let [from, to] = [previous, version].map(|(era, revision)| format!("{era}.{revision}"));
             violations.push(format!(
-                "{entry} went from version {previous} of {document} to {version}, \
-                 from era {previous_era} to {era}"
+                "{entry} went from version {from} of {document} to {to}"
             ));
         }
     }
     violations
 }
 
+// Parses a logged version into its era and the number within the era.
+fn parse_logged_version(logged: &serde_json::Value) -> Option<(u64, u64)> {
+    let Some(text) = logged.as_str() else {
+        return Some((0, logged.as_u64()?));
+    };
+    let (era, revision) = text.split_once('.').unwrap_or(("0", text));
+    Some((era.parse().ok()?, revision.parse().ok()?))
+}
+
 fn log_lines(log: &str) -> impl Iterator<Item = serde_json::Value> {
     // Libraries print lines at start-up that are not JSON.
     log.lines()
--- a/crates/standin/tests/soak.rs
+++ b/crates/standin/tests/soak.rs
@@ -175,7 +175,7 @@
     let log = format!("{started}{}{}not json\n{}", line(4), line(9), line(7));
     assert_eq!(
         find_regressions("entry-1", &log),
-        ["entry-1 went from version 9 of manifest/dalbit to 7, from era 0 to 0"]
+        ["entry-1 went from version 0.9 of manifest/dalbit to 0.7"]
     );
     let restarted = format!("{started}{}{started}{}", line(9), line(7));
     assert!(find_regressions("entry-1", &restarted).is_empty());
@@ -183,21 +183,21 @@
 
 #[test]
 fn lower_version_is_reported_unless_its_era_is_higher() {
-    let line = |era: u64, version: u64| {
-        format!(
-            "{{\"event\":\"in force\",\"document\":\"roster/dc-1\",\
-             \"era\":{era},\"version\":{version}}}\n"
-        )
+    let line = |version: &str| {
+        format!("{{\"event\":\"in force\",\"document\":\"roster/dc-1\",\"version\":{version}}}\n")
     };
-    let log = |lines: [(u64, u64); 2]| lines.map(|(era, version)| line(era, version)).join("");
-    assert!(find_regressions("entry-1", &log([(0, 9), (1, 7)])).is_empty());
-    assert!(find_regressions("entry-1", &log([(0, 9), (1, 9)])).is_empty());
-    for lines in [
-        [(1, 9), (1, 7)],
-        [(1, 9), (1, 9)],
-        [(1, 7), (0, 9)],
-        [(1, 9), (0, 9)],
+    let find = |versions: [&str; 2]| find_regressions("entry-1", &versions.map(line).join(""));
+    for versions in [["9", "\"1.7\""], ["9", "\"1.9\""], ["\"1.9\"", "\"2.1\""]] {
+        assert!(find(versions).is_empty(), "{versions:?}");
+    }
+    for versions in [
+        ["\"1.9\"", "\"1.7\""],
+        ["\"1.9\"", "\"1.9\""],
+        ["\"1.10\"", "\"1.9\""],
+        ["\"1.7\"", "9"],
+        ["9", "\"x\""],
+        ["9", "null"],
     ] {
-        assert_eq!(find_regressions("entry-1", &log(lines)).len(), 1);
+        assert_eq!(find(versions).len(), 1, "{versions:?}");
     }
 }
