--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -10,17 +10,19 @@
 use std::time::{Duration, Instant};
 
 use quick_error::quick_error;
+use serde::de::DeserializeOwned;
 use serde_json::json;
 
 use chestnutlb_core::{DocumentId, DocumentKind, ObjectVersion};
 use chestnutlb_store::{StoreCalls, StoreClient, WriteOutcome, objects};
-use chestnutlb_wire::status::{EntryStatus, SideStatus};
-use chestnutlb_wire::{WireHost, WireRoster};
+use chestnutlb_wire::records::WireEntry;
+use chestnutlb_wire::status::{EntryStatus, FlowExplanation, SideStatus};
+use chestnutlb_wire::{WireHost, WireMembers, WireRoster};
 
 use crate::fabric::{FabricEntry, FabricFaults, FabricPlan};
 use crate::free_ports::{free_address, lock_ports};
 use crate::http;
-use crate::platform::PlatformSwitch;
+use crate::platform::{PlatformSwitch, RestorePoint, RestoreReply};
 use crate::proxy::{LinkFault, LinkProxy};
 
 /// Timeout for a condition, far longer than any condition takes to become true.
@@ -261,6 +263,18 @@
         }
     }
 
+    /// Puts back an older copy of the platform's objects.
+    pub fn restore(&self, point: RestorePoint) -> FleetResult<RestoreReply> {
+        let body = serde_json::to_string(&point).unwrap_or_default();
+        let (status, text) = http::send_request(self.platform, "POST", "/restore", &body)?;
+        serde_json::from_str(&text)
+            .ok()
+            .filter(|_| status == 200)
+            .ok_or(FleetError::Failed(format!(
+                "platform not restored to {point:?}: {status} {text}"
+            )))
+    }
+
     /// Runs the operators' client and returns its output.
     pub fn run_client(&self, arguments: &[&str]) -> FleetResult<Output> {
         Ok(Command::new(self.binaries.join("chestnutlb"))
@@ -276,12 +290,39 @@
         let text = String::from_utf8_lossy(&output.stdout).into_owned();
         serde_json::from_str::<serde_json::Value>(&text)
             .ok()
-            .and_then(|value| value["version"].as_u64())
+            .and_then(|value| parse_version(&value["version"]))
             .ok_or(FleetError::Failed(format!(
                 "commit printed no version: {text}"
             )))
     }
 
+    /// Returns what the client plans for a commit of a manifest: the version that it would
+    /// replace, and the number of changes.
+    pub fn plan(&self, manifest: &Path) -> FleetResult<(u64, usize)> {
+        let platform = format!("http://{}", self.platform);
+        let path = manifest.to_string_lossy();
+        let output = self.run_client(&["plan", "--json", "--platform", &platform, &path])?;
+        let text = String::from_utf8_lossy(&output.stdout).into_owned();
+        serde_json::from_str::<serde_json::Value>(&text)
+            .ok()
+            .and_then(|plan| {
+                Some((
+                    parse_version(&plan["base"])?,
+                    plan["changes"].as_array()?.len(),
+                ))
+            })
+            .ok_or(FleetError::Failed(format!("plan printed no base: {text}")))
+    }
+
+    /// Returns how an entry VM routes a flow to a service address, or `None` if it knows no
+    /// service there.
+    pub fn explain(&self, entry: &str, address: &str) -> Option<FlowExplanation> {
+        let status = self.entries.get(entry)?.status;
+        let path = format!("/v1/explain?caller=10.9.1.1:10000&service={address}");
+        let (_, body) = http::send_request(status, "GET", &path, "").ok()?;
+        serde_json::from_str(&body).ok()
+    }
+
     /// Waits through the client until a manifest version is in force everywhere; returns
     /// the time in milliseconds that the client reports for it.
     pub fn wait_in_force(&self, firm: &str, version: u64) -> FleetResult<u64> {
@@ -290,7 +331,8 @@
             .values()
             .next()
             .ok_or(FleetError::Failed("the fleet has no entry VM".to_owned()))?;
-        let (entry, version) = (entry.status.to_string(), version.to_string());
+        let entry = entry.status.to_string();
+        let version = ObjectVersion(version).to_string();
         let output = self.run_client(&[
             "wait",
             "--json",
@@ -505,33 +547,54 @@
                     .any(|entry| entry.name == *host && entry.state == "serving")
             })
         })?;
-        let expected = self.document_versions();
         for entry in entries {
             self.wait_for(&format!("{entry} to have all documents"), || {
-                self.entry_status(entry).is_some_and(|status| {
-                    expected.iter().all(|(id, version)| {
-                        status.documents.iter().any(|document| {
-                            document.kind == id.kind.as_str()
-                                && document.name == id.name
-                                && document.version >= *version
-                        })
-                    })
-                })
+                self.has_all_documents(entry)
             })?;
         }
         Ok(())
     }
 
+    // Returns whether an entry VM has exactly the version of each document that the platform
+    // lists, and its members. A higher version, or other members, are what the platform has
+    // lost.
+    fn has_all_documents(&self, entry: &str) -> bool {
+        let expected = self.document_versions();
+        let Some(status) = self.entry_status(entry) else {
+            return false;
+        };
+        !expected.is_empty()
+            && sort_by_name(status.entries) == self.stored_members()
+            && expected.iter().all(|(id, version)| {
+                status.documents.iter().any(|document| {
+                    document.kind == id.kind.as_str()
+                        && document.name == id.name
+                        && document.version == *version
+                })
+            })
+    }
+
     /// Returns all hosts in the platform's rosters.
     pub fn roster_hosts(&self) -> Vec<WireHost> {
+        let rosters = self.read_all::<WireRoster>(DocumentKind::Roster);
+        rosters.flat_map(|roster| roster.hosts).collect()
+    }
+
+    // Returns all entry VMs in the platform's members, by name.
+    fn stored_members(&self) -> Vec<WireEntry> {
+        let members = self.read_all::<WireMembers>(DocumentKind::Members);
+        let entries = members.flat_map(|members| members.entries);
+        sort_by_name(entries.collect())
+    }
+
+    // Reads all objects of a kind; skips those that can't be read.
+    fn read_all<T: DeserializeOwned>(&self, kind: DocumentKind) -> impl Iterator<Item = T> {
         let client = self.client();
         self.document_versions()
-            .iter()
-            .filter(|(id, _)| id.kind == DocumentKind::Roster)
-            .filter_map(|(id, _)| client.read(id).ok().flatten())
-            .filter_map(|reply| serde_json::from_value::<WireRoster>(reply.value).ok())
-            .flat_map(|roster| roster.hosts)
-            .collect()
+            .into_iter()
+            .filter(move |(id, _)| id.kind == kind)
+            .filter_map(move |(id, _)| client.read(&id).ok().flatten())
+            .filter_map(|reply| serde_json::from_value(reply.value).ok())
     }
 
     /// Returns the id and version of each document on the platform; the list is empty if
@@ -648,6 +711,19 @@
     }
 }
 
+// Parses a version as the client prints it: a number, or text with an era.
+fn parse_version(printed: &serde_json::Value) -> Option<u64> {
+    match printed.as_str() {
+        Some(text) => text.parse::<ObjectVersion>().ok().map(|version| version.0),
+        None => printed.as_u64(),
+    }
+}
+
+fn sort_by_name(mut entries: Vec<WireEntry>) -> Vec<WireEntry> {
+    entries.sort_by(|entry, other| entry.name.cmp(&other.name));
+    entries
+}
+
 impl Drop for Fleet {
     fn drop(&mut self) {
         for child in self.processes.values_mut() {
