A view is not confirmed while a newer roster is known but not read

Cause: freshness is the age of the last confirmation by the platform, and says nothing of versions that were named since.

Versions of rosters that a heartbeat or a list names, and that are not in force, are kept; while there is one, the view has no confirmation. A later version, or one of a later era, clears it.

Test: view_is_not_confirmed_while_a_newer_roster_is_named_but_not_read fails before.

--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -113,6 +113,8 @@
     publish_due: bool,
     // When the platform last confirmed that the documents are current.
     confirmed_at: Option<TimePoint>,
+    // Versions of rosters that peers or the platform have named and that are not in force here.
+    newer_rosters: BTreeMap<DocumentId, ObjectVersion>,
     // The same for the view: the last confirmation of documents that it was built from.
     view_confirmed_at: Option<TimePoint>,
     // When this entry VM last had the same versions as a peer or last requested all
@@ -151,6 +153,7 @@
             settled_at: None,
             publish_due: false,
             confirmed_at: None,
+            newer_rosters: BTreeMap::new(),
             view_confirmed_at: None,
             last_in_sync: now,
             watching: false,
@@ -181,9 +184,18 @@
     }
 
     /// Returns when the platform last confirmed that [`Self::view`] is current. While changed
-    /// documents wait for the next view, this does not advance.
+    /// documents wait for the next view, this does not advance. `None` while a newer roster is
+    /// known that could not be read yet: it may list hosts that this view lacks.
     pub fn view_confirmed_at(&self) -> Option<TimePoint> {
         self.view_confirmed_at
+            .filter(|_| self.newer_rosters.is_empty())
+    }
+
+    fn record_named_version(&mut self, id: &DocumentId, version: ObjectVersion) {
+        if id.kind == DocumentKind::Roster && version > self.documents.version(id) {
+            let newest = self.newer_rosters.entry(id.clone()).or_default();
+            *newest = version.max(*newest);
+        }
     }
 
     /// Returns the time since the platform last confirmed that the local documents
@@ -474,6 +486,9 @@
             self.confirmed_at = self.confirmed_at.max(Some(confirmed));
             return;
         }
+        for (id, version) in &heartbeat.recent {
+            self.record_named_version(id, *version);
+        }
         self.pull_newer(&heartbeat, now, actions);
         if self.global_ring.find(&heartbeat.entry.name).is_none() {
             // The sender may have just started and have no members document yet.
@@ -547,6 +562,7 @@
         let mut up_to_date = !stale;
         for (id, version) in list {
             up_to_date &= version >= self.documents.version(&id);
+            self.record_named_version(&id, version);
             if version > self.documents.version(&id) {
                 up_to_date = false;
                 if self.claim_document(&id, now) {
@@ -610,6 +626,8 @@
         self.end_job(&id);
         self.jobs.remove(&ControlJob::Repair);
         let version = self.documents.version(&id);
+        self.newer_rosters
+            .retain(|newer_id, newer| *newer_id != id || *newer > version);
         let is_restored = before != ObjectVersion(0) && before.era() != version.era();
         match id.kind {
             DocumentKind::Members => {
--- a/crates/core/tests/possible_owners.rs
+++ b/crates/core/tests/possible_owners.rs
@@ -6,13 +6,14 @@
 use std::net::SocketAddrV4;
 use std::num::NonZeroUsize;
 use std::sync::Arc;
+use std::time::Duration;
 
 use chestnutlb_core::known_hosts::{NEW_HOST_DELAY, REGISTRATION_WAIT, VANISHED_HOST_MEMORY};
 use chestnutlb_core::members::FULL_MESH_FLEET;
 use chestnutlb_core::{
-    ControlAction, ControlEvent, DocumentId, DocumentItem, DocumentKind, EntryControl, HostRecord,
-    HostRevision, HostState, LookupVerdict, ObjectVersion, OwnershipReply, PassthroughRouter,
-    RerouteDecision, ServiceKind, TimePoint,
+    ControlAction, ControlEvent, DocumentId, DocumentItem, DocumentKind, EntryControl, Heartbeat,
+    HostRecord, HostRevision, HostState, LookupVerdict, ObjectVersion, OwnershipReply,
+    PassthroughRouter, RerouteDecision, ServiceKind, TimePoint,
 };
 use common::{data, entry, host, key, syn};
 
@@ -324,6 +325,27 @@
     assert!(!run.requests_registration(&unlisted_host()));
 }
 
+#[test]
+fn view_is_not_confirmed_while_a_newer_roster_is_named_but_not_read() {
+    let mut run = EntryRun::start();
+    run.handle(ControlEvent::VersionsListed {
+        list: Vec::new(),
+        stale: false,
+    });
+    run.advance(STEP_MS);
+    assert!(run.control.view_confirmed_at().is_some());
+    let roster = DocumentId::new(DocumentKind::Roster, DATACENTER);
+    run.handle(ControlEvent::HeartbeatReceived(Heartbeat {
+        entry: entry(2, DATACENTER),
+        summary: 1,
+        age: Duration::ZERO,
+        recent: vec![(roster, ObjectVersion(run.version + 1))],
+    }));
+    assert_eq!(run.control.view_confirmed_at(), None);
+    run.load_roster(&listed_hosts());
+    assert!(run.control.view_confirmed_at().is_some());
+}
+
 #[test]
 fn host_registers_with_every_entry_of_a_fleet_of_nine() {
     let mut run = EntryRun::start();
