Hosts register with all targets named recently, at most once per 100 ms by replies

Callers would see flows of hosts in no roster reset or refused by entry VMs that the host does not register with, and an entry VM whose load of registrations delays its control work.

Cause: the last reply replaced the list of registration targets, and each reply that named an unknown target made a full registration due at once. While the members documents of entry VMs differ, the older and the newer list alternate, so each registration caused the next; and an entry VM with the older list that answers last hid the new entry VM for up to 5 s. Only the requests of keep-alive replies had a minimum interval.

Ruled out: a minimum interval alone. It bounds the rate, but the older list still hides the new entry VM. A limit of 12 targets: if one of 12 entry VMs is replaced, the new one would have no place until the old one is dropped.

Change: core::registration_targets collects the targets and decides when a full registration is due; daemon::registration keeps the sockets. The host registers with the union of the lists (at most 24 targets). A target is dropped when no reply has named it for 6 s: one period of full registrations and 1 s for the replies to arrive; all are kept while no entry VM replies. Entry VMs beyond the limit do not count as new. An older record of a restarted entry VM no longer replaces the newer one. A new target named within 100 ms after a full registration gets its own at the end of these 100 ms, which a host's first registrations wait too. A change of the host's own record is registered at once as before. The wire format stays.

--- a/crates/daemon/src/passthrough_control.rs
+++ b/crates/daemon/src/passthrough_control.rs
@@ -39,7 +39,7 @@
         loop {
             let now = clock::now();
             self.update_state(now);
-            let is_due = self.registration_due <= now || self.registration.is_due_at_once();
+            let is_due = self.registration_due <= now || self.registration.is_due_at_once(now);
             if is_due && !self.is_registration_paused() {
                 self.registration_due = now + REGISTRATION_PERIOD;
                 self.register(now);
--- a/crates/daemon/src/passthrough_side.rs
+++ b/crates/daemon/src/passthrough_side.rs
@@ -143,7 +143,7 @@
     let reloaded_seeds = seeds.clone();
     file.watch(move |settings| reloaded_seeds.set(settings.seeds()))?;
     let counters = Arc::clone(&shared.counters);
-    let registration = HostRegistration::new(registration_socket, seeds, counters, clock::now())?;
+    let registration = HostRegistration::new(registration_socket, seeds, counters)?;
     let control = PassthroughControl::new(registration, Arc::clone(&shared));
     Builder::new()
         .name("control".to_owned())
--- a/crates/daemon/src/registration.rs
+++ b/crates/daemon/src/registration.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use chestnutlb_core::{
-    EntryRecord, HostRecord, HostRevision, ObjectVersion, RegistrationReply, TimePoint,
+    HostRecord, HostRevision, ObjectVersion, RegistrationReply, RegistrationTargets, TimePoint,
 };
 use chestnutlb_wire::peer::{
     MAX_PEER_DATAGRAM_BYTES, PeerMessage, WireKeepAlive, WireRegistration, scan_message,
@@ -17,11 +17,6 @@
 
 /// Interval between two registrations or keep-alives.
 pub const REGISTRATION_PERIOD: Duration = Duration::from_millis(500);
-/// Interval between two full registrations; keep-alives are sent in between.
-const FULL_REGISTRATION_PERIOD: Duration = Duration::from_secs(5);
-/// Time after a full registration in which requests for one are ignored: they answer the
-/// keep-alive before it. Every registration target sends one if the entry VMs change.
-const REQUEST_DELAY: Duration = Duration::from_millis(100);
 /// Longest wait for a datagram.
 const RECEIVE_TIMEOUT: Duration = Duration::from_millis(50);
 /// Time without a reply from any entry VM after which the seeds are contacted too.
@@ -59,12 +54,7 @@
     counters: Arc<CounterSet>,
     registered: Option<HostRecord>,
     revision: HostRevision,
-    full_registration_due: TimePoint,
-    full_registration_at: Option<TimePoint>,
-    registration_targets: Vec<EntryRecord>,
-    // Whether an entry VM has requested a registration, or new targets were named, and none was
-    // sent since.
-    is_requested: bool,
+    registration_targets: RegistrationTargets,
     last_reply: Option<TimePoint>,
 }
 
@@ -75,7 +65,6 @@
         socket: UdpSocket,
         seeds: SeedList,
         counters: Arc<CounterSet>,
-        now: TimePoint,
     ) -> std::io::Result<Self> {
         socket.set_read_timeout(Some(RECEIVE_TIMEOUT))?;
         Ok(Self {
@@ -84,10 +73,7 @@
             counters,
             registered: None,
             revision: HostRevision::default(),
-            full_registration_due: now,
-            full_registration_at: None,
-            registration_targets: Vec::new(),
-            is_requested: false,
+            registration_targets: RegistrationTargets::default(),
             last_reply: None,
         })
     }
@@ -95,28 +81,28 @@
     /// Returns the HTTP addresses of the registration targets, in order of preference.
     pub fn target_http_addresses(&self) -> Vec<SocketAddrV4> {
         self.registration_targets
-            .iter()
+            .entries()
             .map(|target| target.status)
             .collect()
     }
 
     /// Returns whether a registration is due at once: an entry VM has requested one or named
     /// new registration targets.
-    pub fn is_due_at_once(&self) -> bool {
-        self.is_requested
+    pub fn is_due_at_once(&self, now: TimePoint) -> bool {
+        self.registration_targets.is_due_at_once(now)
     }
 
     /// Sends a full registration if the host changed or one is due, and a keep-alive
     /// otherwise.
     pub fn send(&mut self, record: HostRecord, manifest: ObjectVersion, now: TimePoint) {
-        if self.registered.as_ref() != Some(&record) {
+        let has_changed = self.registered.as_ref() != Some(&record);
+        if has_changed {
             self.revision.0 += 1;
-            self.full_registration_due = now;
             self.registered = Some(record.clone());
         }
-        let message = if self.full_registration_due <= now {
-            self.full_registration_due = now + FULL_REGISTRATION_PERIOD;
-            self.full_registration_at = Some(now);
+        self.registration_targets.drop_unnamed(now);
+        let message = if has_changed || self.registration_targets.is_full_registration_due(now) {
+            self.registration_targets.record_full_registration(now);
             PeerMessage::Announce(WireRegistration {
                 host: (&record).into(),
                 revision: self.revision.0,
@@ -130,7 +116,6 @@
                 manifest: manifest.0,
             })
         };
-        self.is_requested = false;
         let bytes = write_message(&message);
         for target in self.target_addresses(now) {
             // A lost registration is not retransmitted: the next one replaces it.
@@ -148,7 +133,7 @@
             .is_none_or(|last_reply| now.since(last_reply) >= REPLY_TIMEOUT);
         let mut addresses: Vec<SocketAddrV4> = self
             .registration_targets
-            .iter()
+            .entries()
             .map(|target| target.peers)
             .collect();
         if targets_silent || addresses.is_empty() {
@@ -176,27 +161,7 @@
             return None;
         };
         self.last_reply = Some(now);
-        if reply.resend {
-            let is_answered = self
-                .full_registration_at
-                .is_some_and(|sent_at| now.since(sent_at) < REQUEST_DELAY);
-            if !is_answered {
-                self.request_registration(now);
-            }
-            return None;
-        }
-        if !reply.targets.is_empty() && self.registration_targets != reply.targets {
-            let known = |target| self.registration_targets.contains(target);
-            if !reply.targets.iter().all(known) {
-                self.request_registration(now);
-            }
-            self.registration_targets = reply.targets.clone();
-        }
-        Some(reply)
-    }
-
-    fn request_registration(&mut self, now: TimePoint) {
-        self.full_registration_due = now;
-        self.is_requested = true;
+        self.registration_targets.record_reply(&reply, now);
+        (!reply.resend).then_some(reply)
     }
 }
--- a/crates/daemon/src/side_control.rs
+++ b/crates/daemon/src/side_control.rs
@@ -77,7 +77,7 @@
         now: TimePoint,
     ) -> std::io::Result<Self> {
         let counters = Arc::clone(&shared.counters);
-        let registration = HostRegistration::new(socket, seeds, counters, now)?;
+        let registration = HostRegistration::new(socket, seeds, counters)?;
         let mut timers = TimerService::default();
         timers.subscribe(TimerKind::Registration, REGISTRATION_PERIOD, now);
         timers.subscribe(TimerKind::Probe, PROBE_PERIOD, now);
