The flow of a caller that uses its port again replaces the closed one

Callers may see an open flow reset: one that pauses for 5 s or longer and whose port and service had a flow that ended less than 5 s before it opened.

Cause: the entry of a closed flow stays for 5 s for late packets. A SYN with its key was delivered, but the entry kept its phase and the marks of both FINs. After 5 s without a packet it was removed as closed although the later flow was open; the host then denied the flow in lookups. The later SYN was also delivered whether or not the host accepts flows, and did not count as load.

Ruled out: removing the entry with the second FIN or the reset; late packets of the flow would then walk other hosts and start lookups.

Change: an entry records the sequence numbers of the SYN and SYN-ACK that opened it. Another SYN, or another SYN-ACK of the backend server (its SYN was delivered before the last flow ended), removes the closed entry; the SYN is then judged as that of any new flow. Copies, recognized by their sequence number, change nothing. A later SYN with the very sequence number of the one before is taken for a copy, as before.

Tests: for ends by FINs, a reset of the caller and a reset of the backend server. flow_of_reused_port_is_owned_after_pause, flow_whose_syn_preceded_the_end_of_the_last_one_is_owned_after_pause and reused_port_goes_to_next_host_if_backend_accepts_no_flows fail before (the second with NotOwned in place of Owned; the others with Deliver in place of Open and NextHop) and pass after; copies_of_syn_and_syn_ack_do_not_reopen_closed_flow holds on both.

--- a/crates/core/src/passthrough.rs
+++ b/crates/core/src/passthrough.rs
@@ -102,6 +102,10 @@
     first_request_pending: bool,
     caller_closed: bool,
     server_closed: bool,
+    // Sequence numbers of the SYN and SYN-ACK that opened the flow, if this process saw them.
+    // They tell copies of these packets from those of a later flow with the same key.
+    syn_sequence: Option<u32>,
+    syn_ack_sequence: Option<u32>,
     // Next sequence number that the caller sends; `None` before its first data packet.
     next_sequence: Option<u32>,
     // Delivery time of the last packet of a request that has no reply yet.
@@ -304,6 +308,7 @@
         backend: &BackendInfo,
         now: TimePoint,
     ) -> PassthroughVerdict {
+        self.remove_if_reopened(segment);
         if let Some(flow) = self.flows.get(&segment.key) {
             let unanswered = flow.phase == PassthroughPhase::SynDelivered;
             let timed_out = unanswered && now.since(flow.created_at) >= SYN_ACK_TIMEOUT;
@@ -327,6 +332,18 @@
         }
     }
 
+    // Removes a closed flow if the segment is the SYN or SYN-ACK of a later flow with the same
+    // key: the caller uses its port again.
+    fn remove_if_reopened(&mut self, segment: &TcpSegment) {
+        let is_reopened = self
+            .flows
+            .get(&segment.key)
+            .is_some_and(|flow| flow.is_closed() && !flow.was_opened_by(segment));
+        if is_reopened {
+            self.remove(&segment.key);
+        }
+    }
+
     /// Records the delivery of a caller's packet.
     pub fn record_delivered(
         &mut self,
@@ -337,7 +354,12 @@
         if segment.is_syn {
             if !self.flows.contains_key(&segment.key) {
                 self.backend_replies.pop(&segment.key);
-                self.insert(segment.key, PassthroughPhase::SynDelivered, now);
+                let flow = PassthroughFlow {
+                    first_request_pending: true,
+                    syn_sequence: Some(segment.sequence),
+                    ..PassthroughFlow::new(PassthroughPhase::SynDelivered, now)
+                };
+                self.flows.insert(segment.key, flow);
                 self.add_work(1, now);
             }
             return;
@@ -366,21 +388,6 @@
         }
     }
 
-    fn insert(&mut self, key: FlowKey, phase: PassthroughPhase, now: TimePoint) {
-        let flow = PassthroughFlow {
-            phase,
-            first_request_pending: phase == PassthroughPhase::SynDelivered,
-            caller_closed: false,
-            server_closed: false,
-            next_sequence: None,
-            requested_at: None,
-            found_free_slot: false,
-            created_at: now,
-            last_seen: now,
-        };
-        self.flows.insert(key, flow);
-    }
-
     /// Records a packet from the backend server to the caller, and returns whether to
     /// forward it. `segment` has the key of the flow, with the caller's end first.
     pub fn record_reply_segment(&mut self, segment: &TcpSegment, now: TimePoint) -> ReplyVerdict {
@@ -388,15 +395,15 @@
         if segment.is_rst {
             return self.record_reset(segment.key, now);
         }
+        if segment.is_syn_ack {
+            self.remove_if_reopened(segment);
+        }
         if !self.flows.contains_key(&segment.key) {
-            // The flow began before this process started.
+            // The flow began before this process started, or its SYN was delivered while an
+            // earlier flow with its key was open.
             self.backend_replies.pop(&segment.key);
-            let phase = if segment.is_syn_ack {
-                PassthroughPhase::SynAckSent(segment.sequence)
-            } else {
-                PassthroughPhase::Established
-            };
-            self.insert(segment.key, phase, now);
+            let flow = PassthroughFlow::new(phase_after_reply(segment), now);
+            self.flows.insert(segment.key, flow);
         }
         let Some(flow) = self.flows.get_mut(&segment.key) else {
             return ReplyVerdict::Forward;
@@ -404,13 +411,10 @@
         flow.last_seen = now;
         flow.server_closed |= segment.is_fin;
         if flow.phase == PassthroughPhase::Unverified {
-            flow.phase = if segment.is_syn_ack {
-                PassthroughPhase::SynAckSent(segment.sequence)
-            } else {
-                PassthroughPhase::Established
-            };
+            flow.phase = phase_after_reply(segment);
         }
         if segment.is_syn_ack {
+            flow.syn_ack_sequence = Some(segment.sequence);
             if flow.phase == PassthroughPhase::SynDelivered {
                 flow.phase = PassthroughPhase::SynAckSent(segment.sequence);
                 self.timing.syn_ack_time = Some(now.since(flow.created_at));
@@ -572,7 +576,47 @@
     }
 }
 
+// Returns the phase of a flow that is known only from this packet of the backend server.
+fn phase_after_reply(segment: &TcpSegment) -> PassthroughPhase {
+    if segment.is_syn_ack {
+        PassthroughPhase::SynAckSent(segment.sequence)
+    } else {
+        PassthroughPhase::Established
+    }
+}
+
 impl PassthroughFlow {
+    fn new(phase: PassthroughPhase, now: TimePoint) -> Self {
+        Self {
+            phase,
+            first_request_pending: false,
+            caller_closed: false,
+            server_closed: false,
+            syn_sequence: None,
+            syn_ack_sequence: None,
+            next_sequence: None,
+            requested_at: None,
+            found_free_slot: false,
+            created_at: now,
+            last_seen: now,
+        }
+    }
+
+    // Returns whether the flow was reset, or closed by both ends.
+    fn is_closed(&self) -> bool {
+        self.phase == PassthroughPhase::Closed || (self.caller_closed && self.server_closed)
+    }
+
+    // Returns whether a SYN or SYN-ACK is a copy of the one that opened this flow.
+    fn was_opened_by(&self, segment: &TcpSegment) -> bool {
+        let opening_sequence = if segment.is_syn_ack {
+            self.syn_ack_sequence
+        } else {
+            self.syn_sequence
+        };
+        opening_sequence == Some(segment.sequence)
+    }
+
     // Returns whether the segment carries new data, and advances the sequence number if
     // so.
     fn advance_sequence(&mut self, segment: &TcpSegment) -> bool {
@@ -597,13 +641,11 @@
 
     fn is_expired(&self, idle: Duration, now: TimePoint) -> bool {
         let silence = now.since(self.last_seen);
-        let closed =
-            self.phase == PassthroughPhase::Closed || (self.caller_closed && self.server_closed);
         match self.phase {
             PassthroughPhase::SynDelivered | PassthroughPhase::SynAckSent(_) => {
                 now.since(self.created_at) >= HALF_OPEN_TIMEOUT && silence >= HALF_OPEN_TIMEOUT
             }
-            _ if closed => silence >= CLOSED_TIMEOUT,
+            _ if self.is_closed() => silence >= CLOSED_TIMEOUT,
             _ => silence >= idle,
         }
     }
--- a/crates/core/tests/passthrough.rs
+++ b/crates/core/tests/passthrough.rs
@@ -5,10 +5,10 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use chestnutlb_core::passthrough::REQUEST_TIMEOUT;
+use chestnutlb_core::passthrough::{CLOSED_TIMEOUT, REQUEST_TIMEOUT};
 use chestnutlb_core::{
-    BackendInfo, PassthroughArrival, PassthroughFlows, PassthroughVerdict, ReplyVerdict,
-    TcpSegment, TimePoint,
+    BackendInfo, OwnershipReply, PassthroughArrival, PassthroughFlows, PassthroughVerdict,
+    ReplyVerdict, TcpSegment, TimePoint,
 };
 
 use common::{data, key, quickcheck, syn};
@@ -299,3 +299,157 @@
     }
     quickcheck().quickcheck(property as fn(Vec<(u8, u8, u8)>) -> bool);
 }
+
+fn caller_fin(port: u16) -> TcpSegment {
+    TcpSegment {
+        is_fin: true,
+        payload: 0,
+        ..data(port, 500)
+    }
+}
+
+fn server_fin(port: u16) -> TcpSegment {
+    TcpSegment {
+        is_fin: true,
+        ..response(port, 0)
+    }
+}
+
+fn caller_reset(port: u16) -> TcpSegment {
+    TcpSegment {
+        is_rst: true,
+        payload: 0,
+        ..data(port, 500)
+    }
+}
+
+fn server_reset(port: u16) -> TcpSegment {
+    TcpSegment {
+        is_rst: true,
+        ..response(port, 0)
+    }
+}
+
+// The ways in which a flow ends.
+#[derive(Debug, Clone, Copy)]
+enum FlowEnd {
+    Fins,
+    CallerReset,
+    ServerReset,
+}
+
+const FLOW_ENDS: [FlowEnd; 3] = [FlowEnd::Fins, FlowEnd::CallerReset, FlowEnd::ServerReset];
+
+fn end_flow(flows: &mut PassthroughFlows, port: u16, end: FlowEnd, now: TimePoint) {
+    match end {
+        FlowEnd::Fins => {
+            flows.record_delivered(&caller_fin(port), &backend(), now);
+            flows.record_reply_segment(&server_fin(port), now);
+        }
+        FlowEnd::CallerReset => flows.record_delivered(&caller_reset(port), &backend(), now),
+        FlowEnd::ServerReset => {
+            flows.record_reply_segment(&server_reset(port), now);
+        }
+    }
+}
+
+// Returns a flow table in which the flow of port 1 has ended at `now`.
+fn with_ended_flow(end: FlowEnd, now: TimePoint) -> PassthroughFlows {
+    let mut flows = PassthroughFlows::new(DAY, now);
+    open_flow(&mut flows, 1, now);
+    end_flow(&mut flows, 1, end, now);
+    flows
+}
+
+fn later_syn() -> TcpSegment {
+    TcpSegment {
+        sequence: 70_000,
+        ..syn(1)
+    }
+}
+
+fn later_syn_ack() -> TcpSegment {
+    TcpSegment {
+        sequence: 80_000,
+        ..syn_ack(1)
+    }
+}
+
+// Returns the reply to a lookup of port 1's flow after the caller has sent a request on it and
+// was then idle for longer than closed flows are kept.
+fn lookup_reply_after_pause(flows: &mut PassthroughFlows, now: TimePoint) -> OwnershipReply {
+    let request = TcpSegment {
+        sequence: 70_001,
+        ..data(1, 80_001)
+    };
+    let verdict = flows.judge(&request, last_hop(), &backend(), now);
+    assert_eq!(verdict, PassthroughVerdict::Deliver);
+    flows.record_delivered(&request, &backend(), now);
+    flows.record_reply_segment(&response(1, 100), now);
+    let later = now + CLOSED_TIMEOUT;
+    flows.sweep(DAY, later);
+    flows.lookup_reply(key(1), &backend(), later)
+}
+
+#[test]
+fn flow_of_reused_port_is_owned_after_pause() {
+    for end in FLOW_ENDS {
+        let now = TimePoint(1_000);
+        let mut flows = with_ended_flow(end, now);
+        let verdict = flows.judge(&later_syn(), last_hop(), &backend(), now);
+        assert_eq!(verdict, PassthroughVerdict::Open, "{end:?}");
+        flows.record_delivered(&later_syn(), &backend(), now);
+        assert_eq!(flows.at_work(), 1, "{end:?}");
+        flows.record_reply_segment(&later_syn_ack(), now);
+        let reply = lookup_reply_after_pause(&mut flows, now);
+        assert_eq!(reply, OwnershipReply::Owned, "{end:?}");
+        assert_eq!(flows.at_work(), 0, "{end:?}");
+    }
+}
+
+#[test]
+fn flow_whose_syn_preceded_the_end_of_the_last_one_is_owned_after_pause() {
+    for end in FLOW_ENDS {
+        let now = TimePoint(1_000);
+        let mut flows = PassthroughFlows::new(DAY, now);
+        open_flow(&mut flows, 1, now);
+        let verdict = flows.judge(&later_syn(), last_hop(), &backend(), now);
+        assert_eq!(verdict, PassthroughVerdict::Deliver, "{end:?}");
+        flows.record_delivered(&later_syn(), &backend(), now);
+        end_flow(&mut flows, 1, end, now);
+        flows.record_reply_segment(&later_syn_ack(), now);
+        let reply = lookup_reply_after_pause(&mut flows, now);
+        assert_eq!(reply, OwnershipReply::Owned, "{end:?}");
+    }
+}
+
+#[test]
+fn reused_port_goes_to_next_host_if_backend_accepts_no_flows() {
+    let leaving = BackendInfo {
+        accepts_flows: false,
+        ..backend()
+    };
+    for end in FLOW_ENDS {
+        let now = TimePoint(1_000);
+        let mut flows = with_ended_flow(end, now);
+        let verdict = flows.judge(&later_syn(), more_hops(), &leaving, now);
+        assert_eq!(verdict, PassthroughVerdict::NextHop, "{end:?}");
+        let reply = flows.lookup_reply(key(1), &leaving, now);
+        assert_eq!(reply, OwnershipReply::NotOwned, "opened at the next host");
+    }
+}
+
+#[test]
+fn copies_of_syn_and_syn_ack_do_not_reopen_closed_flow() {
+    for end in FLOW_ENDS {
+        let now = TimePoint(1_000);
+        let mut flows = with_ended_flow(end, now);
+        let verdict = flows.judge(&syn(1), last_hop(), &backend(), now);
+        assert_eq!(verdict, PassthroughVerdict::Deliver, "{end:?}");
+        flows.record_delivered(&syn(1), &backend(), now);
+        flows.record_reply_segment(&syn_ack(1), now);
+        assert_eq!(flows.at_work(), 0, "{end:?}");
+        flows.sweep(DAY, now + CLOSED_TIMEOUT);
+        assert!(flows.is_empty(), "{end:?}");
+    }
+}
