Leaving hosts that no roster lists are asked after they left the view

Callers would see open flows reset while their host drains: an unlisted host that registers as leaving drops out of the view with the next roster version that does not list it, or when its registration lapses here, and was not remembered.

Cause: a leaving host that vanished from the view was taken for one that had announced its departure. This holds only if a roster listed it as leaving and no longer lists it, or if it said so here.

Ruled out: remembering every leaving host. A departure that was announced at another entry VM looks like the removal of a host listed as leaving, and each one would be asked for 60 s more (existing test).

Change: the view names the hosts that are leaving by their registration here and not by a roster. Any other leaving host is forgotten when its service is in the view without it; all others are remembered.

Tests: three new ones of possible_owners.rs fail before the change (host not asked), pass after it. All tests of core pass, rustfmt and clippy clean. Not covered: a host that is listed as leaving, and registers here as joining after a restart, is forgotten though the roster still lists it.

--- a/crates/core/src/known_hosts.rs
+++ b/crates/core/src/known_hosts.rs
@@ -44,7 +44,8 @@
 struct ViewedHost {
     service: ServiceId,
     tag: ServiceTag,
-    is_leaving: bool,
+    // Whether a roster lists the host as leaving.
+    is_listed_as_leaving: bool,
 }
 
 // A host that left the view without having announced its departure.
@@ -123,7 +124,7 @@
     }
 
     // Records the hosts of the previous view that the present one lacks, except those that
-    // were leaving or are known to have left.
+    // are known to have left.
     fn record_vanished(
         &mut self,
         previous: HashMap<SocketAddrV4, ViewedHost>,
@@ -131,7 +132,10 @@
         now: TimePoint,
     ) {
         for (address, host) in previous {
-            if !host.is_leaving {
+            // The roster drops a leaving host once it has announced its departure. The hosts
+            // of a service that is not in the view may still be listed.
+            let has_left = host.is_listed_as_leaving && view.service(&host.service).is_some();
+            if !has_left {
                 let vanished = VanishedHost {
                     service: host.service,
                     tag: host.tag,
@@ -239,7 +243,8 @@
             let known = ViewedHost {
                 service: service.id().clone(),
                 tag: service.tag,
-                is_leaving: host.state == HostState::Leaving,
+                is_listed_as_leaving: host.state == HostState::Leaving
+                    && !view.unlisted_leaving_hosts.contains(&host.record.name),
             };
             viewed.insert(host.record.packets, known);
         }
--- a/crates/core/src/view.rs
+++ b/crates/core/src/view.rs
@@ -202,6 +202,8 @@
     pub unlisted_hosts: BTreeSet<SocketAddrV4>,
     /// Which entry VMs hosts register with.
     pub registration_reach: RegistrationReach,
+    /// Names of hosts that are leaving as of their registration here, and not as of the rosters.
+    pub unlisted_leaving_hosts: BTreeSet<HostName>,
     /// Packet addresses of hosts that have announced their departure here.
     pub departed_hosts: BTreeSet<SocketAddrV4>,
     by_address: HashMap<SocketAddrV4, Arc<ServiceView>>,
--- a/crates/core/src/view_builder.rs
+++ b/crates/core/src/view_builder.rs
@@ -176,27 +176,37 @@
         }
         view.registration_reach = self.registration_reach;
         view.unlisted_hosts = self.unlisted_hosts();
+        view.unlisted_leaving_hosts = self.unlisted_leaving_hosts();
         view.departed_hosts = self.departed_hosts();
         self.view = Arc::new(view);
     }
 
+    // Returns the record that the rosters have of a registered host.
+    fn listed_record(&self, record: &HostRecord) -> Option<&HostRecord> {
+        let listed = self.hosts.get(&record.service)?;
+        let index = listed.binary_search_by(|host| host.name.cmp(&record.name));
+        index.ok().map(|index| listed[index].as_ref())
+    }
+
     fn unlisted_hosts(&self) -> BTreeSet<SocketAddrV4> {
-        let is_listed = |record: &HostRecord| {
-            let listed = self
-                .hosts
-                .get(&record.service)
-                .map_or(&[][..], Vec::as_slice);
-            listed
-                .binary_search_by(|host| host.name.cmp(&record.name))
-                .is_ok()
-        };
         self.registered
             .values()
-            .filter(|record| !is_listed(record))
+            .filter(|record| self.listed_record(record).is_none())
             .map(|record| record.packets)
             .collect()
     }
 
+    fn unlisted_leaving_hosts(&self) -> BTreeSet<HostName> {
+        let is_leaving = |record: &HostRecord| record.state == HostState::Leaving;
+        self.registered
+            .values()
+            .filter(|record| {
+                is_leaving(record) && !self.listed_record(record).is_some_and(is_leaving)
+            })
+            .map(|record| record.name.clone())
+            .collect()
+    }
+
     fn departed_hosts(&self) -> BTreeSet<SocketAddrV4> {
         self.registered
             .values()
--- a/crates/core/tests/possible_owners.rs
+++ b/crates/core/tests/possible_owners.rs
@@ -363,3 +363,31 @@
     let plan = router.route(&view, &data(1, 700), TimePoint(0)).unwrap();
     assert_eq!((plan.hops, plan.tag), (vec![record.packets], tag));
 }
+
+#[test]
+fn unlisted_leaving_host_is_asked_after_a_roster_version_that_does_not_list_it() {
+    let mut run = EntryRun::start();
+    run.register(unlisted_host());
+    run.register(host(9, HostState::Leaving));
+    let mut hosts = listed_hosts();
+    hosts[0].state = HostState::Leaving;
+    run.load_roster(&hosts);
+    assert!(run.queried_hosts().contains(&unlisted_host().packets));
+}
+
+#[test]
+fn unlisted_leaving_host_that_no_longer_registers_here_is_asked() {
+    let mut run = EntryRun::start();
+    run.register(unlisted_host());
+    run.register(host(9, HostState::Leaving));
+    run.advance(5_000);
+    assert!(run.queried_hosts().contains(&unlisted_host().packets));
+}
+
+#[test]
+fn host_that_is_leaving_here_only_is_asked_after_its_removal() {
+    let mut run = EntryRun::start();
+    run.register(host(0, HostState::Leaving));
+    run.load_roster(&listed_hosts()[1..]);
+    assert!(run.queried_hosts().contains(&listed_hosts()[0].packets));
+}
