A verdict of a missing owner needs that every possible owner was asked

Callers would see an open flow reset if its host registers while the lookup is in progress: the host is not asked, and the others deny the flow.

Cause: the hosts of a lookup are fixed when it begins, but whether this entry VM knows every host was decided when it ends.

Ruled out: asking the new host within the same lookup; the caller's next packet starts another one, which asks it.

Change: the result of a lookup has the hosts that were asked and when it began. The verdict is Unconfirmed unless every host could register before the lookup began and every possible owner at the time of the verdict was asked.

Tests: two new ones of possible_owners.rs, one for each condition, fail before the change (NoOwner) and pass after it. All tests of core pass, rustfmt and clippy clean.

--- a/crates/core/src/known_hosts.rs
+++ b/crates/core/src/known_hosts.rs
@@ -213,17 +213,17 @@
         self.last_fresh_at = Some(now);
     }
 
-    /// Returns whether this entry VM knows every live host that may own flows, if its view is
-    /// fresh. After its start and after a time without a fresh view, hosts in no roster may
-    /// not have registered here yet.
-    pub fn is_complete(&self, now: TimePoint) -> bool {
+    /// Returns whether this entry VM knew every live host that may own flows at this time, if
+    /// its view has been fresh since. After its start and after a time without a fresh view,
+    /// hosts in no roster may not have registered here yet.
+    pub fn is_complete(&self, at: TimePoint) -> bool {
         let wait = match self.registration_reach {
             RegistrationReach::Unknown => return false,
             RegistrationReach::AllEntries => REGISTRATION_WAIT,
             RegistrationReach::SomeEntries => RELISTING_WAIT,
         };
         self.fresh_since
-            .is_some_and(|fresh_since| now.since(fresh_since) >= wait)
+            .is_some_and(|fresh_since| at.since(fresh_since) >= wait)
     }
 
     /// Returns whether other entry VMs may not know the host yet.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -66,7 +66,7 @@
     AddressBlock, FirmManifest, ManifestChange, RequestClass, RouteRule, ServiceKind, ServiceSpec,
 };
 pub use members::{EntryMonitor, EntryRecord};
-pub use owner_lookup::{LookupQuery, LookupResult, OwnerLookups, OwnershipReply};
+pub use owner_lookup::{CompletedLookup, LookupQuery, LookupResult, OwnerLookups, OwnershipReply};
 pub use ownership::{AdmissionGate, FlowTable, PacketArrival, PacketDrop, PacketVerdict};
 pub use passthrough::{BackendInfo, PassthroughFlows, ReplyTiming};
 pub use passthrough_plan::{LookupVerdict, PassthroughPlan, RerouteDecision};
--- a/crates/core/src/owner_lookup.rs
+++ b/crates/core/src/owner_lookup.rs
@@ -77,8 +77,8 @@
 pub enum LookupResult {
     /// This host owns the flow.
     Found(SocketAddrV4),
-    /// No host owns the flow. Contains the segment that started the lookup.
-    NotFound(TcpSegment),
+    /// None of the hosts that were asked owns the flow.
+    NotFound(CompletedLookup),
     /// Every host replied. These replied [`OwnershipReply::Unknown`], the others
     /// [`OwnershipReply::NotOwned`].
     Undetermined(Vec<SocketAddrV4>),
@@ -88,6 +88,17 @@
     Incomplete(IncompleteLookup),
 }
 
+/// A lookup that found no owner.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CompletedLookup {
+    /// The segment that started the lookup.
+    pub segment: TcpSegment,
+    /// The hosts that were asked, sorted.
+    pub hosts: Arc<[SocketAddrV4]>,
+    /// When the lookup began.
+    pub begun_at: TimePoint,
+}
+
 /// Replies that a lookup without a result lacks.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct IncompleteLookup {
@@ -112,6 +123,7 @@
 struct OwnerLookup {
     segment: TcpSegment,
     hosts: Arc<[SocketAddrV4]>,
+    begun_at: TimePoint,
     // Hosts that replied `NotOwned`.
     not_owners: Vec<SocketAddrV4>,
     // Hosts that replied `Unknown`.
@@ -150,6 +162,14 @@
             .filter(|host| !self.not_owners.contains(host) && !self.unknown.contains(host))
     }
 
+    fn completed(&self) -> CompletedLookup {
+        CompletedLookup {
+            segment: self.segment,
+            hosts: Arc::clone(&self.hosts),
+            begun_at: self.begun_at,
+        }
+    }
+
     // Returns the result at the timeout; replies of `unreachable` hosts are not required.
     fn result(&self, unreachable: &[SocketAddrV4]) -> LookupResult {
         let missing = || {
@@ -162,7 +182,7 @@
             silent_host: missing().next().copied(),
         };
         if incomplete.unknown == 0 && incomplete.silent == 0 {
-            LookupResult::NotFound(self.segment)
+            LookupResult::NotFound(self.completed())
         } else {
             LookupResult::Incomplete(incomplete)
         }
@@ -208,6 +228,7 @@
             not_owners: Vec::with_capacity(hosts.len()),
             unknown: Vec::new(),
             hosts,
+            begun_at: now,
             phase: LookupPhase::Waiting(now),
         };
         self.lookups.insert(segment.key, lookup);
@@ -369,7 +390,7 @@
         }
         let lookup = self.lookups.remove(&key)?;
         Some(if lookup.unknown.is_empty() {
-            LookupResult::NotFound(lookup.segment)
+            LookupResult::NotFound(lookup.completed())
         } else {
             LookupResult::Undetermined(lookup.unknown)
         })
--- a/crates/core/src/passthrough_routes.rs
+++ b/crates/core/src/passthrough_routes.rs
@@ -20,7 +20,8 @@
 use crate::known_hosts::KnownHosts;
 use crate::load::{HostLoad, LoadTable, RankingInput, UNRESPONSIVE_AFTER};
 use crate::owner_lookup::{
-    IncompleteLookup, LOOKUP_TIMEOUT, LookupQuery, LookupResult, OwnerLookups, OwnershipReply,
+    CompletedLookup, IncompleteLookup, LOOKUP_TIMEOUT, LookupQuery, LookupResult, OwnerLookups,
+    OwnershipReply,
 };
 use crate::passthrough_plan::{LookupVerdict, PassthroughPlan, RerouteDecision};
 use crate::units::TimePoint;
@@ -243,12 +244,14 @@
                 self.record_owner(view, key, owner);
                 LookupVerdict::Found(owner)
             }
-            LookupResult::NotFound(_) if !fresh || !self.knows_all_owners(view, key, now) => {
+            LookupResult::NotFound(lookup)
+                if !fresh || !self.asked_all_owners(view, key, &lookup, now) =>
+            {
                 LookupVerdict::Unconfirmed
             }
-            LookupResult::NotFound(segment) => {
+            LookupResult::NotFound(lookup) => {
                 self.walks.pop(&key);
-                LookupVerdict::NoOwner(segment)
+                LookupVerdict::NoOwner(lookup.segment)
             }
             LookupResult::Undetermined(hosts) => self.plan_query(view, key, hosts, now),
             LookupResult::NotStarted => LookupVerdict::NotStarted,
@@ -256,16 +259,28 @@
         }
     }
 
-    // Returns whether every host that may own the flow is known here, if the view is fresh. A
-    // service without an established host gives its flows to new hosts, which other entry VMs
+    // Returns whether the lookup asked every host that may own the flow, if the view is fresh.
+    // A service without an established host gives its flows to new hosts, which other entry VMs
     // may know and this one not.
-    fn knows_all_owners(&self, view: &RoutingView, key: FlowKey, now: TimePoint) -> bool {
+    fn asked_all_owners(
+        &self,
+        view: &RoutingView,
+        key: FlowKey,
+        lookup: &CompletedLookup,
+        now: TimePoint,
+    ) -> bool {
         let is_established = |host: &ViewHost| {
             host.accepts_flows() && !self.known_hosts.is_new(host.record.packets, now)
         };
-        let service = view.service_at(key.service);
-        self.known_hosts.is_complete(now)
-            && service.is_some_and(|service| service.hosts().iter().any(is_established))
+        let Some(service) = view.service_at(key.service) else {
+            return false;
+        };
+        let possible_owners = self.known_hosts.of_firm(&service.id().firm);
+        let was_asked = |host: &SocketAddrV4| lookup.hosts.binary_search(host).is_ok();
+        // A host that registered after the start of the lookup was not asked.
+        self.known_hosts.is_complete(lookup.begun_at)
+            && possible_owners.is_some_and(|hosts| hosts.iter().all(was_asked))
+            && service.hosts().iter().any(is_established)
     }
 
     // Plans a walk of the hosts that replied `Unknown`. Its end starts another lookup. A walk
--- a/crates/core/tests/possible_owners.rs
+++ b/crates/core/tests/possible_owners.rs
@@ -134,6 +134,11 @@
     // Returns the verdict on a new flow that all hosts deny, with a fresh view.
     fn verdict(&mut self) -> Option<LookupVerdict> {
         let hosts = self.queried_hosts();
+        self.verdict_of_denials(hosts)
+    }
+
+    // Returns the verdict on the flow that was looked up last, which all these hosts deny.
+    fn verdict_of_denials(&mut self, hosts: Vec<SocketAddrV4>) -> Option<LookupVerdict> {
         let view = Arc::clone(self.control.view());
         let (key, now) = (key(self.flows), self.now);
         let reply = OwnershipReply::NotOwned;
@@ -391,3 +396,24 @@
     run.load_roster(&listed_hosts()[1..]);
     assert!(run.queried_hosts().contains(&listed_hosts()[0].packets));
 }
+
+#[test]
+fn lookup_begun_before_all_hosts_could_register_declares_no_flow_ownerless() {
+    let mut run = EntryRun::start();
+    run.advance_view(REGISTRATION_WAIT.as_millis() as u64, true);
+    let hosts = run.queried_hosts();
+    run.advance_view(100, true);
+    let verdict = run.verdict_of_denials(hosts);
+    assert_eq!(verdict, Some(LookupVerdict::Unconfirmed));
+}
+
+#[test]
+fn lookup_that_did_not_ask_a_host_that_registered_since_declares_no_flow_ownerless() {
+    let mut run = EntryRun::start();
+    run.advance_view(10_000, true);
+    let hosts = run.queried_hosts();
+    run.handle(registration(unlisted_host()));
+    run.advance_view(100, true);
+    let verdict = run.verdict_of_denials(hosts);
+    assert_eq!(verdict, Some(LookupVerdict::Unconfirmed));
+}
