Waits begin anew when hosts register with other entry VMs than before

Callers would see open flows reset after a fleet shrinks from 13 to 12 entry VMs: hosts in no roster register here for the first time, but verdicts of a missing owner are given at once. Unlisted hosts that were known for long in the large fleet are offered flows at once, though other entry VMs may not know them.

Cause: the time since which the view has been fresh and the ages of unlisted hosts were kept when the registration reach changed.

Change: a new reach begins both anew. Ages of listed hosts are kept, since the roster tells every entry VM of them.

Tests: two new ones of possible_owners.rs fail before the change and pass after it.

--- a/crates/core/src/known_hosts.rs
+++ b/crates/core/src/known_hosts.rs
@@ -108,7 +108,7 @@
 
     /// Records the hosts of a new view.
     pub fn update(&mut self, view: &RoutingView, now: TimePoint) {
-        self.registration_reach = view.registration_reach;
+        self.update_reach(view.registration_reach, now);
         let viewed = hosts_in_view(view);
         self.new_hosts = viewed
             .keys()
@@ -123,6 +123,20 @@
         self.update_firms();
     }
 
+    // Begins all waits anew if hosts register with other entry VMs than before: an unlisted host
+    // may be known to some entry VMs only, and others may have yet to register here.
+    fn update_reach(&mut self, reach: RegistrationReach, now: TimePoint) {
+        if reach == self.registration_reach {
+            return;
+        }
+        self.registration_reach = reach;
+        self.fresh_since = None;
+        self.last_fresh_at = None;
+        for host in self.new_hosts.values_mut().filter(|host| !host.is_listed) {
+            host.since = now;
+        }
+    }
+
     // Records the hosts of the previous view that the present one lacks, except those that
     // are known to have left.
     fn record_vanished(
--- a/crates/core/tests/possible_owners.rs
+++ b/crates/core/tests/possible_owners.rs
@@ -417,3 +417,29 @@
     let verdict = run.verdict_of_denials(hosts);
     assert_eq!(verdict, Some(LookupVerdict::Unconfirmed));
 }
+
+#[test]
+fn flow_is_not_declared_ownerless_soon_after_the_fleet_became_a_full_mesh() {
+    let mut run = EntryRun::start();
+    run.load_members(FULL_MESH_FLEET + 1);
+    run.advance_view(10_000, true);
+    run.load_members(FULL_MESH_FLEET);
+    run.advance_view(REGISTRATION_WAIT.as_millis() as u64, true);
+    assert_eq!(run.verdict(), Some(LookupVerdict::Unconfirmed));
+    run.advance_view(50, true);
+    assert!(matches!(run.verdict(), Some(LookupVerdict::NoOwner(_))));
+}
+
+#[test]
+fn unlisted_host_gets_no_flows_soon_after_the_fleet_became_a_full_mesh() {
+    let mut run = EntryRun::start();
+    run.load_members(FULL_MESH_FLEET + 1);
+    for _ in 0..20 {
+        run.register(unlisted_host());
+    }
+    run.load_members(FULL_MESH_FLEET);
+    run.register(unlisted_host());
+    assert!(!run.is_offered(unlisted_host().packets));
+    run.advance(NEW_HOST_DELAY.as_millis() as u64);
+    assert!(run.is_offered(unlisted_host().packets));
+}
