Hosts are told apart by name, an address may have several services

Callers would see open flows reset or stall while two records have one address, such as a dead record of another service or firm and the host that uses the address now: the host is not asked for flows of one of the firms, packets to a cached owner walk the other hosts, or name the wrong service. A host is forgotten when it vanishes if an earlier one of its address had announced its departure here.

Cause: known hosts were recorded by address alone, so that the last record in the order of a hash map replaced the other one.

Ruled out: preferring one of the records, since the dead one can't be told from the other by its state alone.

Change: a new module keeps the possible owners by service and name; an address has the tags of all its records. A looked-up owner gets the tag of the service at the flow's address if a record of that address has it, else the lowest tag. A departure holds for the name and incarnation that announced it.

Tests: four new ones of possible_owners.rs fail before the change and pass after it.

--- a/crates/core/src/known_hosts.rs
+++ b/crates/core/src/known_hosts.rs
@@ -12,10 +12,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::chart::HostState;
-use crate::ids::{FirmName, ServiceId, ServiceTag};
+use crate::ids::{FirmName, ServiceTag};
+use crate::possible_owners::PossibleOwners;
+pub use crate::possible_owners::VANISHED_HOST_MEMORY;
 use crate::units::TimePoint;
-use crate::view::{RegistrationReach, RoutingView};
+use crate::view::{RegistrationReach, RoutingView, ServiceView};
 
 /// Time for which an entry VM offers no flows to a host that has appeared in the roster.
 /// Within this time all entry VMs know it: one that did not would take its flows for flows
@@ -35,27 +36,6 @@
 /// is confirmed a moment after it was built.
 const FRESHNESS_GAP: Duration = Duration::from_millis(500);
 
-/// Time for which a host that left the view counts as a possible owner of flows. A host that
-/// lives is listed again by then.
-pub const VANISHED_HOST_MEMORY: Duration = Duration::from_secs(60);
-
-// A host in the view.
-#[derive(Debug, Clone)]
-struct ViewedHost {
-    service: ServiceId,
-    tag: ServiceTag,
-    // Whether a roster lists the host as leaving.
-    is_listed_as_leaving: bool,
-}
-
-// A host that left the view without having announced its departure.
-#[derive(Debug, Clone)]
-struct VanishedHost {
-    service: ServiceId,
-    tag: ServiceTag,
-    since: TimePoint,
-}
-
 // A host that joined within NEW_HOST_DELAY or is in no roster.
 #[derive(Debug, Clone, Copy)]
 struct NewHost {
@@ -70,13 +50,10 @@
     }
 }
 
-/// The hosts in the view and those that vanished from it, by firm.
+/// The hosts in the view and those that vanished from it.
 #[derive(Debug, Default)]
 pub struct KnownHosts {
-    // Possible owners of flows, sorted.
-    firms: HashMap<FirmName, Arc<[SocketAddrV4]>>,
-    viewed: HashMap<SocketAddrV4, ViewedHost>,
-    vanished: HashMap<SocketAddrV4, VanishedHost>,
+    owners: PossibleOwners,
     new_hosts: HashMap<SocketAddrV4, NewHost>,
     registration_reach: RegistrationReach,
     // Whether the platform confirmed the view recently.
@@ -92,35 +69,54 @@
 impl KnownHosts {
     /// Returns the hosts that may own flows of a firm, sorted.
     pub fn of_firm(&self, firm: &FirmName) -> Option<&Arc<[SocketAddrV4]>> {
-        self.firms.get(firm)
+        self.owners.of_firm(firm)
     }
 
-    /// Returns the hosts that vanished from the view.
+    /// Returns the addresses of the hosts that vanished and are not in the view.
     pub fn vanished(&self) -> impl Iterator<Item = SocketAddrV4> {
-        self.vanished.keys().copied()
+        self.owners.vanished()
     }
 
-    /// Returns the tag of the service that a host runs.
+    /// Returns whether a host of this address runs the service of this tag.
+    pub fn runs_service(&self, host: SocketAddrV4, tag: ServiceTag) -> bool {
+        self.owners.runs_service(host, tag)
+    }
+
+    /// Returns the tag of a service that a host of this address runs.
     pub fn service_tag(&self, host: SocketAddrV4) -> Option<ServiceTag> {
-        let viewed = self.viewed.get(&host).map(|viewed| viewed.tag);
-        viewed.or_else(|| self.vanished.get(&host).map(|vanished| vanished.tag))
+        self.owners.service_tag(host)
     }
 
     /// Records the hosts of a new view.
     pub fn update(&mut self, view: &RoutingView, now: TimePoint) {
         self.update_reach(view.registration_reach, now);
-        let viewed = hosts_in_view(view);
-        self.new_hosts = viewed
-            .keys()
+        let changed = self.owners.changed_services(view);
+        let new_hosts = self.new_hosts(view, &changed, now);
+        self.owners.update(view, &changed, now);
+        self.new_hosts = new_hosts;
+        let owners = &self.owners;
+        self.new_hosts.retain(|host, _| owners.is_in_view(*host));
+    }
+
+    // Returns the hosts that are new in a view that is not recorded yet, among those that may
+    // be: the hosts of changed services, hosts in no roster and those that were new before.
+    fn new_hosts(
+        &self,
+        view: &RoutingView,
+        changed: &[Arc<ServiceView>],
+        now: TimePoint,
+    ) -> HashMap<SocketAddrV4, NewHost> {
+        let hosts = changed.iter().flat_map(|service| service.hosts());
+        hosts
+            .map(|host| host.record.packets)
+            .chain(view.unlisted_hosts.iter().copied())
+            .chain(self.new_hosts.keys().copied())
             .filter_map(|host| {
-                let is_listed = !view.unlisted_hosts.contains(host);
-                let was_known = self.viewed.contains_key(host) || self.vanished.contains_key(host);
-                Some((*host, self.new_host(*host, was_known, is_listed, now)?))
+                let is_listed = !view.unlisted_hosts.contains(&host);
+                let was_known = self.owners.contains(host);
+                Some((host, self.new_host(host, was_known, is_listed, now)?))
             })
-            .collect();
-        let previous = std::mem::replace(&mut self.viewed, viewed);
-        self.record_vanished(previous, view, now);
-        self.update_firms();
+            .collect()
     }
 
     // Begins all waits anew if hosts register with other entry VMs than before: an unlisted host
@@ -137,60 +133,6 @@
         }
     }
 
-    // Records the hosts of the previous view that the present one lacks, except those that
-    // are known to have left.
-    fn record_vanished(
-        &mut self,
-        previous: HashMap<SocketAddrV4, ViewedHost>,
-        view: &RoutingView,
-        now: TimePoint,
-    ) {
-        for (address, host) in previous {
-            // The roster drops a leaving host once it has announced its departure. The hosts
-            // of a service that is not in the view may still be listed.
-            let has_left = host.is_listed_as_leaving && view.service(&host.service).is_some();
-            if !has_left {
-                let vanished = VanishedHost {
-                    service: host.service,
-                    tag: host.tag,
-                    since: now,
-                };
-                self.vanished.insert(address, vanished);
-            }
-        }
-        let viewed = &self.viewed;
-        self.vanished.retain(|address, host| {
-            !viewed.contains_key(address)
-                && !view.departed_hosts.contains(address)
-                && now.since(host.since) < VANISHED_HOST_MEMORY
-        });
-    }
-
-    fn update_firms(&mut self) {
-        let mut firms: HashMap<FirmName, Vec<SocketAddrV4>> = HashMap::new();
-        let viewed = self
-            .viewed
-            .iter()
-            .map(|(host, known)| (host, &known.service));
-        let vanished = self
-            .vanished
-            .iter()
-            .map(|(host, known)| (host, &known.service));
-        for (host, service) in viewed.chain(vanished) {
-            firms.entry(service.firm.clone()).or_default().push(*host);
-        }
-        self.firms = firms
-            .into_iter()
-            .map(|(firm, mut hosts)| {
-                hosts.sort_unstable();
-                // Lookups of equal hosts share their queries.
-                let unchanged = self.firms.get(&firm).filter(|before| ***before == *hosts);
-                let hosts = unchanged.map_or_else(|| hosts.into(), Arc::clone);
-                (firm, hosts)
-            })
-            .collect();
-    }
-
     // Returns what to record of a host in the view, or `None` if it is not new.
     fn new_host(
         &self,
@@ -249,19 +191,3 @@
             .is_some_and(|new| new.is_delayed(now) || (!new.is_listed && must_be_listed))
     }
 }
-
-fn hosts_in_view(view: &RoutingView) -> HashMap<SocketAddrV4, ViewedHost> {
-    let mut viewed = HashMap::new();
-    for service in view.services() {
-        for host in service.hosts() {
-            let known = ViewedHost {
-                service: service.id().clone(),
-                tag: service.tag,
-                is_listed_as_leaving: host.state == HostState::Leaving
-                    && !view.unlisted_leaving_hosts.contains(&host.record.name),
-            };
-            viewed.insert(host.record.packets, known);
-        }
-    }
-    viewed
-}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -36,6 +36,7 @@
 pub mod passthrough_routes;
 pub mod passthrough_verdict;
 pub mod placement;
+mod possible_owners;
 pub mod requests;
 pub mod responses;
 pub mod roster;
--- a/crates/core/src/passthrough_routes.rs
+++ b/crates/core/src/passthrough_routes.rs
@@ -168,7 +168,11 @@
         let service = view.service_at(key.service).map(|service| service.tag);
         // The host may run another service: the address belonged to that one when the flow
         // began.
-        if let Some(tag) = self.known_hosts.service_tag(host).or(service) {
+        let tag = service
+            .filter(|tag| self.known_hosts.runs_service(host, *tag))
+            .or_else(|| self.known_hosts.service_tag(host))
+            .or(service);
+        if let Some(tag) = tag {
             let syns = self
                 .cached_owners
                 .peek(&key)
@@ -340,7 +344,7 @@
             return self.plan_syn(service, segment.key, cached, now);
         }
         let runs_service =
-            |cached: &CachedOwner| self.known_hosts.service_tag(cached.host) == Some(cached.tag);
+            |cached: &CachedOwner| self.known_hosts.runs_service(cached.host, cached.tag);
         match cached.filter(runs_service) {
             Some(cached) => Ok(PassthroughPlan {
                 tag: cached.tag,
--- a/crates/core/src/view.rs
+++ b/crates/core/src/view.rs
@@ -4,13 +4,13 @@
 //! A change rebuilds only the services that it affects; the old and the new view
 //! share all others.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddrV4;
 use std::sync::Arc;
 
 use crate::chart::HostState;
 use crate::flow::BucketIndex;
-use crate::ids::{HostName, ObjectVersion, ServiceId, ServiceTag};
+use crate::ids::{HostName, Incarnation, ObjectVersion, ServiceId, ServiceTag};
 use crate::manifest::ServiceSpec;
 use crate::placement::{ChainSource, HostChain, HostSeed, RankedHost};
 use crate::roster::{HostIndex, HostRecord};
@@ -204,8 +204,8 @@
     pub registration_reach: RegistrationReach,
     /// Names of hosts that are leaving as of their registration here, and not as of the rosters.
     pub unlisted_leaving_hosts: BTreeSet<HostName>,
-    /// Packet addresses of hosts that have announced their departure here.
-    pub departed_hosts: BTreeSet<SocketAddrV4>,
+    /// Hosts that have announced their departure here.
+    pub departed_hosts: BTreeMap<HostName, Incarnation>,
     by_address: HashMap<SocketAddrV4, Arc<ServiceView>>,
     by_id: HashMap<ServiceId, Arc<ServiceView>>,
 }
@@ -311,6 +311,11 @@
         self.by_id.values().map(Arc::as_ref)
     }
 
+    /// Returns all services. Views share the services that are equal in them.
+    pub fn shared_services(&self) -> impl Iterator<Item = &Arc<ServiceView>> {
+        self.by_id.values()
+    }
+
     /// Returns the ids of all services.
     pub fn ids(&self) -> impl Iterator<Item = &ServiceId> {
         self.by_id.keys()
--- a/crates/core/src/view_builder.rs
+++ b/crates/core/src/view_builder.rs
@@ -10,7 +10,7 @@
 use crate::document::{
     DocumentId, DocumentItem, DocumentKind, DocumentStore, GrantIndex, ItemChange,
 };
-use crate::ids::{HostName, ServiceId};
+use crate::ids::{HostName, Incarnation, ServiceId};
 use crate::manifest::ServiceKind;
 use crate::roster::HostRecord;
 use crate::units::TimePoint;
@@ -207,11 +207,11 @@
             .collect()
     }
 
-    fn departed_hosts(&self) -> BTreeSet<SocketAddrV4> {
+    fn departed_hosts(&self) -> BTreeMap<HostName, Incarnation> {
         self.registered
             .values()
             .filter(|record| record.state == HostState::Gone)
-            .map(|record| record.packets)
+            .map(|record| (record.name.clone(), record.incarnation))
             .collect()
     }
 
--- a/crates/core/tests/possible_owners.rs
+++ b/crates/core/tests/possible_owners.rs
@@ -12,12 +12,14 @@
 use chestnutlb_core::{
     ControlAction, ControlEvent, DocumentId, DocumentItem, DocumentKind, EntryControl, HostRecord,
     HostRevision, HostState, LookupVerdict, ObjectVersion, OwnershipReply, PassthroughRouter,
-    RerouteDecision, ServiceKind, TimePoint,
+    RerouteDecision, RoutingView, ServiceKind, TimePoint,
 };
 use common::{data, entry, host, key, syn};
 
 const DATACENTER: &str = "honam-1";
 const LISTED_HOSTS: usize = 4;
+// Runs of a test whose result may depend on the order of a hash map.
+const ORDERS: usize = 40;
 // Time between two full steps of a run, longer than the batching of views.
 const STEP_MS: u64 = 150;
 
@@ -171,19 +173,42 @@
     // Returns the hosts that are asked for the owner of a new flow.
     fn queried_hosts(&mut self) -> Vec<SocketAddrV4> {
         self.flows += 1;
-        let packet = data(self.flows, 700);
         let view = Arc::clone(self.control.view());
-        let mut plan = self.router.route(&view, &packet, self.now).unwrap();
-        loop {
-            let last = *plan.hops.last().unwrap();
-            match self.router.reroute(&view, &packet, last, self.now).unwrap() {
-                RerouteDecision::Walk(walk) => plan = walk,
-                RerouteDecision::AwaitLookup => break,
-            }
+        queried_hosts(&mut self.router, &view, self.flows, self.now)
+    }
+}
+
+// Returns the hosts that a router asks for the owner of a flow that no host of a walk owned.
+fn queried_hosts(
+    router: &mut PassthroughRouter,
+    view: &RoutingView,
+    flow: u16,
+    now: TimePoint,
+) -> Vec<SocketAddrV4> {
+    let packet = data(flow, 700);
+    let mut plan = router.route(view, &packet, now).unwrap();
+    loop {
+        let last = *plan.hops.last().unwrap();
+        match router.reroute(view, &packet, last, now).unwrap() {
+            RerouteDecision::Walk(walk) => plan = walk,
+            RerouteDecision::AwaitLookup => break,
         }
-        let queries = self.router.take_queries(self.now);
-        queries.into_iter().map(|query| query.host).collect()
     }
+    let queries = router.take_queries(now);
+    queries.into_iter().map(|query| query.host).collect()
+}
+
+// Returns a view with a record of another service that has the address of host 0.
+fn view_with_shared_address(service: &str) -> RoutingView {
+    let mut view = common::passthrough_view(LISTED_HOSTS);
+    let mut spec = common::spec();
+    spec.id = service.parse().unwrap();
+    spec.address = "10.30.0.2:7000".parse().unwrap();
+    let mut record = host(77, HostState::Suspect);
+    record.service = spec.id.clone();
+    record.packets = listed_hosts()[0].packets;
+    common::put_passthrough(&mut view, spec, vec![record]);
+    view
 }
 
 fn registration(record: HostRecord) -> ControlEvent {
@@ -443,3 +468,56 @@
     run.advance(NEW_HOST_DELAY.as_millis() as u64);
     assert!(run.is_offered(unlisted_host().packets));
 }
+
+#[test]
+fn host_whose_address_a_record_of_another_firm_has_is_asked() {
+    for _ in 0..ORDERS {
+        let view = view_with_shared_address("hodu/patterns");
+        let mut router = common::settled_router(&view);
+        let hosts = queried_hosts(&mut router, &view, 1, TimePoint(5_000));
+        assert!(hosts.contains(&listed_hosts()[0].packets));
+    }
+}
+
+#[test]
+fn packets_to_a_looked_up_owner_name_its_service_if_another_service_has_its_address() {
+    let owner = listed_hosts()[0].packets;
+    for _ in 0..ORDERS {
+        let view = view_with_shared_address("dalbit/patterns");
+        let mut router = common::passthrough_router(&view);
+        router.record_owner(&view, key(1), owner);
+        let plan = router.route(&view, &data(1, 700), TimePoint(0)).unwrap();
+        assert_eq!(
+            (plan.hops, plan.tag),
+            (vec![owner], common::spec().id.tag())
+        );
+    }
+}
+
+#[test]
+fn packets_go_to_a_cached_owner_after_another_service_got_a_record_of_its_address() {
+    let view = common::passthrough_view(LISTED_HOSTS);
+    let owner = listed_hosts()[0].packets;
+    for _ in 0..ORDERS {
+        let later = view_with_shared_address("dalbit/patterns");
+        let mut router = common::passthrough_router(&view);
+        router.record_owner(&view, key(1), owner);
+        router.update_view(&later, TimePoint(100));
+        let plan = router.route(&later, &data(1, 700), TimePoint(100)).unwrap();
+        assert_eq!(
+            (plan.hops, plan.tag),
+            (vec![owner], common::spec().id.tag())
+        );
+    }
+}
+
+#[test]
+fn host_is_asked_though_an_earlier_host_of_its_address_announced_its_departure() {
+    let mut run = EntryRun::start();
+    run.register(host(0, HostState::Gone));
+    let mut successor = unlisted_host();
+    successor.packets = listed_hosts()[0].packets;
+    run.register(successor.clone());
+    run.advance(5_000);
+    assert!(run.queried_hosts().contains(&successor.packets));
+}
