--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -36,6 +36,7 @@
 pub mod passthrough_routes;
 pub mod passthrough_verdict;
 pub mod placement;
+mod possible_owners;
 pub mod registration_targets;
 pub mod requests;
 pub mod responses;
@@ -67,7 +68,7 @@
     AddressBlock, FirmManifest, ManifestChange, RequestClass, RouteRule, ServiceKind, ServiceSpec,
 };
 pub use members::{EntryMonitor, EntryRecord};
-pub use owner_lookup::{LookupQuery, LookupResult, OwnerLookups, OwnershipReply};
+pub use owner_lookup::{CompletedLookup, LookupQuery, LookupResult, OwnerLookups, OwnershipReply};
 pub use ownership::{AdmissionGate, FlowTable, PacketArrival, PacketDrop, PacketVerdict};
 pub use passthrough::{BackendInfo, PassthroughFlows, ReplyTiming};
 pub use passthrough_plan::{LookupVerdict, PassthroughPlan, RerouteDecision};
