Replies to hosts drop registration targets that do not fit the datagram

A host would never learn its registration targets if entry VMs and data centres had long names: in a fleet of 12 with names of 63 bytes the reply has 2,231 bytes, and hosts reject more than 1,400 as malformed. Found by a test; names of that length were not seen in a deployment.

Cause: the writer did not check the size; the limit of 12 entry VMs for registrations with all was set for shorter names.

Ruled out: a lower limit of entry VMs, which would take registrations with all from fleets whose names are short; another format of the reply.

Change: write_registration_reply drops targets from the end, so the trackers remain, until the datagram fits; counter peer.targets-dropped. The format stays.

What remains: where targets are dropped, hosts do not register with all entry VMs although registration_reach says so. With names of 63 bytes seven targets fit. The counter shows it.

--- a/crates/daemon/src/entry_control.rs
+++ b/crates/daemon/src/entry_control.rs
@@ -10,9 +10,11 @@
 
 use chestnutlb_core::{
     ControlAction, ControlEvent, DocumentId, EntryControl, HostRecord, HostRevision, HostState,
-    Incarnation, MemberEdit, ObjectVersion, RosterEdit, RoutingView, TimePoint,
+    Incarnation, MemberEdit, ObjectVersion, RegistrationReply, RosterEdit, RoutingView, TimePoint,
+};
+use chestnutlb_wire::peer::{
+    MAX_PEER_DATAGRAM_BYTES, PeerMessage, scan_message, write_message, write_registration_reply,
 };
-use chestnutlb_wire::peer::{MAX_PEER_DATAGRAM_BYTES, PeerMessage, scan_message, write_message};
 
 use crate::clock;
 use crate::entry_http::EntryShared;
@@ -140,7 +142,7 @@
                 self.send(target, &PeerMessage::Heartbeat((&heartbeat).into()));
             }
             ControlAction::ReplyToHost(target, reply) => {
-                self.send(target, &PeerMessage::Welcome((&reply).into()));
+                self.reply_to_host(target, &reply);
             }
             ControlAction::Pull(peer, wanted) => {
                 try_push(&self.rings.pulls, PullJob { peer, wanted }, counters);
@@ -204,11 +206,22 @@
         }
     }
 
+    fn reply_to_host(&self, target: SocketAddrV4, reply: &RegistrationReply) {
+        let datagram = write_registration_reply(reply);
+        self.shared
+            .counters
+            .add_many(Counter::PeerTargetsDropped, datagram.dropped_targets as u64);
+        self.send_bytes(target, &datagram.bytes);
+    }
+
     fn send(&self, target: SocketAddrV4, message: &PeerMessage) {
-        let bytes = write_message(message);
+        self.send_bytes(target, &write_message(message));
+    }
+
+    fn send_bytes(&self, target: SocketAddrV4, bytes: &[u8]) {
         let counters = &self.shared.counters;
         // A lost datagram is not retransmitted: the next heartbeat replaces it.
-        if self.socket.send_to(&bytes, target).is_ok() {
+        if self.socket.send_to(bytes, target).is_ok() {
             counters.add(Counter::PeerOut);
             counters.add_many(Counter::PeerBytesOut, bytes.len() as u64);
         }
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -67,6 +67,8 @@
     ProbesOut = "probes.out",
     /// Malformed datagrams from peers.
     PeerBad = "peer.bad",
+    /// Registration targets left out of replies to hosts, whose datagram was full.
+    PeerTargetsDropped = "peer.targets-dropped",
     /// Datagrams from peers.
     PeerIn = "peer.in",
     /// Datagrams to peers.
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -272,6 +272,29 @@
     buffer
 }
 
+/// An encoded reply to a registration or keep-alive.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ReplyDatagram {
+    /// The datagram, of at most [`MAX_PEER_DATAGRAM_BYTES`].
+    pub bytes: Vec<u8>,
+    /// Number of registration targets that did not fit.
+    pub dropped_targets: usize,
+}
+
+/// Encodes a reply to a host. Registration targets that do not fit are dropped from the end,
+/// as receivers reject longer datagrams and the trackers come first.
+pub fn write_registration_reply(reply: &RegistrationReply) -> ReplyDatagram {
+    let mut wire = WireRegistrationReply::from(reply);
+    let mut bytes = write_message(&PeerMessage::Welcome(wire.clone()));
+    while bytes.len() > MAX_PEER_DATAGRAM_BYTES && wire.keepers.pop().is_some() {
+        bytes = write_message(&PeerMessage::Welcome(wire.clone()));
+    }
+    ReplyDatagram {
+        bytes,
+        dropped_targets: reply.targets.len() - wire.keepers.len(),
+    }
+}
+
 /// Decodes a message, preceded by the version of the format.
 pub fn scan_message<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, PeerError> {
     let (version, body) = bytes.split_first().ok_or(PeerError::Empty)?;
