A view updates only the possible owners of services that have changed

Operators would see an entry VM of the target size spend tens of milliseconds of its packet thread on every view, up to ten times a second.

Cause: each view recorded every host of every service anew, put all of them among the vanished ones first, and rebuilt the hosts of every firm.

Tests: none that fails before, as tests assert no times.

--- a/crates/core/src/possible_owners.rs
+++ b/crates/core/src/possible_owners.rs
@@ -129,7 +129,13 @@
 
     /// Returns the services of a view whose hosts may differ from those of the last one.
     pub fn changed_services(&self, view: &RoutingView) -> Vec<Arc<ServiceView>> {
-        view.shared_services().cloned().collect()
+        view.shared_services()
+            .filter(|service| {
+                let before = self.services.get(service.id());
+                before.is_none_or(|before| !Arc::ptr_eq(before, service))
+            })
+            .cloned()
+            .collect()
     }
 
     /// Records a new view, of which these services have changed.
@@ -154,6 +160,9 @@
         let id = service.id();
         let before = self.services.insert(id.clone(), Arc::clone(service));
         if let Some(before) = before {
+            if has_same_hosts(&before, service) {
+                return false;
+            }
             self.record_vanished(&before, Some(service), now);
         }
         for host in service.hosts() {
@@ -282,3 +291,12 @@
         }
     }
 }
+
+// Returns whether two views of a service have the same hosts at the same addresses.
+fn has_same_hosts(service: &ServiceView, other: &ServiceView) -> bool {
+    let is_same = |(host, other): (&ViewHost, &ViewHost)| {
+        host.record.packets == other.record.packets && host.record.name == other.record.name
+    };
+    let (hosts, others) = (service.hosts(), other.hosts());
+    hosts.len() == others.len() && hosts.iter().zip(others).all(is_same)
+}
