Vanished hosts do not count against the limit of hosts of a lookup

Callers would see flows without an owner neither found nor reset: a firm of 240 hosts of which 20 are replaced gets no lookups for a minute.

Cause: hosts that left the view counted against MAX_LOOKUP_HOSTS.

Ruled out: asking any number of vanished hosts; queries to hosts that are dead would use up the rate limit of queries.

Change: the limit holds for hosts in the view. Of the vanished hosts of a firm, the 64 most recent ones are asked (MAX_VANISHED_HOSTS). While there are more, the verdict is Unconfirmed, as a possible owner was not asked; so flows of a firm that lost more hosts within a minute are not reset in that time.

Tests: two new ones of possible_owners.rs fail before the change and pass after it; without the condition of the verdict, one fails.

--- a/crates/core/src/known_hosts.rs
+++ b/crates/core/src/known_hosts.rs
@@ -14,7 +14,7 @@
 
 use crate::ids::{FirmName, ServiceTag};
 use crate::possible_owners::PossibleOwners;
-pub use crate::possible_owners::VANISHED_HOST_MEMORY;
+pub use crate::possible_owners::{MAX_VANISHED_HOSTS, VANISHED_HOST_MEMORY};
 use crate::units::TimePoint;
 use crate::view::{RegistrationReach, RoutingView, ServiceView};
 
@@ -67,7 +67,12 @@
 }
 
 impl KnownHosts {
-    /// Returns the hosts that may own flows of a firm, sorted.
+    /// Returns whether more hosts may own flows of a firm than lookups ask.
+    pub fn is_truncated(&self, firm: &FirmName) -> bool {
+        self.owners.is_truncated(firm)
+    }
+
+    /// Returns the hosts to ask that may own flows of a firm, sorted.
     pub fn of_firm(&self, firm: &FirmName) -> Option<&Arc<[SocketAddrV4]>> {
         self.owners.of_firm(firm)
     }
--- a/crates/core/src/owner_lookup.rs
+++ b/crates/core/src/owner_lookup.rs
@@ -57,7 +57,7 @@
 /// Maximum number of flows in one query, limited by the header size of a datagram.
 pub const MAX_FLOWS_PER_QUERY: usize = 16;
 
-/// Maximum number of hosts of a firm for a lookup. Queries to more hosts would cost more
+/// Maximum number of hosts of a firm in the view for a lookup. Queries to more hosts would cost more
 /// than the flow is worth.
 pub const MAX_LOOKUP_HOSTS: usize = 256;
 
@@ -216,11 +216,12 @@
     }
 
     /// Starts a lookup of this segment's flow among `hosts`, unless one is in progress or
-    /// there are more than [`MAX_LOOKUP_HOSTS`].
+    /// there are more than [`MAX_LOOKUP_HOSTS`] in the view.
     pub fn begin(&mut self, segment: &TcpSegment, hosts: Arc<[SocketAddrV4]>, now: TimePoint) {
         self.expire(now);
         let in_progress = self.lookups.contains_key(&segment.key);
-        if in_progress || hosts.is_empty() || hosts.len() > MAX_LOOKUP_HOSTS {
+        let in_view = hosts.iter().filter(|host| !self.vanished.contains(host));
+        if in_progress || hosts.is_empty() || in_view.count() > MAX_LOOKUP_HOSTS {
             return;
         }
         let lookup = OwnerLookup {
--- a/crates/core/src/passthrough_routes.rs
+++ b/crates/core/src/passthrough_routes.rs
@@ -283,6 +283,7 @@
         let was_asked = |host: &SocketAddrV4| lookup.hosts.binary_search(host).is_ok();
         // A host that registered after the start of the lookup was not asked.
         self.known_hosts.is_complete(lookup.begun_at)
+            && !self.known_hosts.is_truncated(&service.id().firm)
             && possible_owners.is_some_and(|hosts| hosts.iter().all(was_asked))
             && service.hosts().iter().any(is_established)
     }
--- a/crates/core/src/possible_owners.rs
+++ b/crates/core/src/possible_owners.rs
@@ -19,6 +19,10 @@
 /// lives is listed again by then.
 pub const VANISHED_HOST_MEMORY: Duration = Duration::from_secs(60);
 
+/// Maximum number of hosts of a firm that are asked though they are not in the view. While
+/// there are more, the most recent ones are asked, and no flow of the firm counts as ownerless.
+pub const MAX_VANISHED_HOSTS: usize = 64;
+
 // A host of a service. A host that returns with another address is a different one.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 struct HostKey {
@@ -87,16 +91,23 @@
     vanished: HashMap<ServiceId, HashMap<HostKey, VanishedHost>>,
     viewed_tags: TagIndex,
     vanished_tags: TagIndex,
-    // Sorted.
+    // Hosts to ask, sorted.
     firms: HashMap<FirmName, Arc<[SocketAddrV4]>>,
+    // Firms with more vanished hosts than are asked.
+    truncated_firms: HashSet<FirmName>,
 }
 
 impl PossibleOwners {
-    /// Returns the hosts that may own flows of a firm, sorted.
+    /// Returns the hosts to ask that may own flows of a firm, sorted.
     pub fn of_firm(&self, firm: &FirmName) -> Option<&Arc<[SocketAddrV4]>> {
         self.firms.get(firm)
     }
 
+    /// Returns whether more hosts may own flows of a firm than are asked.
+    pub fn is_truncated(&self, firm: &FirmName) -> bool {
+        self.truncated_firms.contains(firm)
+    }
+
     /// Returns the addresses of the hosts that vanished and are not in the view.
     pub fn vanished(&self) -> impl Iterator<Item = SocketAddrV4> {
         let hosts = self.vanished_tags.0.keys().copied();
@@ -271,25 +282,51 @@
                 firms.entry(&id.firm).or_default().extend(hosts);
             }
         }
-        for (id, vanished) in &self.vanished {
-            if changed.contains(&id.firm) {
-                let hosts = vanished.keys().map(|host| host.packets);
-                firms.entry(&id.firm).or_default().extend(hosts);
-            }
-        }
+        let mut vanished = self.vanished_of_firms(changed);
         for firm in changed {
-            let Some(mut hosts) = firms.remove(firm) else {
-                self.firms.remove(firm);
-                continue;
-            };
+            let mut hosts = firms.remove(firm).unwrap_or_default();
+            let recent = vanished.remove(firm).unwrap_or_default();
+            if recent.len() > MAX_VANISHED_HOSTS {
+                self.truncated_firms.insert(firm.clone());
+            } else {
+                self.truncated_firms.remove(firm);
+            }
+            hosts.extend(recent.into_iter().take(MAX_VANISHED_HOSTS));
             hosts.sort_unstable();
             hosts.dedup();
+            if hosts.is_empty() {
+                self.firms.remove(firm);
             // Lookups of equal hosts share their queries.
-            if self.firms.get(firm).is_none_or(|before| **before != *hosts) {
+            } else if self.firms.get(firm).is_none_or(|before| **before != *hosts) {
                 self.firms.insert(firm.clone(), hosts.into());
             }
         }
     }
+
+    // Returns the addresses of these firms' hosts that vanished, the most recent ones first.
+    fn vanished_of_firms(&self, firms: &HashSet<FirmName>) -> HashMap<FirmName, Vec<SocketAddrV4>> {
+        let mut vanished: HashMap<FirmName, BTreeMap<SocketAddrV4, TimePoint>> = HashMap::new();
+        for (id, hosts) in self
+            .vanished
+            .iter()
+            .filter(|(id, _)| firms.contains(&id.firm))
+        {
+            let addresses = vanished.entry(id.firm.clone()).or_default();
+            for (key, host) in hosts {
+                let since = addresses.entry(key.packets).or_default();
+                *since = (*since).max(host.since);
+            }
+        }
+        let recent_first = |addresses: BTreeMap<SocketAddrV4, TimePoint>| {
+            let mut hosts: Vec<_> = addresses.into_iter().collect();
+            hosts.sort_by_key(|(_, since)| std::cmp::Reverse(*since));
+            hosts.into_iter().map(|(host, _)| host).collect()
+        };
+        vanished
+            .into_iter()
+            .map(|(firm, addresses)| (firm, recent_first(addresses)))
+            .collect()
+    }
 }
 
 // Returns whether two views of a service have the same hosts at the same addresses.
--- a/crates/core/tests/possible_owners.rs
+++ b/crates/core/tests/possible_owners.rs
@@ -7,7 +7,9 @@
 use std::num::NonZeroUsize;
 use std::sync::Arc;
 
-use chestnutlb_core::known_hosts::{NEW_HOST_DELAY, REGISTRATION_WAIT, VANISHED_HOST_MEMORY};
+use chestnutlb_core::known_hosts::{
+    MAX_VANISHED_HOSTS, NEW_HOST_DELAY, REGISTRATION_WAIT, VANISHED_HOST_MEMORY,
+};
 use chestnutlb_core::members::FULL_MESH_FLEET;
 use chestnutlb_core::{
     ControlAction, ControlEvent, DocumentId, DocumentItem, DocumentKind, EntryControl, HostRecord,
@@ -230,6 +232,22 @@
     host(9, HostState::Serving)
 }
 
+fn numbered_hosts(count: usize) -> Vec<HostRecord> {
+    (0..count)
+        .map(|number| host(number, HostState::Serving))
+        .collect()
+}
+
+// Returns hosts of which the first ones have other names and addresses than numbered_hosts.
+fn replaced_hosts(count: usize, replaced: usize) -> Vec<HostRecord> {
+    let mut hosts = numbered_hosts(count);
+    for (number, record) in hosts.iter_mut().take(replaced).enumerate() {
+        record.name = format!("successor-{number}").parse().unwrap();
+        record.packets.set_ip([10, 5, 0, number as u8].into());
+    }
+    hosts
+}
+
 #[test]
 fn registered_host_is_asked_after_a_roster_version_that_does_not_list_it() {
     let mut run = EntryRun::start();
@@ -521,3 +539,28 @@
     run.advance(5_000);
     assert!(run.queried_hosts().contains(&successor.packets));
 }
+
+#[test]
+fn owner_is_looked_up_if_only_the_hosts_in_the_view_are_within_the_limit() {
+    let mut run = EntryRun::start();
+    run.load_roster(&numbered_hosts(240));
+    run.load_roster(&replaced_hosts(240, 20));
+    assert_eq!(run.queried_hosts().len(), 260);
+}
+
+#[test]
+fn most_recent_vanished_hosts_are_asked_and_no_flow_is_ownerless_if_there_are_more() {
+    let mut run = EntryRun::start();
+    run.load_roster(&numbered_hosts(200));
+    run.advance_view(10_000, true);
+    run.load_roster(&replaced_hosts(200, 60));
+    run.load_roster(&replaced_hosts(200, 60 + MAX_VANISHED_HOSTS));
+    run.advance_view(2_000, true);
+    let hosts = run.queried_hosts();
+    let replaced = numbered_hosts(60 + MAX_VANISHED_HOSTS);
+    let asked = |record: &HostRecord| hosts.contains(&record.packets);
+    assert!(replaced[60..].iter().all(asked));
+    assert!(!replaced[..60].iter().any(asked));
+    let verdict = run.verdict_of_denials(hosts);
+    assert_eq!(verdict, Some(LookupVerdict::Unconfirmed));
+}
