Tests of the waits and of tags of cached owners that no test checked

Four changes of the code passed all tests: a shorter wait for hosts of a large fleet to be listed again, a wait for registrations that begins before this entry VM is a member, vanished hosts that count as unknown when they are listed again, and a cached owner that counts as long as its address runs any service. Callers would see resets of open flows after the first two, packets to hosts of another service after the last.

Tests: four new ones of possible_owners.rs pass, and each fails with its change applied (RELISTING_WAIT of 1 s; no reset of the wait and no condition on the reach in record_freshness; is_in_view instead of contains; service_tag().is_some() instead of runs_service). A wait of 0 s was not run; the test names 2 s. The third case costs flows at a host, not resets.

--- a/crates/core/tests/possible_owners.rs
+++ b/crates/core/tests/possible_owners.rs
@@ -6,9 +6,10 @@
 use std::net::SocketAddrV4;
 use std::num::NonZeroUsize;
 use std::sync::Arc;
+use std::time::Duration;
 
 use chestnutlb_core::known_hosts::{
-    MAX_VANISHED_HOSTS, NEW_HOST_DELAY, REGISTRATION_WAIT, VANISHED_HOST_MEMORY,
+    MAX_VANISHED_HOSTS, NEW_HOST_DELAY, REGISTRATION_WAIT, RELISTING_WAIT, VANISHED_HOST_MEMORY,
 };
 use chestnutlb_core::members::FULL_MESH_FLEET;
 use chestnutlb_core::{
@@ -564,3 +565,53 @@
     let verdict = run.verdict_of_denials(hosts);
     assert_eq!(verdict, Some(LookupVerdict::Unconfirmed));
 }
+
+#[test]
+fn flow_is_not_declared_ownerless_before_hosts_of_a_large_fleet_are_listed_again() {
+    let mut run = EntryRun::start();
+    run.load_members(FULL_MESH_FLEET + 1);
+    run.advance_view(RELISTING_WAIT.as_millis() as u64, true);
+    assert_eq!(RELISTING_WAIT, Duration::from_secs(2));
+    assert_eq!(run.verdict(), Some(LookupVerdict::Unconfirmed));
+    run.advance_view(50, true);
+    assert!(matches!(run.verdict(), Some(LookupVerdict::NoOwner(_))));
+}
+
+#[test]
+fn wait_for_registrations_begins_when_the_entry_becomes_a_member() {
+    let mut run = EntryRun::start();
+    let other = DocumentItem::Entry(entry(2, DATACENTER));
+    run.load(DocumentKind::Members, DATACENTER, vec![other]);
+    run.advance_view(10_000, true);
+    run.load_members(2);
+    run.advance_view(REGISTRATION_WAIT.as_millis() as u64, true);
+    assert_eq!(run.verdict(), Some(LookupVerdict::Unconfirmed));
+    run.advance_view(50, true);
+    assert!(matches!(run.verdict(), Some(LookupVerdict::NoOwner(_))));
+}
+
+#[test]
+fn host_that_is_listed_again_after_its_removal_gets_flows_at_once() {
+    let mut run = EntryRun::start();
+    run.advance_view(2_000, true);
+    run.load_roster(&listed_hosts()[1..]);
+    run.load_roster(&listed_hosts());
+    assert!(run.is_offered(listed_hosts()[0].packets));
+}
+
+#[test]
+fn packets_do_not_go_to_a_cached_owner_whose_address_runs_another_service_only() {
+    let owner = listed_hosts()[0].packets;
+    let mut router = common::passthrough_router(&common::passthrough_view(LISTED_HOSTS));
+    let mut view = common::passthrough_view(LISTED_HOSTS);
+    router.record_owner(&view, key(1), owner);
+    let mut hosts = listed_hosts();
+    hosts[0].state = HostState::Leaving;
+    common::put_passthrough(&mut view, common::spec(), hosts.clone());
+    router.update_view(&view, TimePoint(100));
+    let mut later = view_with_shared_address("dalbit/patterns");
+    common::put_passthrough(&mut later, common::spec(), hosts.split_off(1));
+    router.update_view(&later, TimePoint(200));
+    let plan = router.route(&later, &data(1, 700), TimePoint(200)).unwrap();
+    assert!(!plan.hops.contains(&owner));
+}
