A lost query counts once, however many flows it names

Callers would see an open flow reset if two queries to its live host are lost 2 s apart: the host counts as unreachable, and its reply is not required.

Cause: missed lookups were counted per flow, so that one lost datagram that names 16 flows counted 16 times, and three were enough.

Change: flows that share their queries have a batch number, and a host's missed queries are counted per batch. All lookups that time out at once are judged before their queries are counted.

Tests: the new one of owner_lookup.rs fails before the change (NotFound) and passes after it.

--- a/crates/core/src/owner_lookup.rs
+++ b/crates/core/src/owner_lookup.rs
@@ -17,7 +17,7 @@
 //! limited, and a query names several flows: lookups beyond the limit wait, and share the
 //! next queries.
 
-use std::collections::{HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::net::SocketAddrV4;
 use std::sync::Arc;
 use std::time::Duration;
@@ -42,11 +42,11 @@
 /// replies to one lookup must not mix with those to the next.
 pub const LOOKUP_TIMEOUT: Duration = Duration::from_millis(150);
 
-/// A host is unreachable if it left at least this many consecutive lookups unanswered,
-/// the first of which started at least [`UNREACHABLE_AFTER`] ago.
-pub const UNREACHABLE_AFTER_LOOKUPS: u32 = 3;
+/// A host is unreachable if it left at least this many consecutive queries unanswered,
+/// the first of which was sent at least [`UNREACHABLE_AFTER`] ago.
+pub const UNREACHABLE_AFTER_QUERIES: u32 = 3;
 
-/// See [`UNREACHABLE_AFTER_LOOKUPS`]. Equal to the time after which trackers suspect a
+/// See [`UNREACHABLE_AFTER_QUERIES`]. Equal to the time after which trackers suspect a
 /// silent host.
 pub const UNREACHABLE_AFTER: Duration = SUSPECT_AFTER;
 
@@ -131,26 +131,30 @@
     phase: LookupPhase,
 }
 
+// Number of a batch of flows that share their queries.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
+struct BatchNumber(u64);
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum LookupPhase {
     // Waits for the rate limit since this time.
     Waiting(TimePoint),
-    // The queries were sent at this time.
-    Queried(TimePoint),
+    // The queries of this batch of flows were sent at this time.
+    Queried(TimePoint, BatchNumber),
 }
 
 impl LookupPhase {
     fn is_expired(self, now: TimePoint) -> bool {
         match self {
             Self::Waiting(since) => now.since(since) >= LOOKUP_WAIT_LIMIT,
-            Self::Queried(at) => now.since(at) >= LOOKUP_TIMEOUT,
+            Self::Queried(at, _) => now.since(at) >= LOOKUP_TIMEOUT,
         }
     }
 }
 
-// Consecutive lookups that a host left unanswered; the first started at `since`.
+// Consecutive queries that a host left unanswered; the first was sent at `since`.
 #[derive(Debug, Clone, Copy)]
-struct MissedLookups {
+struct MissedQueries {
     since: TimePoint,
     count: u32,
 }
@@ -195,7 +199,8 @@
     lookups: HashMap<FlowKey, OwnerLookup>,
     // Flows whose lookups wait for the rate limit, in order.
     waiting: VecDeque<FlowKey>,
-    missed_lookups: HashMap<SocketAddrV4, MissedLookups>,
+    last_batch: BatchNumber,
+    missed_queries: HashMap<SocketAddrV4, MissedQueries>,
     // Hosts that are not in the view. Their silence is no sign of isolation.
     vanished: HashSet<SocketAddrV4>,
     finished: Vec<(FlowKey, LookupResult)>,
@@ -257,12 +262,12 @@
 
     /// Records that something was received from a host.
     pub fn record_activity(&mut self, host: SocketAddrV4) {
-        self.missed_lookups.remove(&host);
+        self.missed_queries.remove(&host);
     }
 
     fn is_unreachable(&self, host: SocketAddrV4, now: TimePoint) -> bool {
-        self.missed_lookups.get(&host).is_some_and(|missed| {
-            missed.count >= UNREACHABLE_AFTER_LOOKUPS
+        self.missed_queries.get(&host).is_some_and(|missed| {
+            missed.count >= UNREACHABLE_AFTER_QUERIES
                 && now.since(missed.since) >= UNREACHABLE_AFTER
         })
     }
@@ -275,24 +280,36 @@
             .filter(|(_, lookup)| lookup.phase.is_expired(now))
             .map(|(key, _)| *key)
             .collect();
+        let mut missed = BTreeMap::new();
         for key in expired {
             let Some(lookup) = self.lookups.remove(&key) else {
                 continue;
             };
             let result = match lookup.phase {
                 LookupPhase::Waiting(_) => LookupResult::NotStarted,
-                LookupPhase::Queried(at) => self.timeout_result(&lookup, at, now),
+                LookupPhase::Queried(at, batch) => {
+                    let silent = lookup.silent_hosts();
+                    missed.extend(silent.map(|host| ((batch, *host), at)));
+                    self.timeout_result(&lookup, now)
+                }
             };
             self.finished.push((key, result));
         }
+        // A query names several flows, and one lost datagram counts once.
+        for ((_, host), queried_at) in missed {
+            self.record_missed_query(host, queried_at);
+        }
     }
 
-    fn timeout_result(
-        &mut self,
-        lookup: &OwnerLookup,
-        queried_at: TimePoint,
-        now: TimePoint,
-    ) -> LookupResult {
+    fn record_missed_query(&mut self, host: SocketAddrV4, queried_at: TimePoint) {
+        let missed = self.missed_queries.entry(host).or_insert(MissedQueries {
+            since: queried_at,
+            count: 0,
+        });
+        missed.count += 1;
+    }
+
+    fn timeout_result(&self, lookup: &OwnerLookup, now: TimePoint) -> LookupResult {
         let silent = lookup.silent_hosts().copied();
         let mut unreachable: Vec<_> = silent
             .filter(|host| self.is_unreachable(*host, now))
@@ -303,13 +320,6 @@
         if unreachable_in_view > hosts_in_view / ISOLATION_DIVISOR {
             unreachable.clear();
         }
-        for host in lookup.silent_hosts() {
-            let missed = self.missed_lookups.entry(*host).or_insert(MissedLookups {
-                since: queried_at,
-                count: 0,
-            });
-            missed.count += 1;
-        }
         lookup.result(&unreachable)
     }
 
@@ -351,12 +361,13 @@
     // Takes the first flows that wait for queries to exactly these hosts.
     fn take_batch(&mut self, hosts: &Arc<[SocketAddrV4]>, now: TimePoint) -> Vec<FlowKey> {
         let mut flows = Vec::new();
+        self.last_batch.0 += 1;
         while flows.len() < MAX_FLOWS_PER_QUERY
             && self.next_hosts().as_ref() == Some(hosts)
             && let Some(key) = self.waiting.pop_front()
         {
             if let Some(lookup) = self.lookups.get_mut(&key) {
-                lookup.phase = LookupPhase::Queried(now);
+                lookup.phase = LookupPhase::Queried(now, self.last_batch);
                 flows.push(key);
             }
         }
@@ -374,7 +385,7 @@
     ) -> Option<LookupResult> {
         let lookup = self.lookups.get_mut(&key)?;
         let queried =
-            matches!(lookup.phase, LookupPhase::Queried(_)) && !lookup.phase.is_expired(now);
+            matches!(lookup.phase, LookupPhase::Queried(..)) && !lookup.phase.is_expired(now);
         if !queried || !lookup.silent_hosts().any(|silent| *silent == host) {
             return None;
         }
--- a/crates/core/tests/owner_lookup.rs
+++ b/crates/core/tests/owner_lookup.rs
@@ -4,15 +4,17 @@
 mod common;
 
 use std::net::SocketAddrV4;
+use std::sync::Arc;
 use std::time::Duration;
 
 use chestnutlb_core::owner_lookup::{
     LOOKUP_QUERIES_PER_SECOND, LOOKUP_TIMEOUT, MAX_FLOWS_PER_QUERY, MAX_LOOKUP_HOSTS,
+    UNREACHABLE_AFTER,
 };
 use chestnutlb_core::{
-    BackendInfo, HostState, LookupVerdict, OwnershipReply, PassthroughArrival, PassthroughFlows,
-    PassthroughPlan, PassthroughRouter, PassthroughVerdict, PlanSource, RerouteDecision,
-    RoutingView, TcpSegment, TimePoint,
+    BackendInfo, HostState, LookupResult, LookupVerdict, OwnerLookups, OwnershipReply,
+    PassthroughArrival, PassthroughFlows, PassthroughPlan, PassthroughRouter, PassthroughVerdict,
+    PlanSource, RerouteDecision, RoutingView, TcpSegment, TimePoint,
 };
 use common::{
     data, host, key, passthrough_router, passthrough_view, put_passthrough, settled_router, syn,
@@ -668,3 +670,36 @@
         OwnershipReply::NotOwned
     );
 }
+
+// Looks these flows up at once among hosts of which the first does not reply.
+fn results_with_silent_host(
+    lookups: &mut OwnerLookups,
+    flows: std::ops::Range<u16>,
+    at: TimePoint,
+) -> Vec<LookupResult> {
+    let hosts = (0..HOSTS).map(|number| host(number, HostState::Serving).packets);
+    let hosts: Arc<[SocketAddrV4]> = hosts.collect();
+    for flow in flows {
+        lookups.begin(&data(flow, 700), Arc::clone(&hosts), at);
+    }
+    for query in lookups.take_queries(at) {
+        for flow in query.flows.into_iter().filter(|_| query.host != hosts[0]) {
+            lookups.record_reply(flow, query.host, OwnershipReply::NotOwned, at);
+        }
+    }
+    let finished = lookups.take_finished(at + LOOKUP_TIMEOUT);
+    finished.into_iter().map(|(_, result)| result).collect()
+}
+
+#[test]
+fn host_is_reachable_after_the_loss_of_two_queries_that_name_many_flows() {
+    let mut lookups = OwnerLookups::default();
+    let flows = MAX_FLOWS_PER_QUERY as u16;
+    let at = TimePoint(START_MS);
+    results_with_silent_host(&mut lookups, 0..flows, at);
+    let at = at + UNREACHABLE_AFTER;
+    let results = results_with_silent_host(&mut lookups, 100..100 + flows, at);
+    assert_eq!(results.len(), usize::from(flows));
+    let is_incomplete = |result: &LookupResult| matches!(result, LookupResult::Incomplete(_));
+    assert!(results.iter().all(is_incomplete), "{results:?}");
+}
