--- a/crates/core/src/known_hosts.rs
+++ b/crates/core/src/known_hosts.rs
@@ -61,8 +61,8 @@
     // Since when the view has been fresh and this entry VM a member, and when it last was.
     fresh_since: Option<TimePoint>,
     last_fresh_at: Option<TimePoint>,
-    // Whether the platform confirmed the view since the start of this process. The hosts in the view until then are
-    // not new.
+    // Whether the platform confirmed the view since the start of this process. The hosts in the
+    // view until then are not new.
     had_fresh_view: bool,
 }
 
