Member rings in a module of their own

A roster's data centre is parsed once; hosts are ranked by the data centre of their record, which names their roster. No decision changes; the core's tests pass unchanged.

--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -24,11 +24,12 @@
 use crate::events::{ControlAction, ControlEvent, Heartbeat, MemberEdit, RegistrationReply};
 use crate::host_tracker::{HostRevision, HostTracker, RosterEdit, SUSPECT_AFTER};
 use crate::ids::{DatacenterName, EntryName, HostName, ObjectVersion, ServiceId};
-use crate::members::{EntryMonitor, EntryRecord, MemberRing, RANK_DELAY, TRACKERS_PER_HOST};
+use crate::member_rings::MemberRings;
+use crate::members::{EntryMonitor, EntryRecord, RANK_DELAY, TRACKERS_PER_HOST};
 use crate::roster::HostRecord;
 use crate::timer::{TimerKind, TimerService};
 use crate::units::TimePoint;
-use crate::view::{RegistrationReach, RoutingView};
+use crate::view::RoutingView;
 use crate::view_builder::ViewBuilder;
 
 /// Number of random peers that each change is gossiped to immediately.
@@ -104,8 +105,7 @@
     recent: VecDeque<(DocumentId, ObjectVersion)>,
     jobs: HashMap<ControlJob, TimePoint>,
     view_builder: ViewBuilder,
-    global_ring: MemberRing,
-    datacenter_rings: BTreeMap<DatacenterName, MemberRing>,
+    rings: MemberRings,
     roster_scan_due: bool,
     // When the rings follow the members documents again after a restore of the store.
     settled_at: Option<TimePoint>,
@@ -135,6 +135,7 @@
         timers.subscribe(TimerKind::Repair, REPAIR_PERIOD, now);
         timers.subscribe(TimerKind::Liveness, BATCH_PERIOD, now);
         Self {
+            rings: MemberRings::new(me.clone()),
             me,
             seeds,
             documents: DocumentStore::default(),
@@ -147,8 +148,6 @@
             recent: VecDeque::new(),
             jobs: HashMap::new(),
             view_builder: ViewBuilder::default(),
-            global_ring: MemberRing::default(),
-            datacenter_rings: BTreeMap::new(),
             roster_scan_due: false,
             settled_at: None,
             publish_due: false,
@@ -248,31 +247,7 @@
 
     /// Returns the entry VMs of all data centres.
     pub fn entries(&self) -> impl ExactSizeIterator<Item = &EntryRecord> {
-        self.global_ring.entries()
-    }
-
-    fn rebuild_member_rings(&mut self) {
-        let entries = entry_records(self.documents.items(DocumentKind::Members));
-        let mut groups: BTreeMap<DatacenterName, Vec<EntryRecord>> = BTreeMap::new();
-        for entry in &entries {
-            groups
-                .entry(entry.datacenter.clone())
-                .or_default()
-                .push(entry.clone());
-        }
-        self.datacenter_rings = groups
-            .into_iter()
-            .map(|(datacenter, entries)| (datacenter, MemberRing::new(entries)))
-            .collect();
-        self.global_ring = MemberRing::new(entries);
-        let reach = if self.global_ring.find(&self.me.name).is_none() {
-            RegistrationReach::Unknown
-        } else if self.global_ring.is_full_mesh() {
-            RegistrationReach::AllEntries
-        } else {
-            RegistrationReach::SomeEntries
-        };
-        self.view_builder.set_registration_reach(reach);
+        self.rings.entries()
     }
 
     /// Handles an event and returns the actions to carry out.
@@ -348,23 +323,6 @@
         actions
     }
 
-    fn reassign_hosts(&mut self, now: TimePoint) {
-        let (global_ring, datacenter_rings, me) =
-            (&self.global_ring, &self.datacenter_rings, &self.me.name);
-        let empty_ring = MemberRing::default();
-        self.tracker.reassign(
-            |record| {
-                let ring = datacenter_rings
-                    .get(&record.datacenter)
-                    .unwrap_or(&empty_ring);
-                let trackers = ring.trackers(&record.name, global_ring);
-                let rank = trackers.iter().position(|tracker| tracker.name == *me);
-                rank.map(|rank| rank as u32)
-            },
-            now,
-        );
-    }
-
     fn on_registration(
         &mut self,
         record: HostRecord,
@@ -372,7 +330,7 @@
         manifest: ObjectVersion,
         now: TimePoint,
     ) -> RegistrationReply {
-        let registration_targets = self.registration_targets_of(&record);
+        let registration_targets = self.rings.registration_targets(&record);
         let rank = registration_targets
             .iter()
             .take(TRACKERS_PER_HOST)
@@ -452,22 +410,6 @@
         }
     }
 
-    // Returns the entry VMs that a host registers at, its trackers first, or this
-    // entry VM if the rings are empty.
-    fn registration_targets_of(&self, record: &HostRecord) -> Vec<EntryRecord> {
-        let registration_targets = match self.datacenter_rings.get(&record.datacenter) {
-            Some(ring) => ring.registration_targets(&record.name, &self.global_ring),
-            None => self
-                .global_ring
-                .registration_targets(&record.name, &self.global_ring),
-        };
-        if registration_targets.is_empty() {
-            vec![self.me.clone()]
-        } else {
-            registration_targets.into_iter().cloned().collect()
-        }
-    }
-
     fn on_heartbeat(
         &mut self,
         heartbeat: Heartbeat,
@@ -490,7 +432,7 @@
             self.record_named_version(id, *version);
         }
         self.pull_newer(&heartbeat, now, actions);
-        if self.global_ring.find(&heartbeat.entry.name).is_none() {
+        if !self.rings.contains(&heartbeat.entry.name) {
             // The sender may have just started and have no members document yet.
             actions.push(ControlAction::Heartbeat(
                 heartbeat.entry.peers,
@@ -695,15 +637,19 @@
         }
         self.settled_at = None;
         self.members_changed_at = now;
-        self.rebuild_member_rings();
-        self.reassign_hosts(now);
+        self.rings
+            .rebuild(self.documents.items(DocumentKind::Members));
+        self.view_builder
+            .set_registration_reach(self.rings.registration_reach());
+        let rings = &self.rings;
+        self.tracker
+            .reassign(|record| rings.tracker_rank(record), now);
         self.roster_scan_due = true;
     }
 
     fn random_peers(&mut self) -> Vec<EntryRecord> {
-        let me = &self.me.name;
-        let peers = self.global_ring.entries().filter(|entry| entry.name != *me);
-        peers
+        self.rings
+            .peers()
             .choose_multiple(&mut self.random, GOSSIP_FANOUT)
             .into_iter()
             .cloned()
@@ -743,8 +689,8 @@
     fn send_heartbeats(&mut self, now: TimePoint, actions: &mut Vec<ControlAction>) {
         let heartbeat = self.heartbeat(now);
         let mut targets: Vec<_> = self
-            .global_ring
-            .successors(&self.me.name)
+            .rings
+            .successors()
             .into_iter()
             .map(|entry| entry.peers)
             .collect();
@@ -796,17 +742,12 @@
         }
         self.progress
             .retain(|_, progress| now.since(progress.last_seen) < SUSPECT_AFTER * 5);
-        let watching = !self.stopping && self.is_watcher();
+        let watching = !self.stopping && self.rings.is_watcher();
         if watching != self.watching {
             self.watching = watching;
             actions.push(ControlAction::Watch(watching));
         }
-        let watched: Vec<EntryRecord> = self
-            .global_ring
-            .predecessors(&self.me.name)
-            .into_iter()
-            .cloned()
-            .collect();
+        let watched: Vec<EntryRecord> = self.rings.predecessors().into_iter().cloned().collect();
         let names: Vec<_> = watched.iter().map(|entry| entry.name.clone()).collect();
         let silent = self.entry_monitor.silent(&names, now);
         self.silent_entries.retain(|name, _| silent.contains(name));
@@ -823,13 +764,6 @@
         }
     }
 
-    fn is_watcher(&self) -> bool {
-        let datacenter = &self.me.datacenter;
-        self.datacenter_rings
-            .get(datacenter)
-            .is_none_or(|ring| ring.is_watcher(&self.me.name, datacenter))
-    }
-
     fn repair(&mut self, now: TimePoint, actions: &mut Vec<ControlAction>) {
         if self.stopping {
             return;
@@ -861,40 +795,24 @@
             .iter()
             .filter(|(id, _)| id.kind == DocumentKind::Roster);
         for (id, document) in rosters {
-            let ring = self
-                .datacenter_rings
-                .iter()
-                .find(|(datacenter, _)| datacenter.as_str() == id.name)
-                .map(|(_, ring)| ring.clone())
-                .unwrap_or_default();
-            if ring.has_enough_trackers() && self.me.datacenter.as_str() != id.name {
+            let may_track = id
+                .name
+                .parse()
+                .is_ok_and(|datacenter| self.rings.may_track(&datacenter));
+            if !may_track {
                 continue;
             }
             for item in document.items() {
-                let DocumentItem::Host(record) = item else {
-                    continue;
-                };
-                let trackers = ring.trackers(&record.name, &self.global_ring);
-                if let Some(rank) = trackers
-                    .iter()
-                    .position(|tracker| tracker.name == self.me.name)
+                if let DocumentItem::Host(record) = item
+                    && let Some(rank) = self.rings.tracker_rank(record)
                 {
-                    self.tracker.track_from_roster(record, rank as u32, now);
+                    self.tracker.track_from_roster(record, rank, now);
                 }
             }
         }
     }
 }
 
-fn entry_records<'a>(items: impl Iterator<Item = &'a DocumentItem>) -> Vec<EntryRecord> {
-    items
-        .filter_map(|item| match item {
-            DocumentItem::Entry(record) => Some(record.clone()),
-            _ => None,
-        })
-        .collect()
-}
-
 fn find_host(documents: &DocumentStore, record: &HostRecord) -> Option<HostRecord> {
     let id = DocumentId::new(DocumentKind::Roster, record.datacenter.as_str());
     match documents.get(&id)?.item(record.name.as_str())? {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod known_hosts;
 pub mod load;
 pub mod manifest;
+mod member_rings;
 pub mod members;
 pub mod owner_lookup;
 pub mod ownership;
