Trackers compare their hosts with a roster in one place

record_roster and record_restored_roster had the same loop, with one more line in the second. The loop stands once, with what a restore adds as an argument. No decision changes; the tests of host_tracker.rs, departed_hosts.rs and restored_store.rs pass unchanged.

--- a/crates/core/src/host_tracker.rs
+++ b/crates/core/src/host_tracker.rs
@@ -259,25 +259,35 @@
         }
     }
 
-    /// Records a new version of a roster. `listed` finds a host in it. Of a host whose entry
-    /// differs from what it registered here, another tracker may have heard more recently; one
-    /// that is not listed may have been added and removed by versions that did not arrive
-    /// here. Nothing is proposed for them until they are heard again.
-    pub fn record_roster(
+    // Requires the hosts whose entry in a roster differs from what they registered here to be
+    // heard again, after `on_difference`.
+    fn compare_with_roster(
         &mut self,
         datacenter: &str,
-        listed: impl Fn(&HostRecord) -> Option<HostRecord>,
+        listed: &impl Fn(&HostRecord) -> Option<HostRecord>,
+        on_difference: impl Fn(&mut TrackedHost),
     ) {
-        for host in self.hosts.values_mut() {
-            if host.record.datacenter.as_str() != datacenter {
-                continue;
-            }
+        let hosts = self.hosts.values_mut();
+        for host in hosts.filter(|host| host.record.datacenter.as_str() == datacenter) {
             if listed(&host.record) == listed_record(&host.record) {
                 host.outlives_restore = false;
             } else {
+                on_difference(host);
                 host.heard_since_change = false;
             }
         }
+    }
+
+    /// Records a new version of a roster. `listed` finds a host in it. Of a host whose entry
+    /// differs from what it registered here, another tracker may have heard more recently; one
+    /// that is not listed may have been added and removed by versions that did not arrive
+    /// here. Nothing is proposed for them until they are heard again.
+    pub fn record_roster(
+        &mut self,
+        datacenter: &str,
+        listed: impl Fn(&HostRecord) -> Option<HostRecord>,
+    ) {
+        self.compare_with_roster(datacenter, &listed, |_| {});
         // They have registered again at another tracker.
         self.removed.retain(|_, removed| {
             let record = &removed.host.record;
@@ -296,17 +306,9 @@
         now: TimePoint,
     ) {
         self.restored_at = Some(now);
-        for host in self.hosts.values_mut() {
-            if host.record.datacenter.as_str() != datacenter {
-                continue;
-            }
-            if listed(&host.record) == listed_record(&host.record) {
-                host.outlives_restore = false;
-            } else {
-                host.outlives_restore |= host.is_confirmed(now);
-                host.heard_since_change = false;
-            }
-        }
+        self.compare_with_roster(datacenter, &listed, |host| {
+            host.outlives_restore |= host.is_confirmed(now);
+        });
         let is_listed_again = |_: &HostName, removed: &mut RemovedHost| {
             let record = &removed.host.record;
             record.datacenter.as_str() == datacenter
