--- a/crates/store/tests/eras.rs
+++ b/crates/store/tests/eras.rs
@@ -1,7 +1,8 @@
 //! The client of the object API and commits, across restores of the platform.
 
+mod http;
+
 use std::collections::BTreeMap;
-use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{TcpListener, TcpStream};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
@@ -104,7 +105,7 @@
         let served = Arc::clone(&state);
         std::thread::spawn(move || {
             for stream in listener.incoming() {
-                serve(stream.unwrap(), &served);
+                serve(&stream.unwrap(), &served);
             }
         });
         let client = StoreClient::new(&url);
@@ -139,40 +140,16 @@
     }
 }
 
-fn serve(stream: TcpStream, state: &Mutex<State>) {
-    let mut reader = BufReader::new(stream.try_clone().unwrap());
-    let mut request = String::new();
-    if reader.read_line(&mut request).unwrap_or(0) == 0 {
+fn serve(stream: &TcpStream, state: &Mutex<State>) {
+    let Some(call) = http::read_call(stream) else {
         return;
-    }
-    let mut len = 0;
-    loop {
-        let mut line = String::new();
-        reader.read_line(&mut line).unwrap();
-        if line.trim().is_empty() {
-            break;
-        }
-        if let Some(value) = line.to_ascii_lowercase().strip_prefix("content-length:") {
-            len = value.trim().parse().unwrap();
-        }
-    }
-    let mut body = vec![0; len];
-    reader.read_exact(&mut body).unwrap();
-    let body = serde_json::from_slice(&body).unwrap_or(Value::Null);
-    let mut words = request.split_whitespace();
-    let (method, target) = (words.next().unwrap(), words.next().unwrap());
+    };
     let mut state = state.lock().unwrap();
-    state.calls.push(format!("{method} {target}"));
-    let (status, reply) = state.respond(method, target, body);
+    state.calls.push(format!("{} {}", call.method, call.target));
+    let (status, reply) = state.respond(&call.method, &call.target, call.body);
     let era = state.era.to_string();
     let era = state.era_text.clone().unwrap_or(era);
-    let reply = reply.to_string();
-    let _ = write!(
-        &stream,
-        "HTTP/1.1 {status} x\r\nObject-Era: {era}\r\nContent-Length: {}\r\n\
-         Connection: close\r\n\r\n{reply}",
-        reply.len()
-    );
+    http::write_answer(stream, status, &format!("Object-Era: {era}\r\n"), &reply);
 }
 
 fn version(era: u64, revision: u64) -> ObjectVersion {
