Edits of members derive from the document in force, and are not dropped on a cached one

Entry VMs that do not watch could stay out of the members for good, stopped ones in them, after a restore of the store and in calm; and an edit after a restore could drop entry VMs that were added since. Hosts do not register with an entry VM that is no member, and it gives no verdicts.

Cause: an edit began with the client's cached object, whatever version the entry VM held from its peers. If the cached object had the edit already, the edit ended as done, without a call.

Ruled out: rosters, whose edits have a base since before.

WriteMembers has the version of the document that the edit derives from; an older cached object is not used. An edit that changes nothing in a cached object is checked against the stored one, one read each.

--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -245,6 +245,11 @@
         DocumentId::new(DocumentKind::Members, self.me.datacenter.as_str())
     }
 
+    fn members_write(&self, id: DocumentId, edit: MemberEdit) -> ControlAction {
+        let base = self.documents.version(&id);
+        ControlAction::WriteMembers(id, base, vec![edit])
+    }
+
     /// Returns the entry VMs of all data centres.
     pub fn entries(&self) -> impl ExactSizeIterator<Item = &EntryRecord> {
         self.rings.entries()
@@ -316,7 +321,7 @@
             ControlEvent::Stop => {
                 self.stopping = true;
                 let edit = MemberEdit::Remove(self.me.clone());
-                actions.push(ControlAction::WriteMembers(self.members_id(), vec![edit]));
+                actions.push(self.members_write(self.members_id(), edit));
             }
         }
         actions.extend(self.poll_view(now));
@@ -758,8 +763,7 @@
             let since = *self.silent_entries.entry(entry.name.clone()).or_insert(now);
             let id = DocumentId::new(DocumentKind::Members, entry.datacenter.as_str());
             if now.since(since) >= RANK_DELAY * rank as u32 && self.claim_document(&id, now) {
-                let edit = MemberEdit::Remove(entry);
-                actions.push(ControlAction::WriteMembers(id, vec![edit]));
+                actions.push(self.members_write(id, MemberEdit::Remove(entry)));
             }
         }
     }
@@ -780,7 +784,7 @@
         });
         if !is_listed && self.claim_document(&members, now) {
             let edit = MemberEdit::Put(self.me.clone());
-            actions.push(ControlAction::WriteMembers(members, vec![edit]));
+            actions.push(self.members_write(members, edit));
         }
         if std::mem::take(&mut self.roster_scan_due) {
             self.track_roster_hosts(now);
--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -127,8 +127,9 @@
     Load(DocumentId),
     /// Write edits to a roster. The version is that of the roster that they are based on.
     WriteRoster(DocumentId, ObjectVersion, Vec<RosterEdit>),
-    /// Write edits to a members document.
-    WriteMembers(DocumentId, Vec<MemberEdit>),
+    /// Write edits to a members document. The version is that of the document that they are
+    /// based on.
+    WriteMembers(DocumentId, ObjectVersion, Vec<MemberEdit>),
     /// Start or stop watching the platform.
     Watch(bool),
     /// Route by the new [`EntryControl::view`](crate::EntryControl::view).
--- a/crates/core/tests/restored_store.rs
+++ b/crates/core/tests/restored_store.rs
@@ -231,7 +231,7 @@
                 };
                 self.in_flight.push((index, event));
             }
-            ControlAction::WriteMembers(id, edits) => {
+            ControlAction::WriteMembers(id, _, edits) => {
                 let event = match self.store.is_away {
                     true => ControlEvent::WriteFinished(id),
                     false => self.store.edit_members(&id, &edits),
--- a/crates/daemon/src/entry_control.rs
+++ b/crates/daemon/src/entry_control.rs
@@ -38,7 +38,7 @@
     /// Edits a roster.
     WriteRoster(DocumentId, ObjectVersion, Vec<RosterEdit>),
     /// Edits the members document of a data centre.
-    WriteMembers(DocumentId, Vec<MemberEdit>),
+    WriteMembers(DocumentId, ObjectVersion, Vec<MemberEdit>),
 }
 
 /// A pull of documents from a peer.
@@ -161,7 +161,7 @@
                     counters,
                 );
             }
-            ControlAction::WriteMembers(id, edits) => {
+            ControlAction::WriteMembers(id, base, edits) => {
                 for edit in &edits {
                     match edit {
                         MemberEdit::Put(entry) => {
@@ -174,7 +174,7 @@
                 }
                 try_push(
                     &self.rings.store,
-                    StoreJob::WriteMembers(id, edits),
+                    StoreJob::WriteMembers(id, base, edits),
                     counters,
                 );
             }
--- a/crates/daemon/src/entry_store.rs
+++ b/crates/daemon/src/entry_store.rs
@@ -88,8 +88,8 @@
             let outcome = objects::edit_roster(client, &id, base, &edits);
             (id, edit_result(outcome))
         }
-        StoreJob::WriteMembers(id, edits) => {
-            let outcome = objects::edit_members(client, &id, &edits);
+        StoreJob::WriteMembers(id, base, edits) => {
+            let outcome = objects::edit_members(client, &id, base, &edits);
             (id, edit_result(outcome))
         }
     }
--- a/crates/store/src/objects.rs
+++ b/crates/store/src/objects.rs
@@ -144,9 +144,14 @@
     }
 }
 
-/// Applies edits to the entry VMs of a data centre.
-pub fn edit_members(client: &dyn StoreCalls, id: &DocumentId, edits: &[MemberEdit]) -> EditOutcome {
-    edit(client, id, ObjectVersion(0), |_, value| {
+/// Applies edits to the entry VMs of a data centre, which were derived from the version `base`.
+pub fn edit_members(
+    client: &dyn StoreCalls,
+    id: &DocumentId,
+    base: ObjectVersion,
+    edits: &[MemberEdit],
+) -> EditOutcome {
+    edit(client, id, base, |_, value| {
         let mut members: WireMembers = value.map_or(Ok(WireMembers::default()), parse_value)?;
         for edit in edits {
             match edit {
@@ -183,6 +188,7 @@
         .cached_object(id)
         .filter(|object| object.version >= oldest.0);
     for _ in 0..MAX_CONFLICTS {
+        let is_cached = cached.is_some();
         let current = match cached.take() {
             Some(object) => Some(object),
             None => match client.read(id) {
@@ -199,6 +205,10 @@
             Err(error) => return EditOutcome::Unknown(error),
         };
         let written = if value.as_ref() == Some(&next) {
+            if is_cached {
+                // The stored object may lack the edit: others may have changed it since.
+                continue;
+            }
             WriteOutcome::Written(version)
         } else {
             client.write(id, version, &next)
