Documents give differences across eras of the store

A document knows all changes since each version that it has held, of any era; a node at a version that it has not held gets the whole document as before. patch_between_eras_makes_documents_equal covers both and passes.

Test: peer_at_held_version_of_the_earlier_era_gets_only_the_difference fails before (since: None).

--- a/crates/core/src/document.rs
+++ b/crates/core/src/document.rs
@@ -3,8 +3,7 @@
 //! A document is an object of the platform, split into items. Each item carries
 //! the version in which it last changed, so that a node with an older version
 //! receives only the items that it lacks. Versions only increase; an older
-//! document never replaces a newer one. A node with a version of another era of the store
-//! receives the whole document.
+//! document never replaces a newer one.
 
 use std::collections::{BTreeMap, VecDeque};
 use std::fmt;
@@ -239,8 +238,7 @@
         if since >= self.version {
             return None;
         }
-        let is_other_era = since.era() != self.version.era();
-        let whole = is_other_era || !self.held.contains(&since);
+        let whole = !self.held.contains(&since);
         let items = self
             .items
             .values()
--- a/crates/core/tests/versions.rs
+++ b/crates/core/tests/versions.rs
@@ -93,6 +93,20 @@
     assert!(load(version(2, 2), &[]));
 }
 
+#[test]
+fn peer_at_held_version_of_the_earlier_era_gets_only_the_difference() {
+    let mut peer = VersionedDocument::default();
+    peer.replace(version(1, 20), hosts(&[1, 2, 3]));
+    let mut document = peer.clone();
+    document.replace(version(1, 21), hosts(&[1, 2, 3, 4]));
+    document.replace(version(2, 18), hosts(&[1, 2]));
+    let patch = document.patch(&roster_id(), peer.version()).unwrap();
+    assert_eq!(patch.since, Some(peer.version()));
+    assert!(patch.items.is_empty());
+    peer.apply(patch);
+    assert!(peer.items().eq(document.items()));
+}
+
 // The peer holds any version of the earlier era, or one of the later era that this entry VM
 // has not received.
 #[test]
