Summaries of documents are those of releases that know no eras

While releases with and without eras run in one fleet, entry VMs with equal documents would see different summaries in every era but zero, pull all documents again and again, and never confirm each other's views (found by the review of CONFIG; only read). The operators' configurations have era one, so this concerned every fleet on the users' platform.

Cause: changed the text of a version, which the hash covered. It covers the number now.

Test: summary_is_the_one_of_releases_without_eras fails before.

--- a/crates/core/src/document.rs
+++ b/crates/core/src/document.rs
@@ -384,7 +384,8 @@
     pub fn summary(&self) -> u64 {
         let mut summary = 0u64;
         for (id, document) in &self.documents {
-            let line = format!("{id}@{}", document.version);
+            // The number, not the text: earlier releases know no eras.
+            let line = format!("{id}@{}", document.version.0);
             summary ^= xxhash_rust::xxh3::xxh3_64(line.as_bytes());
         }
         summary
--- a/crates/core/tests/versions.rs
+++ b/crates/core/tests/versions.rs
@@ -4,7 +4,7 @@
 
 use std::sync::Arc;
 
-use chestnutlb_core::document::VersionedDocument;
+use chestnutlb_core::document::{DocumentStore, VersionedDocument};
 use chestnutlb_core::ids::{IdError, REVISION_BITS};
 use chestnutlb_core::{
     ControlAction, ControlEvent, DocumentId, DocumentItem, DocumentKind, EntryControl, HostState,
@@ -93,6 +93,18 @@
     assert!(load(version(2, 2), &[]));
 }
 
+#[test]
+fn summary_is_the_one_of_releases_without_eras() {
+    let mut documents = DocumentStore::default();
+    let held = version(1, 20);
+    documents.replace(&roster_id(), held, hosts(&[1]));
+    let line = format!("{}@{}", roster_id(), held.0);
+    assert_eq!(
+        documents.summary(),
+        xxhash_rust::xxh3::xxh3_64(line.as_bytes())
+    );
+}
+
 #[test]
 fn peer_at_held_version_of_the_earlier_era_gets_only_the_difference() {
     let mut peer = VersionedDocument::default();
