Hosts are ranked when a packet needs them, not at each change

A service of more than 16 hosts had its chains of all 4,096 buckets ranked again for each view: the change of one host took 13.7 ms of a whole core among 136 hosts, which is 0.15 s on a VM of 0.09 cores, and views may follow each other every 0.1 s.

Ruled out: updating the table by the changed host. It costs 4,096 scores and a copy of 147 KB per view; an entry VM opens some ten to a hundred flows a second and needs no more chains than that.

Change: a chain is ranked for the packet that needs it. Hosts whose random bits can't enter the chain are skipped before the logarithm. Looking for new hosts skips services whose hosts are the same.

--- a/crates/core/src/known_hosts.rs
+++ b/crates/core/src/known_hosts.rs
@@ -104,14 +104,18 @@
     }
 
     // Returns the hosts that are new in a view that is not recorded yet, among those that may
-    // be: the hosts of changed services, hosts in no roster and those that were new before.
+    // be: the hosts of services whose hosts have changed, hosts in no roster and those that were
+    // new before.
     fn new_hosts(
         &self,
         view: &RoutingView,
         changed: &[Arc<ServiceView>],
         now: TimePoint,
     ) -> HashMap<SocketAddrV4, NewHost> {
-        let hosts = changed.iter().flat_map(|service| service.hosts());
+        let hosts = changed
+            .iter()
+            .filter(|service| !self.owners.has_same_hosts(service))
+            .flat_map(|service| service.hosts());
         hosts
             .map(|host| host.record.packets)
             .chain(view.unlisted_hosts.iter().copied())
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -5,7 +5,7 @@
 //! one rank, and removing one moves others up, so that the owner of an old flow stays
 //! near the head of the list over many roster changes.
 
-use crate::flow::{BUCKET_COUNT, BucketIndex};
+use crate::flow::BucketIndex;
 use crate::ids::HostName;
 use crate::roster::{HostIndex, HostRecord};
 use crate::units::HostWeight;
@@ -13,8 +13,12 @@
 /// Maximum number of candidates that a packet visits before holders of old flows.
 pub const CHAIN_HOPS: usize = 8;
 
-/// Services with more hosts than this get a precomputed table.
-pub const DIRECT_HOSTS: usize = 16;
+/// Number of uniformly distributed bits of a score.
+const SCORE_BITS: u32 = 53;
+
+/// Relative error allowed for in a bound on the bits of a score, far above that of the
+/// floating-point functions.
+const ROUNDING_MARGIN: f64 = 1e-9;
 
 /// Seed of a host for the ranking, a hash of its name.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -62,11 +66,26 @@
 /// exponentially distributed with the weight as rate, so that the share of buckets that a
 /// host wins is proportional to its weight.
 pub fn score(bucket: BucketIndex, seed: HostSeed, weight: HostWeight) -> f64 {
+    score_of_bits(score_bits(bucket, seed), weight)
+}
+
+// Returns the uniformly distributed bits that the score of a host depends on.
+fn score_bits(bucket: BucketIndex, seed: HostSeed) -> u64 {
     let mixed = mix(seed.0 ^ (u64::from(bucket.0) + 1).wrapping_mul(0x9E37_79B9_7F4A_7C15));
-    let uniform = ((mixed >> 11) as f64 + 0.5) / (1u64 << 53) as f64;
+    mixed >> (u64::BITS - SCORE_BITS)
+}
+
+fn score_of_bits(bits: u64, weight: HostWeight) -> f64 {
+    let uniform = (bits as f64 + 0.5) / (1u64 << SCORE_BITS) as f64;
     -uniform.ln() / f64::from(weight.get())
 }
 
+// Returns bits below which no host of at most this weight has a score under `score`.
+fn bits_of_score(score: f64, weight: HostWeight) -> u64 {
+    let uniform = (-score * f64::from(weight.get())).exp();
+    (uniform * (1.0 - ROUNDING_MARGIN) * (1u64 << SCORE_BITS) as f64) as u64
+}
+
 // Finaliser of the splitmix64 generator.
 pub(crate) fn mix(mut bits: u64) -> u64 {
     bits = (bits ^ (bits >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
@@ -74,60 +93,62 @@
     bits ^ (bits >> 31)
 }
 
-/// Ranks `hosts` for a bucket.
-pub fn rank(bucket: BucketIndex, hosts: &[RankedHost]) -> HostChain {
-    let mut chain = HostChain::EMPTY;
-    let mut scores = [f64::INFINITY; CHAIN_HOPS];
-    for ranked in hosts {
-        let score = score(bucket, ranked.seed, ranked.weight);
-        let len = usize::from(chain.len);
-        if len == CHAIN_HOPS && score >= scores[CHAIN_HOPS - 1] {
-            continue;
-        }
-        let position = scores[..len].partition_point(|other| *other <= score);
-        let last = len.min(CHAIN_HOPS - 1);
-        scores.copy_within(position..last, position + 1);
-        chain.hosts.copy_within(position..last, position + 1);
-        scores[position] = score;
-        chain.hosts[position] = ranked.host;
-        chain.len = (last + 1) as u8;
+// Inserts a host into the first `len` scores and hosts, unless its score is too high.
+fn insert_ranked(
+    chain: &mut HostChain,
+    scores: &mut [f64; CHAIN_HOPS],
+    host: HostIndex,
+    score: f64,
+) {
+    let len = usize::from(chain.len);
+    if len == CHAIN_HOPS && score >= scores[CHAIN_HOPS - 1] {
+        return;
     }
-    chain
+    let position = scores[..len].partition_point(|other| *other <= score);
+    let last = len.min(CHAIN_HOPS - 1);
+    scores.copy_within(position..last, position + 1);
+    chain.hosts.copy_within(position..last, position + 1);
+    scores[position] = score;
+    chain.hosts[position] = host;
+    chain.len = (last + 1) as u8;
 }
 
-/// Source of the chains of a service.
-#[derive(Debug, Clone, PartialEq)]
-pub enum ChainSource {
-    /// Ranks the hosts for each packet.
-    Direct(Vec<RankedHost>),
-    /// Chains that were ranked once for each bucket.
-    Table(Vec<HostChain>),
+/// The hosts of a service, ranked for a bucket when a packet needs them. A change of a host
+/// costs nothing here, however many hosts there are.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct HostRanking {
+    hosts: Vec<RankedHost>,
+    max_weight: Option<HostWeight>,
 }
 
-impl ChainSource {
-    /// Returns the variant that suits the number of hosts, see [`DIRECT_HOSTS`].
-    pub fn build(hosts: Vec<RankedHost>) -> Self {
-        if hosts.len() <= DIRECT_HOSTS {
-            Self::Direct(hosts)
-        } else {
-            Self::table(&hosts)
-        }
-    }
-
-    /// Returns a precomputed table.
-    pub fn table(hosts: &[RankedHost]) -> Self {
-        let chains = (0..BUCKET_COUNT as u16)
-            .map(|bucket| rank(BucketIndex(bucket), hosts))
-            .collect();
-        Self::Table(chains)
+impl HostRanking {
+    /// Creates a ranking of these hosts.
+    pub fn new(hosts: Vec<RankedHost>) -> Self {
+        let max_weight = hosts.iter().map(|ranked| ranked.weight).max();
+        Self { hosts, max_weight }
     }
 
     /// Returns the chain of a bucket.
     pub fn chain(&self, bucket: BucketIndex) -> HostChain {
-        match self {
-            Self::Direct(hosts) => rank(bucket, hosts),
-            Self::Table(chains) => chains[usize::from(bucket.0)],
+        let mut chain = HostChain::EMPTY;
+        let Some(max_weight) = self.max_weight else {
+            return chain;
+        };
+        let mut scores = [f64::INFINITY; CHAIN_HOPS];
+        // Logarithms take most of the time. Hosts with fewer bits can't enter the chain.
+        let mut min_bits = 0;
+        for ranked in &self.hosts {
+            let bits = score_bits(bucket, ranked.seed);
+            if bits < min_bits {
+                continue;
+            }
+            let score = score_of_bits(bits, ranked.weight);
+            insert_ranked(&mut chain, &mut scores, ranked.host, score);
+            if usize::from(chain.len) == CHAIN_HOPS {
+                min_bits = bits_of_score(scores[CHAIN_HOPS - 1], max_weight);
+            }
         }
+        chain
     }
 }
 
@@ -151,6 +172,6 @@
     let Some(position) = position.map(|index| HostIndex(index as u32)) else {
         return;
     };
-    let chains = ChainSource::Direct(ranked);
-    buckets.retain(|bucket| !chains.chain(*bucket).as_slice().contains(&position));
+    let ranking = HostRanking::new(ranked);
+    buckets.retain(|bucket| !ranking.chain(*bucket).as_slice().contains(&position));
 }
--- a/crates/core/src/possible_owners.rs
+++ b/crates/core/src/possible_owners.rs
@@ -149,6 +149,12 @@
             .collect()
     }
 
+    /// Returns whether a service of a later view has the same hosts as in the last one.
+    pub fn has_same_hosts(&self, service: &ServiceView) -> bool {
+        let before = self.services.get(service.id());
+        before.is_some_and(|before| has_same_hosts(before, service))
+    }
+
     /// Records a new view, of which these services have changed.
     pub fn update(&mut self, view: &RoutingView, changed: &[Arc<ServiceView>], now: TimePoint) {
         let mut firms = HashSet::new();
--- a/crates/core/src/view.rs
+++ b/crates/core/src/view.rs
@@ -12,7 +12,7 @@
 use crate::flow::BucketIndex;
 use crate::ids::{HostName, Incarnation, ObjectVersion, ServiceId, ServiceTag};
 use crate::manifest::ServiceSpec;
-use crate::placement::{ChainSource, HostChain, HostSeed, RankedHost};
+use crate::placement::{HostChain, HostRanking, HostSeed, RankedHost};
 use crate::roster::{HostIndex, HostRecord};
 
 /// A host of a [`ServiceView`].
@@ -42,7 +42,7 @@
     /// copy of the service is outdated.
     pub slice_hash: u64,
     hosts: Vec<ViewHost>,
-    chains: ChainSource,
+    ranking: HostRanking,
     // Hosts that hold flows of a bucket without being candidates for it.
     holders: HashMap<BucketIndex, Vec<HostIndex>>,
 }
@@ -85,7 +85,7 @@
             slice_hash: slice_hash(version, &hosts),
             spec,
             hosts,
-            chains: ChainSource::build(ranked),
+            ranking: HostRanking::new(ranked),
             holders,
         }
     }
@@ -97,7 +97,7 @@
 
     /// Returns the candidate hosts of a bucket.
     pub fn chain(&self, bucket: BucketIndex) -> HostChain {
-        self.chains.chain(bucket)
+        self.ranking.chain(bucket)
     }
 
     /// Returns the hosts that hold flows of a bucket without being candidates for it.
--- a/crates/core/tests/routing.rs
+++ b/crates/core/tests/routing.rs
@@ -5,7 +5,7 @@
 use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 
-use chestnutlb_core::placement::{CHAIN_HOPS, ChainSource, HostSeed, RankedHost, rank};
+use chestnutlb_core::placement::{CHAIN_HOPS, HostChain, HostRanking, HostSeed, RankedHost, score};
 use chestnutlb_core::view::ServiceView;
 use chestnutlb_core::{
     BucketIndex, EntryRouter, HostIndex, HostRecord, HostState, HostWeight, ObjectVersion,
@@ -59,6 +59,10 @@
         .collect()
 }
 
+fn rank(bucket: BucketIndex, hosts: &[RankedHost]) -> HostChain {
+    HostRanking::new(hosts.to_vec()).chain(bucket)
+}
+
 #[test]
 fn new_host_moves_others_down_by_at_most_one_rank() {
     fn property(count: u8, bucket: u16) -> bool {
@@ -76,15 +80,33 @@
     quickcheck().quickcheck(property as fn(u8, u16) -> bool);
 }
 
+// Returns the hosts by the definition of the chain: those of the lowest scores.
+fn hosts_by_score(bucket: BucketIndex, hosts: &[RankedHost]) -> Vec<HostIndex> {
+    let mut scored: Vec<_> = hosts
+        .iter()
+        .map(|ranked| (score(bucket, ranked.seed, ranked.weight), ranked.host))
+        .collect();
+    scored.sort_by(|(score, _), (other, _)| score.total_cmp(other));
+    let hosts = scored.into_iter().map(|(_, host)| host);
+    hosts.take(CHAIN_HOPS).collect()
+}
+
 #[test]
-fn table_equals_direct_ranking() {
-    let hosts = ranked(40, |number| 50 + number as u16);
-    let (direct, table) = (
-        ChainSource::Direct(hosts.clone()),
-        ChainSource::table(&hosts),
-    );
-    for bucket in (0..4096).map(BucketIndex) {
-        assert_eq!(direct.chain(bucket), table.chain(bucket));
+fn chain_has_hosts_of_lowest_scores() {
+    let weights: [fn(usize) -> u16; 3] = [
+        |_| 100,
+        |number| 50 + number as u16,
+        |number| if number % 7 == 0 { 10_000 } else { 1 },
+    ];
+    for weight in weights {
+        for count in [1, 8, 9, 40, 300] {
+            let hosts = ranked(count, weight);
+            let ranking = HostRanking::new(hosts.clone());
+            for bucket in (0..4096).map(BucketIndex) {
+                let chain = ranking.chain(bucket);
+                assert_eq!(chain.as_slice(), hosts_by_score(bucket, &hosts));
+            }
+        }
     }
 }
 
