Restarted entry VMs of large fleets trust the rosters at once

Cause: after a start an entry VM of more than 12 gave no verdict on flows without an owner for two seconds, since a living host might be in no roster.

Ruled out: shorter waits (they would guess), digests of hosts' flows (they do not tell of hosts that nobody knows).

Change: the rosters prove what the wait assumed. (1) A silent host of a passthrough service stays listed, as suspect, until no flow of it can live: maximum age of a flow, new setting `flow_age_ms` of entry VMs, and 15 s. (2) A host in no roster gets flows in a large fleet only while the view is not fresh and no host of the service is known to all. (3) The era of the store in which the first roster is written is recorded once in the store; while it is the current one, no roster was lost by a restore. Otherwise the wait holds as before, as it does in fleets of up to 12 and for systems whose rosters were written by earlier releases.

The specification of verdicts carries the three guards, each with a mutation that the search finds (two entry VMs and five versions, three and three). It assumes that every service has a host known to all entry VMs; not proved: all hosts of a service replaced during an outage of the store, whose trackers list them more than two seconds apart, while an entry VM restarts.

The tests fail before: restarted_entry_of_a_large_fleet_trusts_rosters_..., host_in_no_roster_of_a_large_fleet_..., silent_host_stays_listed_....

--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -22,14 +22,17 @@
 use crate::chart::HostState;
 use crate::document::{DocumentId, DocumentItem, DocumentKind, DocumentStore, ItemChange};
 use crate::events::{ControlAction, ControlEvent, Heartbeat, MemberEdit, RegistrationReply};
-use crate::host_tracker::{HostRevision, HostTracker, RosterEdit, SUSPECT_AFTER};
-use crate::ids::{DatacenterName, EntryName, HostName, ObjectVersion, ServiceId};
+use crate::host_tracker::{
+    GONE_AFTER, HostRevision, HostTracker, LAST_FLOW_DELAY, RosterEdit, SUSPECT_AFTER,
+};
+use crate::ids::{DatacenterName, EntryName, HostName, ObjectVersion, ServiceId, StoreEra};
+use crate::manifest::ServiceKind;
 use crate::member_rings::MemberRings;
 use crate::members::{EntryMonitor, EntryRecord, RANK_DELAY, TRACKERS_PER_HOST};
 use crate::roster::HostRecord;
 use crate::timer::{TimerKind, TimerService};
 use crate::units::TimePoint;
-use crate::view::RoutingView;
+use crate::view::{RosterCoverage, RoutingView};
 use crate::view_builder::ViewBuilder;
 
 /// Number of random peers that each change is gossiped to immediately.
@@ -65,6 +68,10 @@
 /// documents of an entry VM count as fresh.
 pub const FRESH_AGE: Duration = Duration::from_secs(5);
 
+/// Longest maximum age of passthrough flows for which silent hosts stay listed until no flow of
+/// theirs can live. Longer ones would fill the rosters with hosts that have failed.
+pub const MAX_LISTED_FLOW_AGE: Duration = Duration::from_secs(60);
+
 /// Manifest version that a host has in force, from its last registration or
 /// keep-alive at this entry VM.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -94,6 +101,8 @@
 pub struct EntryControl {
     me: EntryRecord,
     seeds: Vec<SocketAddrV4>,
+    // Maximum age of passthrough flows, if silent hosts stay listed for it.
+    flow_age: Option<Duration>,
     documents: DocumentStore,
     timers: TimerService,
     tracker: HostTracker,
@@ -138,6 +147,7 @@
             rings: MemberRings::new(me.clone()),
             me,
             seeds,
+            flow_age: None,
             documents: DocumentStore::default(),
             timers,
             tracker: HostTracker::default(),
@@ -161,6 +171,14 @@
         }
     }
 
+    /// Sets the maximum age of passthrough flows. Unless it exceeds [`MAX_LISTED_FLOW_AGE`],
+    /// rosters name every live host that may own such flows: a silent host stays listed until no
+    /// flow of it can live.
+    pub fn with_flow_age(mut self, flow_age: Duration) -> Self {
+        self.flow_age = Some(flow_age).filter(|age| *age <= MAX_LISTED_FLOW_AGE);
+        self
+    }
+
     /// Returns the documents held by this entry VM.
     pub fn documents(&self) -> &DocumentStore {
         &self.documents
@@ -307,7 +325,12 @@
                 self.end_job(&id);
                 self.replace_document(id, version, items, now, &mut actions);
             }
-            ControlEvent::AllListed { version, listed } => {
+            ControlEvent::AllListed {
+                version,
+                listed,
+                first_era,
+            } => {
+                self.on_first_era(first_era, version.era(), &listed, &mut actions);
                 self.on_all_listed(version, &listed, now, &mut actions);
             }
             ControlEvent::VersionsListed { list, stale } => {
@@ -526,6 +549,32 @@
         }
     }
 
+    // The rosters name every possible owner of a passthrough flow as long as the store was never
+    // restored: a silent host stays listed until no flow of it can live, and a host in no roster
+    // gets no flows in a large fleet.
+    fn on_first_era(
+        &mut self,
+        first_era: Option<StoreEra>,
+        era: StoreEra,
+        listed: &[DocumentId],
+        actions: &mut Vec<ControlAction>,
+    ) {
+        let is_roster = |id: &DocumentId| id.kind == DocumentKind::Roster;
+        let has_rosters =
+            listed.iter().any(is_roster) || self.documents.iter().any(|(id, _)| is_roster(id));
+        // Rosters without a first era were written by an earlier release, or after a restore.
+        if first_era.is_none() && !has_rosters {
+            actions.push(ControlAction::RecordFirstEra(era));
+        }
+        self.view_builder.set_roster_coverage(
+            if first_era == Some(era) && self.flow_age.is_some() {
+                RosterCoverage::AllOwners
+            } else {
+                RosterCoverage::Unknown
+            },
+        );
+    }
+
     // Replaces the documents of an earlier era that a list of all rosters and members lacks by
     // empty ones: the copy that the store was restored from is older than them.
     fn on_all_listed(
@@ -584,6 +633,8 @@
                 self.update_member_rings(now);
             }
             DocumentKind::Roster if is_restored => {
+                self.view_builder
+                    .set_roster_coverage(RosterCoverage::Unknown);
                 self.track_restored_roster(&id, now);
                 self.roster_scan_due = true;
             }
@@ -718,7 +769,14 @@
     fn write_roster(&mut self, now: TimePoint, actions: &mut Vec<ControlAction>) {
         let documents = &self.documents;
         let current = |record: &HostRecord| find_host(documents, record);
-        let edits = self.tracker.edits(current, now);
+        let flow_age = self.flow_age;
+        let gone_after = |record: &HostRecord| match flow_age {
+            Some(flow_age) if may_own_passthrough_flows(documents, record) => {
+                flow_age + LAST_FLOW_DELAY
+            }
+            _ => GONE_AFTER,
+        };
+        let edits = self.tracker.edits(current, gone_after, now);
         self.update_registered(now);
         let mut suspects = BTreeMap::new();
         let mut rosters: BTreeMap<DatacenterName, Vec<RosterEdit>> = BTreeMap::new();
@@ -817,6 +875,12 @@
     }
 }
 
+// The host of a service that no manifest has may own flows too.
+fn may_own_passthrough_flows(documents: &DocumentStore, record: &HostRecord) -> bool {
+    let service = documents.service(&record.service);
+    service.is_none_or(|(spec, _)| spec.kind == ServiceKind::Passthrough)
+}
+
 fn find_host(documents: &DocumentStore, record: &HostRecord) -> Option<HostRecord> {
     let id = DocumentId::new(DocumentKind::Roster, record.datacenter.as_str());
     match documents.get(&id)?.item(record.name.as_str())? {
--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -5,7 +5,7 @@
 
 use crate::document::{DocumentId, DocumentItem, DocumentPatch};
 use crate::host_tracker::{HostRevision, RosterEdit};
-use crate::ids::{HostName, Incarnation, ObjectVersion};
+use crate::ids::{HostName, Incarnation, ObjectVersion, StoreEra};
 use crate::members::EntryRecord;
 use crate::roster::HostRecord;
 use crate::timer::TimerKind;
@@ -95,6 +95,8 @@
         version: ObjectVersion,
         /// The listed documents.
         listed: Vec<DocumentId>,
+        /// Era of the store in which the first roster was written, if the store has it.
+        first_era: Option<StoreEra>,
     },
     /// The platform listed the current versions.
     VersionsListed {
@@ -130,6 +132,8 @@
     /// Write edits to a members document. The version is that of the document that they are
     /// based on.
     WriteMembers(DocumentId, ObjectVersion, Vec<MemberEdit>),
+    /// Record the era of the store in which the first roster is written.
+    RecordFirstEra(StoreEra),
     /// Start or stop watching the platform.
     Watch(bool),
     /// Route by the new [`EntryControl::view`](crate::EntryControl::view).
--- a/crates/core/src/host_tracker.rs
+++ b/crates/core/src/host_tracker.rs
@@ -36,6 +36,9 @@
 /// roster.
 pub const GONE_AFTER: Duration = Duration::from_secs(30);
 
+/// Time from the last sign of a host until it surely gets no new flows.
+pub const LAST_FLOW_DELAY: Duration = Duration::from_secs(15);
+
 /// Time for which the record of a host that was removed from the roster is kept. A store that
 /// is restored from an older copy may list the host again.
 pub const REMOVAL_MEMORY: Duration = Duration::from_secs(60);
@@ -351,10 +354,12 @@
             .map(|host| &host.record)
     }
 
-    /// Returns the edits that the roster needs. `current` finds a host in the roster.
+    /// Returns the edits that the roster needs. `current` finds a host in the roster, and
+    /// `gone_after` returns the time without a sign of a host after which it is removed.
     pub fn edits(
         &mut self,
         current: impl Fn(&HostRecord) -> Option<HostRecord>,
+        gone_after: impl Fn(&HostRecord) -> Duration,
         now: TimePoint,
     ) -> Vec<RosterEdit> {
         self.reset_after_pause(now);
@@ -377,7 +382,8 @@
                 host.require_registration(now);
                 return true;
             }
-            let edit = needed_edit(host, listed.as_ref(), isolated, now);
+            let gone_after = gone_after(&host.record);
+            let edit = needed_edit(host, listed.as_ref(), isolated, gone_after, now);
             match edit {
                 // The delay of the rank continues: a roster that changes often must not
                 // postpone the edit.
@@ -393,7 +399,7 @@
                     }
                 }
             }
-            is_worth_tracking(host, listed.is_some(), now)
+            is_worth_tracking(host, listed.is_some(), gone_after, now)
         });
         if !is_hearing {
             edits.extend(lost_host_edits(lost));
@@ -443,8 +449,13 @@
 
 // Returns whether a tracked host may still need an edit: it is listed, or has registered
 // recently.
-fn is_worth_tracking(host: &TrackedHost, is_listed: bool, now: TimePoint) -> bool {
-    let expected = host.is_tracker_rank() || now.since(host.last_seen) < GONE_AFTER;
+fn is_worth_tracking(
+    host: &TrackedHost,
+    is_listed: bool,
+    gone_after: Duration,
+    now: TimePoint,
+) -> bool {
+    let expected = host.is_tracker_rank() || now.since(host.last_seen) < gone_after;
     match host.record.state {
         _ if is_listed => expected,
         HostState::Gone => false,
@@ -457,6 +468,7 @@
     host: &TrackedHost,
     listed: Option<&HostRecord>,
     isolated: bool,
+    gone_after: Duration,
     now: TimePoint,
 ) -> Option<RosterEdit> {
     if host.record.state == HostState::Gone {
@@ -474,7 +486,7 @@
     // Hosts stop registering at entry VMs that are not their trackers, so silence counts
     // only at a tracker.
     let listed = listed.filter(|_| host.is_silent(now) && !isolated && host.is_tracker_rank())?;
-    if now.since(host.last_seen) >= GONE_AFTER {
+    if now.since(host.last_seen) >= gone_after {
         return Some(RosterEdit::Remove(listed.clone()));
     }
     match listed.state.after(HostEvent::Silent)? {
--- a/crates/core/src/known_hosts.rs
+++ b/crates/core/src/known_hosts.rs
@@ -16,7 +16,7 @@
 use crate::possible_owners::PossibleOwners;
 pub use crate::possible_owners::{MAX_VANISHED_HOSTS, VANISHED_HOST_MEMORY};
 use crate::units::TimePoint;
-use crate::view::{RegistrationReach, RoutingView, ServiceView};
+use crate::view::{RegistrationReach, RosterCoverage, RoutingView, ServiceView};
 
 /// Time for which an entry VM offers no flows to a host that has appeared in the roster.
 /// Within this time all entry VMs know it: one that did not would take its flows for flows
@@ -28,8 +28,8 @@
 /// two keep-alives of a host. It begins when this entry VM is a member and its view is fresh.
 pub const REGISTRATION_WAIT: Duration = Duration::from_secs(1);
 
-/// The same if hosts register with some entry VMs only: a host that the roster has lost is
-/// listed again within this time.
+/// The same if hosts register with some entry VMs only and the rosters may lack a live host: a
+/// host that the roster has lost is listed again within this time.
 pub const RELISTING_WAIT: Duration = Duration::from_secs(2);
 
 /// A view that was not fresh for at most this time counts as fresh throughout: each new view
@@ -56,6 +56,7 @@
     owners: PossibleOwners,
     new_hosts: HashMap<SocketAddrV4, NewHost>,
     registration_reach: RegistrationReach,
+    roster_coverage: RosterCoverage,
     // Whether the platform confirmed the view recently.
     has_fresh_view: bool,
     // Since when the view has been fresh and this entry VM a member, and when it last was.
@@ -95,6 +96,7 @@
     /// Records the hosts of a new view.
     pub fn update(&mut self, view: &RoutingView, now: TimePoint) {
         self.update_reach(view.registration_reach, now);
+        self.roster_coverage = view.roster_coverage;
         let changed = self.owners.changed_services(view);
         let new_hosts = self.new_hosts(view, &changed, now);
         self.owners.update(view, &changed, now);
@@ -180,17 +182,30 @@
 
     /// Returns whether this entry VM knew every live host that may own flows at this time, if
     /// its view has been fresh since. After its start and after a time without a fresh view,
-    /// hosts in no roster may not have registered here yet.
+    /// hosts in no roster may not have registered here yet. In a large fleet such hosts get no
+    /// flows, and rosters that name all owners are sufficient.
     pub fn is_complete(&self, at: TimePoint) -> bool {
-        let wait = match self.registration_reach {
-            RegistrationReach::Unknown => return false,
-            RegistrationReach::AllEntries => REGISTRATION_WAIT,
-            RegistrationReach::SomeEntries => RELISTING_WAIT,
+        let wait = match (self.registration_reach, self.roster_coverage) {
+            (RegistrationReach::Unknown, _) => return false,
+            (RegistrationReach::AllEntries, _) => REGISTRATION_WAIT,
+            (RegistrationReach::SomeEntries, RosterCoverage::Unknown) => RELISTING_WAIT,
+            (RegistrationReach::SomeEntries, RosterCoverage::AllOwners) => Duration::ZERO,
         };
         self.fresh_since
             .is_some_and(|fresh_since| at.since(fresh_since) >= wait)
     }
 
+    /// Returns whether flows may be offered to a new host if no candidate is known to all entry
+    /// VMs. An entry VM of a large fleet that has just started does not know a host in no
+    /// roster, so that host gets flows only while the view is not fresh, and if no host of the
+    /// service is known to all.
+    pub fn may_stand_in(&self, host: SocketAddrV4, service_has_known_host: bool) -> bool {
+        let is_listed = self.new_hosts.get(&host).is_none_or(|new| new.is_listed);
+        is_listed
+            || self.registration_reach == RegistrationReach::AllEntries
+            || (!self.has_fresh_view && !service_has_known_host)
+    }
+
     /// Returns whether other entry VMs may not know the host yet.
     pub fn is_new(&self, host: SocketAddrV4, now: TimePoint) -> bool {
         let must_be_listed =
--- a/crates/core/src/passthrough_routes.rs
+++ b/crates/core/src/passthrough_routes.rs
@@ -273,9 +273,6 @@
         lookup: &CompletedLookup,
         now: TimePoint,
     ) -> bool {
-        let is_established = |host: &ViewHost| {
-            host.accepts_flows() && !self.known_hosts.is_new(host.record.packets, now)
-        };
         let Some(service) = view.service_at(key.service) else {
             return false;
         };
@@ -285,7 +282,15 @@
         self.known_hosts.is_complete(lookup.begun_at)
             && !self.known_hosts.is_truncated(&service.id().firm)
             && possible_owners.is_some_and(|hosts| hosts.iter().all(was_asked))
-            && service.hosts().iter().any(is_established)
+            && self.has_established_host(service, now)
+    }
+
+    // Returns whether a host of the service accepts flows and is known to all entry VMs.
+    fn has_established_host(&self, service: &ServiceView, now: TimePoint) -> bool {
+        service
+            .hosts()
+            .iter()
+            .any(|host| host.accepts_flows() && !self.known_hosts.is_new(host.record.packets, now))
     }
 
     // Plans a walk of the hosts that replied `Unknown`. Its end starts another lookup. A walk
@@ -406,10 +411,14 @@
             .filter(|host| !self.loads.refuses(host.record.packets, now))
             .map(|host| (self.cost(host, now), host.record.packets))
             .collect();
-        // Without other hosts, a new one is better than none.
         let is_known = |host| !self.known_hosts.is_new(host, now);
         if ranked.iter().any(|(_, host)| is_known(*host)) {
             ranked.retain(|(_, host)| is_known(*host));
+        } else {
+            // Without other hosts, a new one is better than none.
+            let has_known_host = self.has_established_host(service, now);
+            let may_stand_in = |host| self.known_hosts.may_stand_in(host, has_known_host);
+            ranked.retain(|(_, host)| may_stand_in(*host));
         }
         ranked.sort_by(|(cost, _), (other, _)| cost.total_cmp(other));
         let syns = cached.map_or(0, |cached| cached.syns);
--- a/crates/core/src/view.rs
+++ b/crates/core/src/view.rs
@@ -192,6 +192,17 @@
     SomeEntries,
 }
 
+/// Whether the rosters name every live host that may own passthrough flows.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum RosterCoverage {
+    /// Not known: the store was not read, or was restored from an older copy since the rosters
+    /// were first written.
+    #[default]
+    Unknown,
+    /// They do, as read since the start of this process.
+    AllOwners,
+}
+
 /// The services of all firms, by address and by name.
 #[derive(Debug, Clone, Default)]
 pub struct RoutingView {
@@ -202,6 +213,8 @@
     pub unlisted_hosts: BTreeSet<SocketAddrV4>,
     /// Which entry VMs hosts register with.
     pub registration_reach: RegistrationReach,
+    /// Whether the rosters name every live host that may own passthrough flows.
+    pub roster_coverage: RosterCoverage,
     /// Names of hosts that are leaving as of their registration here, and not as of the rosters.
     pub unlisted_leaving_hosts: BTreeSet<HostName>,
     /// Hosts that have announced their departure here.
--- a/crates/core/src/view_builder.rs
+++ b/crates/core/src/view_builder.rs
@@ -14,7 +14,7 @@
 use crate::manifest::ServiceKind;
 use crate::roster::HostRecord;
 use crate::units::TimePoint;
-use crate::view::{RegistrationReach, RoutingView, ServiceView};
+use crate::view::{RegistrationReach, RosterCoverage, RoutingView, ServiceView};
 
 /// Minimum interval between two views unless a change is urgent. Ranking the hosts of a
 /// large service for all buckets takes milliseconds of CPU time, which small entry VMs
@@ -35,6 +35,7 @@
     hosts: HashMap<ServiceId, Vec<Arc<HostRecord>>>,
     grants: GrantIndex,
     registration_reach: RegistrationReach,
+    roster_coverage: RosterCoverage,
     view: Arc<RoutingView>,
 }
 
@@ -136,11 +137,23 @@
     pub fn set_registration_reach(&mut self, reach: RegistrationReach) {
         if reach != self.registration_reach {
             self.registration_reach = reach;
-            let services: Vec<_> = self.view.ids().cloned().collect();
-            self.mark_changed(services);
+            self.mark_all_changed();
         }
     }
 
+    /// Records whether the rosters name every live host that may own passthrough flows.
+    pub fn set_roster_coverage(&mut self, coverage: RosterCoverage) {
+        if coverage != self.roster_coverage {
+            self.roster_coverage = coverage;
+            self.mark_all_changed();
+        }
+    }
+
+    fn mark_all_changed(&mut self) {
+        let services: Vec<_> = self.view.ids().cloned().collect();
+        self.mark_changed(services);
+    }
+
     /// Replaces the suspected hosts.
     pub fn set_suspects(&mut self, suspects: BTreeMap<HostName, ServiceId>) {
         if suspects == self.suspects {
@@ -175,6 +188,7 @@
             }
         }
         view.registration_reach = self.registration_reach;
+        view.roster_coverage = self.roster_coverage;
         view.unlisted_hosts = self.unlisted_hosts();
         view.unlisted_leaving_hosts = self.unlisted_leaving_hosts();
         view.departed_hosts = self.departed_hosts();
--- a/crates/core/tests/host_tracker.rs
+++ b/crates/core/tests/host_tracker.rs
@@ -2,7 +2,10 @@
 
 mod common;
 
-use chestnutlb_core::host_tracker::{GONE_AFTER, REGISTRATION_GRACE, SUSPECT_AFTER};
+use chestnutlb_core::control::MAX_LISTED_FLOW_AGE;
+use chestnutlb_core::host_tracker::{
+    GONE_AFTER, LAST_FLOW_DELAY, REGISTRATION_GRACE, SUSPECT_AFTER,
+};
 use chestnutlb_core::members::RANK_DELAY;
 use chestnutlb_core::{
     HostRecord, HostRevision, HostState, HostTracker, Incarnation, RosterEdit, TimePoint,
@@ -37,7 +40,7 @@
                 .find(|listed| listed.name == record.name)
                 .cloned()
         };
-        edits = tracker.edits(current, TimePoint(at));
+        edits = tracker.edits(current, |_| GONE_AFTER, TimePoint(at));
     }
     edits
 }
@@ -46,7 +49,7 @@
 fn host_is_added_and_after_silence_suspected_and_removed() {
     let mut tracker = HostTracker::default();
     let serving = host(1, HostState::Serving);
-    tracker.edits(|_| None, TimePoint(0));
+    tracker.edits(|_| None, |_| GONE_AFTER, TimePoint(0));
     tracker.record_registration(serving.clone(), HostRevision(1), 0, TimePoint(100));
     let put = tick_in_silence(&mut tracker, &[], 200, 400);
     assert_eq!(describe(&put), ["put host-1 serving"]);
@@ -60,10 +63,37 @@
     assert_eq!(describe(&removed), ["remove host-1"]);
 }
 
+// An entry VM that has just started knows the possible owners of flows from the rosters only.
+#[test]
+fn silent_host_stays_listed_until_no_flow_of_it_can_live() {
+    let flow_owner_gone_after = MAX_LISTED_FLOW_AGE + LAST_FLOW_DELAY;
+    let gone_after = flow_owner_gone_after.as_millis() as u64;
+    for state in [HostState::Serving, HostState::Leaving] {
+        let mut tracker = HostTracker::default();
+        let mut roster = vec![host(1, state)];
+        tracker.edits(|_| None, |_| flow_owner_gone_after, TimePoint(0));
+        tracker.record_registration(roster[0].clone(), HostRevision(1), 0, TimePoint(0));
+        for at in (200..gone_after).step_by(200) {
+            let current = |_: &HostRecord| roster.first().cloned();
+            for edit in tracker.edits(current, |_| flow_owner_gone_after, TimePoint(at)) {
+                match edit {
+                    RosterEdit::Put(record) => roster = vec![record],
+                    RosterEdit::Remove(record) => panic!("{record} removed after {at} ms"),
+                }
+            }
+        }
+        assert_eq!(roster[0].state, HostState::Suspect);
+        let current = |_: &HostRecord| roster.first().cloned();
+        let at = TimePoint(gone_after + 200);
+        let removed = tracker.edits(current, |_| flow_owner_gone_after, at);
+        assert_eq!(describe(&removed), ["remove host-1"]);
+    }
+}
+
 #[test]
 fn second_rank_proposes_edit_after_delay() {
     let mut tracker = HostTracker::default();
-    tracker.edits(|_| None, TimePoint(0));
+    tracker.edits(|_| None, |_| GONE_AFTER, TimePoint(0));
     tracker.record_registration(
         host(1, HostState::Serving),
         HostRevision(1),
@@ -79,7 +109,7 @@
 fn tracker_resumed_after_pause_proposes_no_edits() {
     let mut tracker = HostTracker::default();
     let roster = [host(1, HostState::Serving)];
-    tracker.edits(|_| None, TimePoint(0));
+    tracker.edits(|_| None, |_| GONE_AFTER, TimePoint(0));
     tracker.record_registration(roster[0].clone(), HostRevision(1), 0, TimePoint(0));
     // The process is paused for an hour.
     let resumed_at = 3_600_000;
@@ -91,7 +121,7 @@
 fn isolated_tracker_proposes_no_edits() {
     let mut tracker = HostTracker::default();
     let roster: Vec<_> = (0..6).map(|n| host(n, HostState::Serving)).collect();
-    tracker.edits(|_| None, TimePoint(0));
+    tracker.edits(|_| None, |_| GONE_AFTER, TimePoint(0));
     for record in &roster {
         tracker.record_registration(record.clone(), HostRevision(1), 0, TimePoint(0));
     }
@@ -102,7 +132,7 @@
 #[test]
 fn newer_incarnation_in_roster_is_not_overwritten() {
     let mut tracker = HostTracker::default();
-    tracker.edits(|_| None, TimePoint(0));
+    tracker.edits(|_| None, |_| GONE_AFTER, TimePoint(0));
     let old = host(1, HostState::Serving);
     tracker.record_registration(old.clone(), HostRevision(1), 0, TimePoint(0));
     let mut newer = old.clone();
@@ -118,7 +148,7 @@
 fn gone_host_is_removed_immediately() {
     let mut tracker = HostTracker::default();
     let roster = [host(1, HostState::Leaving)];
-    tracker.edits(|_| None, TimePoint(0));
+    tracker.edits(|_| None, |_| GONE_AFTER, TimePoint(0));
     tracker.record_registration(host(1, HostState::Gone), HostRevision(1), 0, TimePoint(0));
     assert_eq!(
         describe(&tick_in_silence(&mut tracker, &roster, 200, 200)),
@@ -158,7 +188,7 @@
     let mut tracker = HostTracker::default();
     let serving = host(1, HostState::Serving);
     let not_tracker_rank = 2;
-    tracker.edits(|_| None, TimePoint(0));
+    tracker.edits(|_| None, |_| GONE_AFTER, TimePoint(0));
     tracker.record_registration(
         serving.clone(),
         HostRevision(1),
@@ -188,7 +218,7 @@
     const RANK: u32 = 2;
     const KEEP_ALIVE_MS: u64 = 500;
     let mut tracker = HostTracker::default();
-    tracker.edits(|_| None, TimePoint(0));
+    tracker.edits(|_| None, |_| GONE_AFTER, TimePoint(0));
     let record = host(1, HostState::Warming);
     tracker.record_registration(record.clone(), HostRevision(1), RANK, TimePoint(0));
     let due = RANK_DELAY.as_millis() as u64 * u64::from(RANK);
@@ -206,7 +236,7 @@
             let serving = host(1, HostState::Serving);
             tracker.record_registration(serving, HostRevision(1), RANK, TimePoint(at));
         }
-        let edits = tracker.edits(|_| None, TimePoint(at));
+        let edits = tracker.edits(|_| None, |_| GONE_AFTER, TimePoint(at));
         if proposed_at.is_none() && !edits.is_empty() {
             assert_eq!(describe(&edits), ["put host-1 serving"]);
             proposed_at = Some(at);
--- a/crates/core/tests/possible_owners.rs
+++ b/crates/core/tests/possible_owners.rs
@@ -8,14 +8,17 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use chestnutlb_core::control::MAX_LISTED_FLOW_AGE;
 use chestnutlb_core::known_hosts::{
     MAX_VANISHED_HOSTS, NEW_HOST_DELAY, REGISTRATION_WAIT, RELISTING_WAIT, VANISHED_HOST_MEMORY,
 };
 use chestnutlb_core::members::FULL_MESH_FLEET;
+use chestnutlb_core::view::RosterCoverage;
 use chestnutlb_core::{
     ControlAction, ControlEvent, DocumentId, DocumentItem, DocumentKind, EntryControl, Heartbeat,
     HostRecord, HostRevision, HostState, LookupVerdict, ObjectVersion, OwnershipReply,
-    PassthroughRouter, RerouteDecision, RoutingView, ServiceKind, TimePoint,
+    PassthroughRouter, RerouteDecision, RouteDrop, RoutingView, ServiceKind, StoreEra,
+    StoreRevision, TimePoint,
 };
 use common::{data, entry, host, key, syn};
 
@@ -40,7 +43,8 @@
         let limit = NonZeroUsize::new(64).unwrap();
         let datacenter: chestnutlb_core::DatacenterName = DATACENTER.parse().unwrap();
         let mut run = Self {
-            control: EntryControl::new(entry(1, DATACENTER), Vec::new(), 1, TimePoint(0)),
+            control: EntryControl::new(entry(1, DATACENTER), Vec::new(), 1, TimePoint(0))
+                .with_flow_age(MAX_LISTED_FLOW_AGE),
             router: PassthroughRouter::new(datacenter, limit),
             now: TimePoint(0),
             version: 0,
@@ -598,6 +602,101 @@
     assert!(matches!(run.verdict(), Some(LookupVerdict::NoOwner(_))));
 }
 
+// Returns an entry VM of a large fleet that has just started and read all rosters, of a store
+// that recorded this first era and is in era zero now.
+fn restarted_entry_of_large_fleet(first_era: Option<StoreEra>) -> EntryRun {
+    let mut run = EntryRun::start();
+    run.load_members(FULL_MESH_FLEET + 1);
+    run.handle(ControlEvent::AllListed {
+        version: ObjectVersion(run.version),
+        listed: vec![DocumentId::new(DocumentKind::Roster, DATACENTER)],
+        first_era,
+    });
+    run.advance_view(STEP_MS, true);
+    run
+}
+
+// On the users' bench, callers of flows that had died in a loss of power got no answer for two
+// seconds after it (sauveteurs-baie-grown trouble-2).
+#[test]
+fn restarted_entry_of_a_large_fleet_trusts_rosters_of_a_store_that_was_never_restored() {
+    let mut run = restarted_entry_of_large_fleet(Some(StoreEra(0)));
+    assert!(matches!(run.verdict(), Some(LookupVerdict::NoOwner(_))));
+}
+
+#[test]
+fn restarted_entry_waits_if_the_store_was_restored_or_never_recorded_its_first_era() {
+    for first_era in [None, Some(StoreEra(1))] {
+        let mut run = restarted_entry_of_large_fleet(first_era);
+        assert_eq!(run.verdict(), Some(LookupVerdict::Unconfirmed));
+        run.advance_view(RELISTING_WAIT.as_millis() as u64, true);
+        assert!(matches!(run.verdict(), Some(LookupVerdict::NoOwner(_))));
+    }
+}
+
+#[test]
+fn restarted_entry_waits_if_flows_outlive_their_silent_hosts_in_the_roster() {
+    let mut run = EntryRun::start();
+    run.control = EntryControl::new(entry(1, DATACENTER), Vec::new(), 1, run.now)
+        .with_flow_age(MAX_LISTED_FLOW_AGE + Duration::from_millis(1));
+    run.handle(ControlEvent::AllListed {
+        version: ObjectVersion(1),
+        listed: Vec::new(),
+        first_era: Some(StoreEra(0)),
+    });
+    run.load_roster(&listed_hosts());
+    let coverage = run.control.view().roster_coverage;
+    assert_eq!(coverage, RosterCoverage::Unknown);
+}
+
+#[test]
+fn rosters_are_not_trusted_any_more_once_a_restored_one_is_read() {
+    let mut run = restarted_entry_of_large_fleet(Some(StoreEra(0)));
+    let next_era = ObjectVersion::new(StoreEra(1), StoreRevision(1)).unwrap();
+    let hosts = listed_hosts().into_iter().map(Arc::new);
+    run.handle(ControlEvent::Loaded {
+        id: DocumentId::new(DocumentKind::Roster, DATACENTER),
+        version: next_era,
+        items: hosts.map(DocumentItem::Host).collect(),
+    });
+    run.advance(STEP_MS);
+    assert_eq!(run.control.view().roster_coverage, RosterCoverage::Unknown);
+}
+
+#[test]
+fn first_era_is_recorded_only_before_there_is_a_roster() {
+    let all_listed = |listed: Vec<DocumentId>, first_era| ControlEvent::AllListed {
+        version: ObjectVersion::new(StoreEra(3), StoreRevision(9)).unwrap(),
+        listed,
+        first_era,
+    };
+    let roster = DocumentId::new(DocumentKind::Roster, DATACENTER);
+    let records_era = |event: ControlEvent| {
+        let mut control = EntryControl::new(entry(1, DATACENTER), Vec::new(), 1, TimePoint(0));
+        let actions = control.handle(event, TimePoint(0));
+        actions.contains(&ControlAction::RecordFirstEra(StoreEra(3)))
+    };
+    assert!(records_era(all_listed(Vec::new(), None)));
+    assert!(!records_era(all_listed(vec![roster], None)));
+    assert!(!records_era(all_listed(Vec::new(), Some(StoreEra(2)))));
+}
+
+// A restarted entry VM does not know a host in no roster.
+#[test]
+fn host_in_no_roster_of_a_large_fleet_gets_flows_only_if_the_store_and_all_others_are_away() {
+    let mut run = EntryRun::start();
+    run.load_members(FULL_MESH_FLEET + 1);
+    run.load_roster(&[]);
+    run.register(unlisted_host());
+    run.advance_view(NEW_HOST_DELAY.as_millis() as u64, true);
+    let view = Arc::clone(run.control.view());
+    let plan = run.router.route(&view, &syn(1), run.now);
+    assert_eq!(plan, Err(RouteDrop::NoHost));
+    run.router.record_freshness(false, run.now);
+    let plan = run.router.route(&view, &syn(2), run.now).unwrap();
+    assert_eq!(plan.hops, [unlisted_host().packets]);
+}
+
 #[test]
 fn wait_for_registrations_begins_when_the_entry_becomes_a_member() {
     let mut run = EntryRun::start();
--- a/crates/core/tests/restored_store.rs
+++ b/crates/core/tests/restored_store.rs
@@ -303,7 +303,14 @@
         }
         if is_whole {
             let listed = ids;
-            self.handle(index, ControlEvent::AllListed { version, listed });
+            self.handle(
+                index,
+                ControlEvent::AllListed {
+                    version,
+                    listed,
+                    first_era: None,
+                },
+            );
         }
         let list = Vec::new();
         let stale = false;
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -121,7 +121,8 @@
         settings.seeds.clone(),
         own_record.incarnation.0,
         clock::now(),
-    );
+    )
+    .with_flow_age(settings.flow_age);
     let ring = event_ring.clone();
     file.watch(move |settings| {
         // If the ring is full, the new seeds are dropped: the members already known
--- a/crates/daemon/src/entry_control.rs
+++ b/crates/daemon/src/entry_control.rs
@@ -10,7 +10,8 @@
 
 use chestnutlb_core::{
     ControlAction, ControlEvent, DocumentId, EntryControl, HostRecord, HostRevision, HostState,
-    Incarnation, MemberEdit, ObjectVersion, RegistrationReply, RosterEdit, RoutingView, TimePoint,
+    Incarnation, MemberEdit, ObjectVersion, RegistrationReply, RosterEdit, RoutingView, StoreEra,
+    TimePoint,
 };
 use chestnutlb_wire::peer::{
     MAX_PEER_DATAGRAM_BYTES, PeerMessage, scan_message, write_message, write_registration_reply,
@@ -39,6 +40,8 @@
     WriteRoster(DocumentId, ObjectVersion, Vec<RosterEdit>),
     /// Edits the members document of a data centre.
     WriteMembers(DocumentId, ObjectVersion, Vec<MemberEdit>),
+    /// Records the era in which the first roster is written.
+    RecordFirstEra(StoreEra),
 }
 
 /// A pull of documents from a peer.
@@ -178,6 +181,9 @@
                     counters,
                 );
             }
+            ControlAction::RecordFirstEra(era) => {
+                try_push(&self.rings.store, StoreJob::RecordFirstEra(era), counters);
+            }
             ControlAction::Watch(enabled) => self.watching.store(enabled, Ordering::Relaxed),
             ControlAction::Publish => {
                 let view = Arc::clone(self.control.view());
--- a/crates/daemon/src/entry_store.rs
+++ b/crates/daemon/src/entry_store.rs
@@ -59,7 +59,24 @@
 ) {
     for job in jobs {
         counters.add(Counter::PlatformCalls);
-        let (id, loaded) = run_job(client, job);
+        let (id, loaded) = match job {
+            StoreJob::Load(id) => {
+                let loaded = objects::load(client, &id).map_err(|error| error.to_string());
+                (id, loaded)
+            }
+            StoreJob::WriteRoster(id, base, edits) => {
+                let outcome = objects::edit_roster(client, &id, base, &edits);
+                (id, edit_result(outcome))
+            }
+            StoreJob::WriteMembers(id, base, edits) => {
+                let outcome = objects::edit_members(client, &id, base, &edits);
+                (id, edit_result(outcome))
+            }
+            StoreJob::RecordFirstEra(era) => {
+                record_first_era(client, era, counters);
+                continue;
+            }
+        };
         let event = match loaded {
             Ok(Some(LoadedDocument { version, items })) => {
                 ControlEvent::Loaded { id, version, items }
@@ -78,19 +95,13 @@
 
 type JobResult = Result<Option<LoadedDocument>, String>;
 
-fn run_job(client: &dyn StoreCalls, job: StoreJob) -> (DocumentId, JobResult) {
-    match job {
-        StoreJob::Load(id) => {
-            let loaded = objects::load(client, &id).map_err(|error| error.to_string());
-            (id, loaded)
-        }
-        StoreJob::WriteRoster(id, base, edits) => {
-            let outcome = objects::edit_roster(client, &id, base, &edits);
-            (id, edit_result(outcome))
-        }
-        StoreJob::WriteMembers(id, base, edits) => {
-            let outcome = objects::edit_members(client, &id, base, &edits);
-            (id, edit_result(outcome))
+// A failed call is not repeated: the next list without a roster causes another one.
+fn record_first_era(client: &dyn StoreCalls, era: StoreEra, counters: &CounterSet) {
+    match client.record_first_era(era) {
+        Ok(()) => log::info!(target: "platform", era = era.0; "first era recorded"),
+        Err(error) => {
+            counters.add(Counter::PlatformFailed);
+            log::warn!(target: "platform", cause:% = error; "first era not recorded");
         }
     }
 }
@@ -189,26 +200,31 @@
     counters: &CounterSet,
 ) {
     let version = update.version();
-    let all_listed = |listed: Vec<DocumentId>| {
-        try_push(
-            events,
-            ControlEvent::AllListed { version, listed },
-            counters,
-        );
+    let all_listed = |listed: Vec<DocumentId>, first_era: Option<StoreEra>| {
+        let event = ControlEvent::AllListed {
+            version,
+            listed,
+            first_era,
+        };
+        try_push(events, event, counters);
     };
     let list = match update {
         FeedUpdate::Versions { list, has_all } => {
             let list = document_versions(&list);
             if has_all {
-                all_listed(list.iter().map(|(id, _)| id.clone()).collect());
+                all_listed(list.iter().map(|(id, _)| id.clone()).collect(), None);
             }
             list
         }
         FeedUpdate::Objects {
-            objects, has_all, ..
+            objects,
+            has_all,
+            first_era,
+            ..
         } => {
             if has_all {
-                all_listed(objects.iter().map(|object| object.id.clone()).collect());
+                let listed = objects.iter().map(|object| object.id.clone());
+                all_listed(listed.collect(), first_era);
             }
             for object in objects {
                 load_object(object, events, counters);
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -90,6 +90,8 @@
     seeds_port: Option<u16>,
     #[serde(default = "default_hints")]
     hints: usize,
+    #[serde(default = "default_flow_age")]
+    flow_age_ms: u64,
     #[serde(default = "default_stop_linger")]
     stop_linger_ms: u64,
     #[serde(default)]
@@ -197,6 +199,8 @@
     pub seeds: Vec<SocketAddrV4>,
     /// Maximum number of flows whose owner is cached.
     pub hint_limit: usize,
+    /// Maximum age of passthrough flows.
+    pub flow_age: Duration,
     /// Time for which the entry VM keeps forwarding packets after a stop
     /// signal.
     pub stop_linger: Duration,
@@ -422,6 +426,7 @@
             host_datacenters: wire.places.clone(),
             seeds: parse_seeds(&wire.seeds, wire.seeds_port)?,
             hint_limit: wire.hints,
+            flow_age: Duration::from_millis(wire.flow_age_ms),
             stop_linger: Duration::from_millis(wire.stop_linger_ms),
             metrics: parse_optional_address("metrics", wire.metrics.as_ref())?,
             log: wire.log.clone(),
--- a/crates/spec/src/verdicts.rs
+++ b/crates/spec/src/verdicts.rs
@@ -14,6 +14,10 @@
 //! once a live host has registered or is listed in the view. A fresh view may be outdated for
 //! any time.
 //!
+//! Rosters that name all owners are modelled as of a store that recorded its first era: silent
+//! hosts stay listed, hosts in no roster get no flows, and the settle time is skipped unless the
+//! store was restored. There every service has another host that all entry VMs know.
+//!
 //! Not modelled: replies to lookups (a live host that is asked always replies, the reply of one
 //! that is gone is not required), the maximum age of flows, restarts of the host, writes that
 //! arrive late (see the model of rosters), members, and how entry VMs order the versions before
@@ -54,6 +58,21 @@
     /// A listed host is offered flows once every entry VM with a fresh view has the version that
     /// lists it or a later one.
     LaterVersionsCount,
+    /// Where rosters name all owners, a silent host is removed while flows of it may live.
+    SilentHostRemoved,
+    /// Where rosters name all owners, a host in no roster is offered flows.
+    UnlistedHostOffered,
+    /// Rosters count as naming all owners after a restore of the store too.
+    RestoreIgnored,
+}
+
+/// Whether the rosters name every live host that may own flows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum OwnerCoverage {
+    /// They may lack one.
+    Partial,
+    /// They do, unless the store was restored from an older copy.
+    Full,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -119,6 +138,8 @@
     /// Whether each version lists the host; the first `versions` elements count.
     listed: [bool; MAX_VERSIONS],
     versions: usize,
+    coverage: OwnerCoverage,
+    was_restored: bool,
     entry_vms: [EntryVm; ENTRY_VMS],
     has_flow: bool,
     verdict: Option<JudgedFlow>,
@@ -127,7 +148,7 @@
 impl<const ENTRY_VMS: usize, const MAX_VERSIONS: usize> VerdictSpec<ENTRY_VMS, MAX_VERSIONS> {
     /// Returns the initial state, in which the host has not started and all entry VMs have
     /// settled with fresh views.
-    pub fn start() -> Self {
+    pub fn start(coverage: OwnerCoverage) -> Self {
         let entry_vm = EntryVm {
             version: Some(0),
             has_fresh_view: true,
@@ -140,6 +161,8 @@
             host: HostLife::NotStarted,
             listed: [false; MAX_VERSIONS],
             versions: 1,
+            coverage,
+            was_restored: false,
             entry_vms: [entry_vm; ENTRY_VMS],
             has_flow: false,
             verdict: None,
@@ -183,7 +206,7 @@
         }
         self.host_steps(&mut steps);
         if self.versions < MAX_VERSIONS {
-            self.roster_steps(&mut steps);
+            self.roster_steps(mutation, &mut steps);
         }
         for index in 0..ENTRY_VMS {
             self.learning_steps(index, mutation, &mut steps);
@@ -229,24 +252,31 @@
         }
     }
 
-    fn roster_steps(&self, steps: &mut Vec<SpecStep<Self>>) {
+    // Returns whether a host that is live may be removed from the roster.
+    fn may_remove_live_host(&self, mutation: VerdictMutation) -> bool {
+        self.coverage == OwnerCoverage::Partial || mutation == VerdictMutation::SilentHostRemoved
+    }
+
+    fn roster_steps(&self, mutation: VerdictMutation, steps: &mut Vec<SpecStep<Self>>) {
         let newest = self.newest();
         let is_listed = self.listed[newest];
-        let mut write = |label: &str, lists: bool| {
+        let mut write = |label: &str, lists: bool, is_restored: bool| {
             let mut state = self.clone();
+            // Nothing depends on it otherwise.
+            state.was_restored |= is_restored && state.coverage == OwnerCoverage::Full;
             state.listed[state.versions] = lists;
             state.versions += 1;
             steps.push(step(format!("{label} (version {})", newest + 1), state));
         };
-        write("another change of the roster is written", is_listed);
+        write("another change of the roster is written", is_listed, false);
         let has_writer = self
             .entry_vms
             .iter()
             .any(|entry_vm| entry_vm.is_registered && entry_vm.version == Some(newest));
         if !is_listed && has_writer && self.host == HostLife::Live {
-            write("the host is added to the roster", true);
+            write("the host is added to the roster", true, false);
         }
-        if is_listed {
+        if is_listed && (self.host != HostLife::Live || self.may_remove_live_host(mutation)) {
             let mistaken = if self.host == HostLife::Live {
                 " by mistake"
             } else {
@@ -255,6 +285,7 @@
             write(
                 &format!("the host is removed from the roster{mistaken}"),
                 false,
+                false,
             );
         }
         let older = &self.listed[..newest];
@@ -263,6 +294,7 @@
             write(
                 &format!("an older copy {lists} the host is restored"),
                 !is_listed,
+                true,
             );
         }
     }
@@ -330,7 +362,11 @@
             let mut state = self.clone();
             let entry_vm = &mut state.entry_vms[index];
             entry_vm.has_fresh_view = true;
-            entry_vm.phase = phase_with_fresh_view(entry_vm.phase, mutation);
+            entry_vm.phase = if self.names_all_owners(mutation) {
+                SettlePhase::Settled
+            } else {
+                phase_with_fresh_view(entry_vm.phase, mutation)
+            };
             steps.push(step(
                 format!("the view of entry VM {index} becomes fresh"),
                 state,
@@ -356,6 +392,12 @@
         steps.push(step(format!("entry VM {index} restarts"), state));
     }
 
+    // Returns whether the newest roster counts as naming every host that may own flows.
+    fn names_all_owners(&self, mutation: VerdictMutation) -> bool {
+        let is_original = !self.was_restored || mutation == VerdictMutation::RestoreIgnored;
+        self.coverage == OwnerCoverage::Full && is_original
+    }
+
     // Returns whether the settle time may end: the host has registered here, is listed in the
     // view, or does not live.
     fn may_settle(&self, entry_vm: &EntryVm, mutation: VerdictMutation) -> bool {
@@ -428,6 +470,10 @@
         if self.is_listed(entry_vm.version) {
             return self.is_delay_over(entry_vm, mutation);
         }
+        if self.coverage == OwnerCoverage::Full && mutation != VerdictMutation::UnlistedHostOffered
+        {
+            return false;
+        }
         let has_registered_everywhere = self.entry_vms.iter().all(|other| other.was_registered)
             || mutation == VerdictMutation::OfferedWithoutRegistrations;
         let has_allowed_view =
--- a/crates/spec/tests/properties.rs
+++ b/crates/spec/tests/properties.rs
@@ -6,7 +6,7 @@
 use chestnutlb_spec::passthrough::{PassthroughMutation, PassthroughSpec};
 use chestnutlb_spec::relays::{RelayMutation, RelaySpec};
 use chestnutlb_spec::rosters::{RosterMutation, RosterSpec};
-use chestnutlb_spec::verdicts::{VerdictMutation, VerdictSpec};
+use chestnutlb_spec::verdicts::{OwnerCoverage, VerdictMutation, VerdictSpec};
 use chestnutlb_spec::{SearchResult, search};
 
 fn describe(name: &str, result: &SearchResult) -> String {
@@ -261,9 +261,17 @@
 fn search_verdicts(
     mutation: VerdictMutation,
     property: impl Fn(&SmallVerdictSpec) -> bool,
+) -> SearchResult {
+    search_verdicts_with(OwnerCoverage::Partial, mutation, property)
+}
+
+fn search_verdicts_with(
+    coverage: OwnerCoverage,
+    mutation: VerdictMutation,
+    property: impl Fn(&SmallVerdictSpec) -> bool,
 ) -> SearchResult {
     search(
-        SmallVerdictSpec::start(),
+        SmallVerdictSpec::start(coverage),
         |state| state.next(mutation),
         property,
     )
@@ -293,10 +301,61 @@
     insta::assert_snapshot!(results);
 }
 
+#[test]
+fn verdict_properties_hold_without_settle_time_if_rosters_name_all_owners() {
+    let none = VerdictMutation::None;
+    let holds = search_verdicts_with(
+        OwnerCoverage::Full,
+        none,
+        SmallVerdictSpec::no_live_flow_is_judged,
+    );
+    // Must be reachable.
+    let reachable = search_verdicts_with(
+        OwnerCoverage::Full,
+        none,
+        SmallVerdictSpec::no_flow_of_lost_host_is_judged,
+    );
+    let three = search(
+        VerdictSpec::<3, 3>::start(OwnerCoverage::Full),
+        |state| state.next(none),
+        VerdictSpec::no_live_flow_is_judged,
+    );
+    let results = [
+        describe("two entry VMs, five versions", &holds),
+        describe("no verdict on a flow of a lost host", &reachable),
+        describe("three entry VMs, three versions", &three),
+    ];
+    insta::assert_snapshot!(results.join("\n"));
+}
+
+#[test]
+fn verdict_properties_fail_without_a_guard_if_rosters_name_all_owners() {
+    let mutations = [
+        (
+            "a silent host is removed from the roster",
+            VerdictMutation::SilentHostRemoved,
+        ),
+        (
+            "a host in no roster is offered flows",
+            VerdictMutation::UnlistedHostOffered,
+        ),
+        (
+            "rosters of a restored store are trusted",
+            VerdictMutation::RestoreIgnored,
+        ),
+    ];
+    let results = mutations.map(|(name, mutation)| {
+        let property = SmallVerdictSpec::no_live_flow_is_judged;
+        let result = search_verdicts_with(OwnerCoverage::Full, mutation, property);
+        describe(name, &result)
+    });
+    insta::assert_snapshot!(results.join("\n"));
+}
+
 #[test]
 fn verdict_properties_hold_with_three_entry_vms() {
     let result = search(
-        VerdictSpec::<3, 3>::start(),
+        VerdictSpec::<3, 3>::start(OwnerCoverage::Partial),
         |state| state.next(VerdictMutation::None),
         VerdictSpec::no_live_flow_is_judged,
     );
--- a/crates/store/src/calls.rs
+++ b/crates/store/src/calls.rs
@@ -45,6 +45,9 @@
         objects: Vec<FeedObject>,
         /// Whether these are all rosters and members of the store.
         has_all: bool,
+        /// Era in which the first roster was written, if these are all objects and the store
+        /// has recorded it.
+        first_era: Option<StoreEra>,
     },
 }
 
@@ -137,4 +140,10 @@
     /// Writes an object if its version is `expected`; zero stands for an object
     /// that does not exist.
     fn write(&self, id: &DocumentId, expected: ObjectVersion, value: &Value) -> WriteOutcome;
+
+    /// Records the era in which the first roster is written, unless one is recorded. A store
+    /// without this record is taken for one that may have been restored.
+    fn record_first_era(&self, _era: StoreEra) -> Result<(), StoreError> {
+        Ok(())
+    }
 }
