Bounds that 59 to 69 entry VMs and 136 hosts pass

Change: (1) targets shrink in inverse proportion to the fleet, one at a time, 8 up to 64 and 2 from 256 on, as the target's 15 KB/s need; (2) 128 vanished hosts, half of the largest firm that is looked up; (3) copies of a SYN visit hosts of another bucket too, up to twelve in all, the same ones at every entry VM; the third SYN, counted by the packet's own field where it has one, is refused if twelve hosts or all usable ones have rejected it. The refusal is true: none of them has opened the flow, and the caller acknowledges none.

Ruled out: refusing by load reports alone (an entry VM has them of the hosts that it sends to only), and walks over all hosts (18 bytes a hop).

--- a/crates/core/src/flow.rs
+++ b/crates/core/src/flow.rs
@@ -51,6 +51,13 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct BucketIndex(pub u16);
 
+impl BucketIndex {
+    /// Returns the bucket half of the buckets away.
+    pub fn opposite(self) -> Self {
+        Self((self.0 + (BUCKET_COUNT / 2) as u16) % BUCKET_COUNT as u16)
+    }
+}
+
 /// TCP header fields that decisions depend on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct TcpSegment {
--- a/crates/core/src/members.rs
+++ b/crates/core/src/members.rs
@@ -21,14 +21,14 @@
 /// host, whether a roster lists it or not.
 pub const FULL_MESH_FLEET: usize = 12;
 
-/// Number of registration targets of a host in a small fleet above [`FULL_MESH_FLEET`], its
-/// trackers first. The other targets receive the host's changes without the platform.
+/// Number of registration targets of a host in a fleet of more than [`FULL_MESH_FLEET`] and up
+/// to [`FULL_FANOUT_FLEET`] entry VMs, its trackers first. The other targets receive the host's changes without the platform.
 pub const REGISTRATION_FANOUT: usize = 8;
 
-/// Maximum number of entry VMs in a small fleet. In a larger fleet, registrations
-/// at eight entry VMs would use the 15 KB/s available to a node, so hosts register
-/// at their trackers only.
-pub const SMALL_FLEET: usize = 64;
+/// Number of entry VMs from which on a host registers at fewer of them, in inverse proportion
+/// to their number: in the largest fleets, registrations at eight entry VMs would use the
+/// 15 KB/s available to a node.
+pub const FULL_FANOUT_FLEET: usize = 64;
 
 /// Number of entry VMs per data centre that watch the platform. One is sufficient
 /// even if it is isolated from the platform, since watchers of other data centres
@@ -160,22 +160,15 @@
         trackers
     }
 
-    /// Returns the entry VMs that a host registers at: its trackers, then in small
-    /// fleets others of `global_ring` by rank.
+    /// Returns the entry VMs that a host registers at: its trackers, then others of
+    /// `global_ring` by rank.
     pub fn registration_targets<'a>(
         &'a self,
         host: &HostName,
         global_ring: &'a MemberRing,
     ) -> Vec<&'a EntryRecord> {
         let mut registration_targets = self.trackers(host, global_ring);
-        if global_ring.ring.len() > SMALL_FLEET {
-            return registration_targets;
-        }
-        let fanout = if global_ring.is_full_mesh() {
-            FULL_MESH_FLEET
-        } else {
-            REGISTRATION_FANOUT
-        };
+        let fanout = global_ring.registration_fanout();
         let subject = HostSeed::of(host.as_str());
         for entry in global_ring.ranked(subject, fanout + TRACKERS_PER_HOST) {
             if registration_targets.len() < fanout && !registration_targets.contains(&entry) {
@@ -185,6 +178,16 @@
         registration_targets
     }
 
+    // Returns the number of entry VMs of this ring, which is that of all data centres, that a
+    // host registers at. It shrinks by one at a time as the fleet grows.
+    fn registration_fanout(&self) -> usize {
+        if self.is_full_mesh() {
+            return FULL_MESH_FLEET;
+        }
+        let entries = self.ring.len().max(FULL_FANOUT_FLEET);
+        (REGISTRATION_FANOUT * FULL_FANOUT_FLEET / entries).max(TRACKERS_PER_HOST)
+    }
+
     /// Returns whether hosts register with every entry VM of this ring, which is that of all
     /// data centres.
     pub fn is_full_mesh(&self) -> bool {
--- a/crates/core/src/passthrough_routes.rs
+++ b/crates/core/src/passthrough_routes.rs
@@ -347,7 +347,7 @@
             .ok_or(RouteDrop::NoService)?;
         let cached = self.cached_owners.get(&segment.key).copied();
         if segment.is_syn {
-            return self.plan_syn(service, segment.key, cached, now);
+            return self.plan_syn(service, segment, cached, now);
         }
         let runs_service =
             |cached: &CachedOwner| self.known_hosts.runs_service(cached.host, cached.tag);
@@ -398,14 +398,17 @@
     }
 
     // Retransmitted SYNs go to the host of the first one, unless that host has been
-    // silent since.
+    // silent since. After the candidates they visit other hosts of the service.
     fn plan_syn(
         &mut self,
         service: &ServiceView,
-        key: FlowKey,
+        segment: &TcpSegment,
         cached: Option<CachedOwner>,
         now: TimePoint,
     ) -> Result<PassthroughPlan, RouteDrop> {
+        let key = segment.key;
+        let syns = cached.map_or(0, |cached| cached.syns);
+        let earlier_syns = syns.max(segment.syn_copies.min(u8::MAX.into()) as u8);
         let mut ranked: Vec<(f64, SocketAddrV4)> = candidates(service, key.hash())
             .filter(|host| host.accepts_flows())
             .filter(|host| !self.loads.refuses(host.record.packets, now))
@@ -421,7 +424,6 @@
             ranked.retain(|(_, host)| may_stand_in(*host));
         }
         ranked.sort_by(|(cost, _), (other, _)| cost.total_cmp(other));
-        let syns = cached.map_or(0, |cached| cached.syns);
         let cached_host = cached.map(|cached| cached.host);
         let silent_host =
             cached_host.filter(|host| self.loads.is_silent(*host, SILENT_AFTER_SYN, now));
@@ -435,6 +437,9 @@
                 hops.push(host);
             }
         }
+        if earlier_syns > 0 || hops.is_empty() {
+            self.append_stand_ins(service, key.hash(), &mut hops, now);
+        }
         let first = *hops.first().ok_or(RouteDrop::NoHost)?;
         if preferred != Some(first) {
             self.loads.record_placement(first, now);
@@ -445,16 +450,47 @@
             syns: syns.saturating_add(1),
         };
         self.cached_owners.put(key, owner);
-        let refusable = syns >= SYNS_BEFORE_REFUSAL && self.is_past_grace_period(key.service, now);
-        let accepting = service.hosts().iter().filter(|host| host.accepts_flows());
+        let refusable =
+            earlier_syns >= SYNS_BEFORE_REFUSAL && self.is_past_grace_period(key.service, now);
         Ok(PassthroughPlan {
             tag: service.tag,
-            complete: refusable && hops.len() == accepting.count(),
+            complete: refusable && self.tries_enough_hosts(service, hops.len(), now),
             hops,
             source: PlanSource::Chain,
         })
     }
 
+    // Appends the hosts of another bucket, as far as the plan has room: where all candidates of
+    // a large service are full, others may not be. All entry VMs append the same ones.
+    fn append_stand_ins(
+        &self,
+        service: &ServiceView,
+        flow: FlowHash,
+        hops: &mut Vec<SocketAddrV4>,
+        now: TimePoint,
+    ) {
+        let chain = service.chain(flow.bucket().opposite());
+        for index in chain.as_slice() {
+            let host = service.host(*index);
+            let address = host.record.packets;
+            let is_usable = host.accepts_flows()
+                && !self.loads.refuses(address, now)
+                && !self.known_hosts.is_new(address, now);
+            if is_usable && hops.len() < PLAN_HOPS && !hops.contains(&address) {
+                hops.push(address);
+            }
+        }
+    }
+
+    // Returns whether a SYN may be refused once so many hosts have rejected it: all that do not
+    // reject every SYN, or as many as a plan has room for.
+    fn tries_enough_hosts(&self, service: &ServiceView, hops: usize, now: TimePoint) -> bool {
+        let usable = |host: &&ViewHost| {
+            host.accepts_flows() && !self.loads.refuses(host.record.packets, now)
+        };
+        hops == PLAN_HOPS || hops >= service.hosts().iter().filter(usable).count()
+    }
+
     fn cost(&self, host: &ViewHost, now: TimePoint) -> f64 {
         let input = RankingInput {
             packets: host.record.packets,
--- a/crates/core/src/possible_owners.rs
+++ b/crates/core/src/possible_owners.rs
@@ -11,6 +11,7 @@
 
 use crate::chart::HostState;
 use crate::ids::{FirmName, HostName, Incarnation, ServiceId, ServiceTag};
+use crate::owner_lookup::MAX_LOOKUP_HOSTS;
 use crate::roster::HostRecord;
 use crate::units::TimePoint;
 use crate::view::{RoutingView, ServiceView, ViewHost};
@@ -21,7 +22,8 @@
 
 /// Maximum number of hosts of a firm that are asked though they are not in the view. While
 /// there are more, the most recent ones are asked, and no flow of the firm counts as ownerless.
-pub const MAX_VANISHED_HOSTS: usize = 64;
+/// It is half of the hosts of the largest firm that is looked up.
+pub const MAX_VANISHED_HOSTS: usize = MAX_LOOKUP_HOSTS / 2;
 
 // A host of a service. A host that returns with another address is a different one.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
--- a/crates/core/tests/members.rs
+++ b/crates/core/tests/members.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddrV4;
 
 use chestnutlb_core::members::{
-    FULL_MESH_FLEET, MemberRing, REGISTRATION_FANOUT, SMALL_FLEET, TRACKERS_PER_HOST,
+    FULL_FANOUT_FLEET, FULL_MESH_FLEET, MemberRing, REGISTRATION_FANOUT, TRACKERS_PER_HOST,
 };
 use chestnutlb_core::{EntryRecord, HostName, Incarnation};
 
@@ -18,7 +18,7 @@
 }
 
 #[test]
-fn hosts_register_beyond_their_trackers_only_in_small_fleets() {
+fn hosts_register_beyond_their_trackers_except_in_the_largest_fleets() {
     let host: HostName = "catalogue-1".parse().unwrap();
     let target_count = |entries: usize| {
         let all = ring(entries);
@@ -38,6 +38,7 @@
     assert_eq!(target_count(4), 4);
     assert_eq!(target_count(FULL_MESH_FLEET), FULL_MESH_FLEET);
     assert_eq!(target_count(FULL_MESH_FLEET + 1), REGISTRATION_FANOUT);
-    assert_eq!(target_count(SMALL_FLEET), REGISTRATION_FANOUT);
-    assert_eq!(target_count(SMALL_FLEET + 1), TRACKERS_PER_HOST);
+    assert_eq!(target_count(FULL_FANOUT_FLEET), REGISTRATION_FANOUT);
+    let fewest = REGISTRATION_FANOUT / TRACKERS_PER_HOST * FULL_FANOUT_FLEET;
+    assert_eq!(target_count(fewest), TRACKERS_PER_HOST);
 }
--- a/crates/core/tests/registration_targets.rs
+++ b/crates/core/tests/registration_targets.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use chestnutlb_core::members::FULL_MESH_FLEET;
+use chestnutlb_core::members::{FULL_MESH_FLEET, MemberRing};
 use chestnutlb_core::registration_targets::{
     FULL_REGISTRATION_PERIOD, MIN_FULL_REGISTRATION_INTERVAL, TARGET_LIMIT, TARGET_MEMORY,
 };
@@ -40,6 +40,23 @@
     }
 }
 
+// On the users' deployment of 59 entry VMs, hosts went from eight targets to two when machines
+// were added in the middle of a day.
+#[test]
+fn number_of_targets_falls_by_one_at_a_time_as_the_fleet_grows() {
+    let targets_in_fleet_of = |count: usize| {
+        let ring = MemberRing::new(entries(0..count));
+        let host = "host-1".parse().unwrap();
+        ring.registration_targets(&host, &ring).len()
+    };
+    let counts: Vec<usize> = (FULL_MESH_FLEET + 1..=600)
+        .map(targets_in_fleet_of)
+        .collect();
+    assert!(counts.is_sorted_by(|count, next| *next == *count || *next + 1 == *count));
+    let at = |count: usize| counts[count - FULL_MESH_FLEET - 1];
+    assert_eq!([at(13), at(64), at(69), at(128), at(600)], [8, 8, 7, 4, 2]);
+}
+
 // Returns targets after a full registration at START whose replies named these.
 fn registered_with(named: &[EntryRecord]) -> RegistrationTargets {
     let mut targets = RegistrationTargets::default();
