Candidates of passthrough flows are near hosts first

Cause: the eight candidates of a flow were drawn from all data centres, so with five of them 1.6 were near on average. Flows went far though near hosts were idle, and packets of flows without an owner walked through all data centres.

Change: up to five candidates are hosts of the entry VM's data centre, the others of any, by the same hashing. Services of up to eight hosts keep all of them as candidates. The ranking decides among the candidates as before, so a crowded data centre is helped by others.

What it costs: entry VMs of different data centres have different candidates. A flow whose packets move to another data centre is found by a lookup.

--- a/crates/core/src/passthrough_routes.rs
+++ b/crates/core/src/passthrough_routes.rs
@@ -409,11 +409,12 @@
         let key = segment.key;
         let syns = cached.map_or(0, |cached| cached.syns);
         let earlier_syns = syns.max(segment.syn_copies.min(u8::MAX.into()) as u8);
-        let mut ranked: Vec<(f64, SocketAddrV4)> = candidates(service, key.hash())
-            .filter(|host| host.accepts_flows())
-            .filter(|host| !self.loads.refuses(host.record.packets, now))
-            .map(|host| (self.cost(host, now), host.record.packets))
-            .collect();
+        let mut ranked: Vec<(f64, SocketAddrV4)> =
+            candidates(service, key.hash(), &self.local_datacenter)
+                .filter(|host| host.accepts_flows())
+                .filter(|host| !self.loads.refuses(host.record.packets, now))
+                .map(|host| (self.cost(host, now), host.record.packets))
+                .collect();
         let is_known = |host| !self.known_hosts.is_new(host, now);
         if ranked.iter().any(|(_, host)| is_known(*host)) {
             ranked.retain(|(_, host)| is_known(*host));
@@ -547,7 +548,7 @@
         self.record_walk(service, segment, now);
         let mut hops: Vec<SocketAddrV4> = Vec::with_capacity(PLAN_HOPS);
         for unresponsive_pass in [false, true] {
-            for host in candidates(service, key.hash()) {
+            for host in candidates(service, key.hash(), &self.local_datacenter) {
                 let address = host.record.packets;
                 let unresponsive = self.loads.is_silent(address, UNRESPONSIVE_AFTER, now);
                 let in_pass =
@@ -579,11 +580,15 @@
     }
 }
 
-// Returns the hosts that may own or open a flow: the candidates of its bucket, then the
-// hosts that hold flows of the bucket.
-fn candidates(service: &ServiceView, flow: FlowHash) -> impl Iterator<Item = &ViewHost> {
+// Returns the hosts that may own or open a flow: the candidates of its bucket, near ones
+// first, then the hosts that hold flows of the bucket.
+fn candidates<'a>(
+    service: &'a ServiceView,
+    flow: FlowHash,
+    local_datacenter: &DatacenterName,
+) -> impl Iterator<Item = &'a ViewHost> + use<'a> {
     let bucket = flow.bucket();
-    let chain = service.chain(bucket);
+    let chain = service.chain_near(bucket, local_datacenter);
     let indexes: Vec<_> = chain
         .as_slice()
         .iter()
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -13,6 +13,10 @@
 /// Maximum number of candidates that a packet visits before holders of old flows.
 pub const CHAIN_HOPS: usize = 8;
 
+/// Maximum number of hosts of the own data centre among the candidates of a passthrough flow;
+/// the others are of any data centre, for the case that these are full.
+pub const NEAR_HOPS: usize = 5;
+
 /// Number of uniformly distributed bits of a score.
 const SCORE_BITS: u32 = 53;
 
@@ -56,6 +60,20 @@
         len: 0,
     };
 
+    // Returns the first `near` hosts of this chain, then those of `other`, without duplicates.
+    pub(crate) fn followed_by(&self, near: usize, other: &HostChain) -> Self {
+        let mut chain = HostChain::EMPTY;
+        let first = self.as_slice().iter().take(near);
+        for host in first.chain(other.as_slice()) {
+            let len = usize::from(chain.len);
+            if len < CHAIN_HOPS && !chain.as_slice().contains(host) {
+                chain.hosts[len] = *host;
+                chain.len += 1;
+            }
+        }
+        chain
+    }
+
     /// Returns the hosts in order.
     pub fn as_slice(&self) -> &[HostIndex] {
         &self.hosts[..usize::from(self.len)]
--- a/crates/core/src/view.rs
+++ b/crates/core/src/view.rs
@@ -10,9 +10,9 @@
 
 use crate::chart::HostState;
 use crate::flow::BucketIndex;
-use crate::ids::{HostName, Incarnation, ObjectVersion, ServiceId, ServiceTag};
+use crate::ids::{DatacenterName, HostName, Incarnation, ObjectVersion, ServiceId, ServiceTag};
 use crate::manifest::ServiceSpec;
-use crate::placement::{HostChain, HostRanking, HostSeed, RankedHost};
+use crate::placement::{CHAIN_HOPS, HostChain, HostRanking, HostSeed, NEAR_HOPS, RankedHost};
 use crate::roster::{HostIndex, HostRecord};
 
 /// A host of a [`ServiceView`].
@@ -43,6 +43,8 @@
     pub slice_hash: u64,
     hosts: Vec<ViewHost>,
     ranking: HostRanking,
+    // Rankings of the hosts of each data centre, if a chain does not contain all hosts.
+    near_rankings: BTreeMap<DatacenterName, HostRanking>,
     // Hosts that hold flows of a bucket without being candidates for it.
     holders: HashMap<BucketIndex, Vec<HostIndex>>,
 }
@@ -80,12 +82,14 @@
                 holders.entry(*bucket).or_default().push(index);
             }
         }
+        let near_rankings = rank_by_datacenter(&hosts, &ranked);
         Self {
             tag: spec.id.tag(),
             slice_hash: slice_hash(version, &hosts),
             spec,
             hosts,
             ranking: HostRanking::new(ranked),
+            near_rankings,
             holders,
         }
     }
@@ -100,6 +104,16 @@
         self.ranking.chain(bucket)
     }
 
+    /// Returns the candidate hosts of a bucket for callers of a data centre: up to [`NEAR_HOPS`]
+    /// of its hosts first. Entry VMs of different data centres have different candidates.
+    pub fn chain_near(&self, bucket: BucketIndex, datacenter: &DatacenterName) -> HostChain {
+        let chain = self.ranking.chain(bucket);
+        match self.near_rankings.get(datacenter) {
+            Some(ranking) => ranking.chain(bucket).followed_by(NEAR_HOPS, &chain),
+            None => chain,
+        }
+    }
+
     /// Returns the hosts that hold flows of a bucket without being candidates for it.
     pub fn holders(&self, bucket: BucketIndex) -> &[HostIndex] {
         self.holders.get(&bucket).map_or(&[], Vec::as_slice)
@@ -128,6 +142,29 @@
     }
 }
 
+// Returns the rankings of the hosts of each data centre, or none if a chain contains all hosts.
+fn rank_by_datacenter(
+    hosts: &[ViewHost],
+    ranked: &[RankedHost],
+) -> BTreeMap<DatacenterName, HostRanking> {
+    let mut groups: BTreeMap<DatacenterName, Vec<RankedHost>> = BTreeMap::new();
+    if hosts.len() > CHAIN_HOPS {
+        for (host, ranked) in hosts.iter().zip(ranked) {
+            let datacenter = &host.record.datacenter;
+            match groups.get_mut(datacenter) {
+                Some(group) => group.push(*ranked),
+                None => {
+                    groups.insert(datacenter.clone(), vec![*ranked]);
+                }
+            }
+        }
+    }
+    groups
+        .into_iter()
+        .map(|(datacenter, group)| (datacenter, HostRanking::new(group)))
+        .collect()
+}
+
 // Treats all suspects as serving if there are more than the eject limit: it is then
 // more likely that the trackers are at fault than that the hosts are.
 fn apply_eject_limit(spec: &ServiceSpec, hosts: &mut [ViewHost]) {
