Verdicts that lack only the confirmation of a new view wait for it

Cause: a lookup that ended while the packet thread had a newer view than the confirmed one was given up as "doubtful"; its caller sent its next packet 200 ms to 1.6 s later.

Change: such a lookup is kept for half a second, and its flow reset once the view is confirmed, if every possible owner known then was asked. A flow that no host owned when all were asked, after a packet of it had come, gets no owner later.

--- a/crates/core/src/passthrough_routes.rs
+++ b/crates/core/src/passthrough_routes.rs
@@ -52,6 +52,13 @@
 /// tell whether they own the flow.
 const LOOKUPS_PER_INTERVAL: u8 = 3;
 
+/// Time for which a lookup that found no owner waits for a confirmation of the view, which
+/// follows each new view a moment later.
+const CONFIRMATION_WAIT: Duration = Duration::from_millis(500);
+
+/// Maximum number of lookups that wait for a confirmation of the view.
+const MAX_UNCONFIRMED_LOOKUPS: usize = 1024;
+
 /// Maximum number of flows whose last walk is cached.
 const WALK_LIMIT: NonZeroUsize = NonZeroUsize::new(8192).unwrap();
 
@@ -101,6 +108,14 @@
     syns: u8,
 }
 
+// A lookup that found no owner while the view was not confirmed.
+#[derive(Debug)]
+struct UnconfirmedLookup {
+    key: FlowKey,
+    lookup: CompletedLookup,
+    since: TimePoint,
+}
+
 /// Routes packets of passthrough flows.
 #[derive(Debug)]
 pub struct PassthroughRouter {
@@ -112,6 +127,7 @@
     known_hosts: KnownHosts,
     walks: LruCache<FlowKey, FlowWalk>,
     lookups: OwnerLookups,
+    unconfirmed: Vec<UnconfirmedLookup>,
 }
 
 impl PassthroughRouter {
@@ -126,6 +142,7 @@
             known_hosts: KnownHosts::default(),
             walks: LruCache::new(WALK_LIMIT),
             lookups: OwnerLookups::default(),
+            unconfirmed: Vec::new(),
         }
     }
 
@@ -180,6 +197,7 @@
             let owner = CachedOwner { tag, host, syns };
             self.cached_owners.put(key, owner);
             self.walks.pop(&key);
+            self.unconfirmed.retain(|pending| pending.key != key);
         }
     }
 
@@ -194,18 +212,43 @@
         self.lookups.take_queries(now)
     }
 
-    /// Returns the lookups that timed out since the last call. `fresh` states whether the
-    /// view was confirmed recently.
+    /// Returns the lookups that timed out since the last call, and those whose verdict had to
+    /// wait for a confirmation of the view. `fresh` states whether the view was confirmed
+    /// recently.
     pub fn take_finished_lookups(
         &mut self,
         view: &RoutingView,
         fresh: bool,
         now: TimePoint,
     ) -> Vec<(FlowKey, LookupVerdict)> {
-        let finished = self.lookups.take_finished(now).into_iter();
-        finished
-            .map(|(key, result)| (key, self.lookup_verdict(view, key, result, fresh, now)))
-            .collect()
+        let mut verdicts = self.take_confirmed(view, fresh, now);
+        for (key, result) in self.lookups.take_finished(now) {
+            verdicts.push((key, self.lookup_verdict(view, key, result, fresh, now)));
+        }
+        verdicts
+    }
+
+    // A flow that no host owned then has no owner now, as a packet of it had come before.
+    fn take_confirmed(
+        &mut self,
+        view: &RoutingView,
+        fresh: bool,
+        now: TimePoint,
+    ) -> Vec<(FlowKey, LookupVerdict)> {
+        self.unconfirmed
+            .retain(|pending| now.since(pending.since) < CONFIRMATION_WAIT);
+        if !fresh {
+            return Vec::new();
+        }
+        let mut verdicts = Vec::new();
+        for pending in std::mem::take(&mut self.unconfirmed) {
+            if self.asked_all_owners(view, pending.key, &pending.lookup, now) {
+                self.walks.pop(&pending.key);
+                let verdict = LookupVerdict::NoOwner(pending.lookup.segment);
+                verdicts.push((pending.key, verdict));
+            }
+        }
+        verdicts
     }
 
     /// Returns how many hosts a lookup of the owner of this flow queries.
@@ -217,7 +260,7 @@
 
     /// Returns whether a lookup is in progress or has a result to be taken.
     pub fn has_pending_lookups(&self) -> bool {
-        !self.lookups.is_empty()
+        !self.lookups.is_empty() || !self.unconfirmed.is_empty()
     }
 
     /// Records the reply of a host to a lookup query. Returns the verdict if this reply
@@ -248,9 +291,15 @@
                 self.record_owner(view, key, owner);
                 LookupVerdict::Found(owner)
             }
-            LookupResult::NotFound(lookup)
-                if !fresh || !self.asked_all_owners(view, key, &lookup, now) =>
-            {
+            LookupResult::NotFound(lookup) if !fresh => {
+                if self.unconfirmed.len() < MAX_UNCONFIRMED_LOOKUPS {
+                    let since = now;
+                    self.unconfirmed
+                        .push(UnconfirmedLookup { key, lookup, since });
+                }
+                LookupVerdict::Unconfirmed
+            }
+            LookupResult::NotFound(lookup) if !self.asked_all_owners(view, key, &lookup, now) => {
                 LookupVerdict::Unconfirmed
             }
             LookupResult::NotFound(lookup) => {
--- a/crates/core/tests/owner_lookup.rs
+++ b/crates/core/tests/owner_lookup.rs
@@ -140,6 +140,40 @@
     assert_eq!(verdict, Some(LookupVerdict::NoOwner(data(1, 700))));
 }
 
+// A new view is confirmed a moment after the packet thread has received it.
+#[test]
+fn verdict_that_lacks_a_confirmation_follows_once_the_view_is_confirmed() {
+    let view = passthrough_view(HOSTS);
+    let mut router = settled_router(&view);
+    let queried = start_lookup(&mut router, &view, START_MS);
+    let replied_ms = START_MS + WALK_MS + REPLY_MS;
+    let verdict = record_not_owned(&mut router, &view, &queried, false, replied_ms);
+    assert_eq!(verdict, Some(LookupVerdict::Unconfirmed));
+    assert!(router.has_pending_lookups());
+    let mut finished = |fresh, at| router.take_finished_lookups(&view, fresh, TimePoint(at));
+    assert!(finished(false, replied_ms + 20).is_empty());
+    let no_owner = (key(1), LookupVerdict::NoOwner(data(1, 700)));
+    assert_eq!(finished(true, replied_ms + 40), [no_owner]);
+    assert!(finished(true, replied_ms + 60).is_empty());
+}
+
+#[test]
+fn verdict_that_lacks_a_confirmation_lapses_with_time_and_if_the_owner_is_found() {
+    let view = passthrough_view(HOSTS);
+    for (is_found, confirmed_after_ms) in [(true, 40), (false, 500)] {
+        let mut router = settled_router(&view);
+        let queried = start_lookup(&mut router, &view, START_MS);
+        let replied_ms = START_MS + WALK_MS + REPLY_MS;
+        record_not_owned(&mut router, &view, &queried, false, replied_ms);
+        if is_found {
+            router.record_owner(&view, key(1), queried[0]);
+        }
+        let confirmed_at = TimePoint(replied_ms + confirmed_after_ms);
+        let finished = router.take_finished_lookups(&view, true, confirmed_at);
+        assert!(finished.is_empty(), "{finished:?}");
+    }
+}
+
 // Records replies of all hosts, `Unknown` from those of `unknown`.
 fn record_unknown(
     router: &mut PassthroughRouter,
