Packets that come before the configuration are kept for a moment

Cause: an entry VM gets packets as soon as it runs and has its first view 50 to 100 ms later.

Change: the newest packet of each of up to 512 flows is kept for up to a second, and tried with each view until one is confirmed.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod chart;
 pub mod control;
 pub mod document;
+pub mod early_packets;
 pub mod entry;
 pub mod events;
 pub mod flow;
@@ -56,6 +57,7 @@
 };
 pub use control::EntryControl;
 pub use document::{DocumentId, DocumentItem, DocumentKind, DocumentPatch, DocumentStore};
+pub use early_packets::EarlyPackets;
 pub use entry::{EntryRouter, HopPlan, PlanSource, RouteDecision, RouteDrop};
 pub use events::{ControlAction, ControlEvent, Heartbeat, MemberEdit, RegistrationReply};
 pub use flow::{BucketIndex, FlowHash, FlowKey, TcpSegment};
--- a/crates/daemon/src/entry_packets.rs
+++ b/crates/daemon/src/entry_packets.rs
@@ -12,8 +12,9 @@
 
 use chestnutlb_core::view::ServiceView;
 use chestnutlb_core::{
-    EntryRouter, FlowKey, HopPlan, HostLoad, LookupVerdict, PassthroughPlan, PassthroughRouter,
-    PlanSource, RerouteDecision, RouteDecision, RouteDrop, RoutingView, ServiceKind, TcpSegment,
+    EarlyPackets, EntryRouter, FlowKey, HopPlan, HostLoad, LookupVerdict, PassthroughPlan,
+    PassthroughRouter, PlanSource, RerouteDecision, RouteDecision, RouteDrop, RoutingView,
+    ServiceKind, TcpSegment, TimePoint,
 };
 use chestnutlb_wire::packet::{
     MAX_DATAGRAM_BYTES, WireFlow, WireLookupQuery, WireLookupReply, is_frame, write_data,
@@ -45,6 +46,7 @@
     passthrough: PassthroughRouter,
     // Packets that wait for the verdict of a lookup, one for each flow.
     waiting_packets: LruCache<FlowKey, Vec<u8>>,
+    early_packets: EarlyPackets,
     flow_log: FlowLog,
     views: Receiver<Arc<RoutingView>>,
     shared: Arc<EntryShared>,
@@ -68,6 +70,7 @@
             router: EntryRouter::new(settings.hint_limit),
             passthrough: PassthroughRouter::new(settings.datacenter.clone(), passthrough_limit),
             waiting_packets: LruCache::new(MAX_WAITING_PACKETS),
+            early_packets: EarlyPackets::default(),
             flow_log: FlowLog::default(),
             views,
             counters: Arc::clone(&shared.counters),
@@ -81,7 +84,9 @@
         let mut datagram = [0; MAX_DATAGRAM_BYTES + 1];
         loop {
             // Older views in the ring are superseded by the newest one.
-            if let Some(view) = self.views.try_iter().last() {
+            let view = self.views.try_iter().last();
+            let has_new_view = view.is_some();
+            if let Some(view) = view {
                 let now = clock::now();
                 self.passthrough.update_view(&view, now);
                 self.router.replace_view(view, now);
@@ -89,6 +94,9 @@
             let now = clock::now();
             let is_fresh = self.shared.is_fresh(self.router.view(), now);
             self.passthrough.record_freshness(is_fresh, now);
+            if has_new_view || is_fresh {
+                self.forward_early_packets(is_fresh, now);
+            }
             self.send_probes();
             self.send_lookup_queries();
             // The socket's read timeout lets the loop check for a new view.
@@ -98,11 +106,21 @@
         }
     }
 
+    // Forwards the packets that came before the configuration; `is_fresh` states whether the
+    // view is confirmed.
+    fn forward_early_packets(&mut self, is_fresh: bool, now: TimePoint) {
+        for early in self.early_packets.take(is_fresh, now) {
+            // It was scanned when it arrived.
+            let _ = self.forward(&early.bytes, early.arrived_at);
+        }
+    }
+
     fn handle_datagram(&mut self, datagram: &[u8], from: SocketAddrV4) {
         let outcome = if is_frame(datagram) {
             self.handle_frame(datagram, from)
         } else {
-            self.forward(datagram)
+            self.counters.add(Counter::PacketsIn);
+            self.forward(datagram, clock::now())
         };
         if let Err(error) = outcome {
             self.counters.add(Counter::PacketsBad);
@@ -239,16 +257,19 @@
         }
     }
 
-    fn forward(&mut self, packet: &[u8]) -> Result<(), PacketError> {
-        self.counters.add(Counter::PacketsIn);
+    fn forward(&mut self, packet: &[u8], arrived_at: TimePoint) -> Result<(), PacketError> {
         let segment = self.format.scan_caller(packet)?;
         let now = clock::now();
         let view = Arc::clone(self.router.view());
         match view.service_at(segment.key.service) {
             Some(service) if is_passthrough(service) => {
                 let plan = self.passthrough.route(&view, &segment, now);
+                if plan.is_err() && self.early_packets.keep(segment.key, packet, arrived_at) {
+                    return Ok(());
+                }
                 self.send_passthrough(&view, &segment, plan, packet);
             }
+            None if self.early_packets.keep(segment.key, packet, arrived_at) => {}
             _ => match self.router.route(&segment, now) {
                 RouteDecision::Forward(plan) => self.send(&segment, &plan, packet),
                 RouteDecision::Drop(cause) => self.drop_packet(&segment, cause),
