Side processes notice that they have no backend server

Ruled out: lost queries (one host each, the same for all entry VMs), the budget of lookups (no verdict was "limited"), a shorter wait for silent hosts (a side process that is restarted beside a living backend server is silent for about a second).

Change: new setting `report_period_ms`. A side process that has received no report for 2.5 of them since its start, and has no flow, registers its host's departure and replies to lookups that it owns nothing. A report ends this.

--- a/crates/core/src/backend.rs
+++ b/crates/core/src/backend.rs
@@ -20,6 +20,14 @@
 /// the earliest.
 pub const START_TIME_TOLERANCE: Duration = Duration::from_millis(200);
 
+/// Time after the start of a side process without a report and without a flow after which no
+/// backend server runs beside it, in tenths of the report period: two reports are missing.
+const ABSENT_AFTER_TENTHS: u32 = 25;
+
+/// The same for a side process that is being stopped, which happens once its backend server
+/// has left.
+const ABSENT_AT_STOP_TENTHS: u32 = 20;
+
 /// State that a backend server reports.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum BackendState {
@@ -68,6 +76,17 @@
     }
 }
 
+/// What a side process has seen since its start.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SideHistory {
+    /// Time since the start.
+    pub uptime: Duration,
+    /// Whether it tracks a flow of the backend server.
+    pub has_flows: bool,
+    /// Whether it is being stopped.
+    pub stopping: bool,
+}
+
 /// Effect of a report or a deregistration.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum BackendChange {
@@ -121,6 +140,19 @@
         self.gone
     }
 
+    /// Returns whether no backend server runs beside this process. After a loss of power, the
+    /// side process of a backend server that was leaving starts again, and its backend server
+    /// does not. `report_period` is the interval between two reports.
+    pub fn is_absent(&self, history: SideHistory, report_period: Duration) -> bool {
+        let tenths = if history.stopping {
+            ABSENT_AT_STOP_TENTHS
+        } else {
+            ABSENT_AFTER_TENTHS
+        };
+        let has_been_silent = history.uptime >= report_period * tenths / 10;
+        self.current.is_none() && !history.has_flows && has_been_silent
+    }
+
     /// Returns whether all of its flows began after the start of this process: the
     /// backend server had just started at its first report, or is in a later epoch.
     pub fn is_observed_from_start(&self) -> bool {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -50,7 +50,9 @@
 pub mod view_builder;
 
 pub use admission::HostAdmission;
-pub use backend::{BackendChange, BackendReport, BackendState, BackendTracker, ReportTiming};
+pub use backend::{
+    BackendChange, BackendReport, BackendState, BackendTracker, ReportTiming, SideHistory,
+};
 pub use budget::RetryBudget;
 pub use chart::{
     FlowEvent, FlowState, HostEvent, HostState, RequestEvent, RequestState, check_charts,
--- a/crates/core/tests/backends.rs
+++ b/crates/core/tests/backends.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use chestnutlb_core::{
-    BackendChange, BackendReport, BackendState, BackendTracker, HostState, ReportTiming, TimePoint,
+    BackendChange, BackendReport, BackendState, BackendTracker, HostState, ReportTiming,
+    SideHistory, TimePoint,
 };
 
 // Timing of a report of a backend server that is much older than its side process.
@@ -121,3 +122,34 @@
     assert_eq!(backend.host_state(false, now), HostState::Gone);
     assert_eq!(backend.host_state(true, now), HostState::Gone);
 }
+
+// On the users' bench (dalbit-edge-large trouble-2), side processes of hosts that were leaving
+// when power was lost started again without a backend server. Nothing told the trackers, and
+// while they were down again no flow of the firm was found to be without an owner.
+#[test]
+fn backend_that_never_reports_is_absent_unless_it_has_flows() {
+    let period = Duration::from_millis(1_200);
+    let history = |uptime_ms: u64| SideHistory {
+        uptime: Duration::from_millis(uptime_ms),
+        has_flows: false,
+        stopping: false,
+    };
+    let backend = BackendTracker::default();
+    assert!(!backend.is_absent(history(2_999), period));
+    assert!(backend.is_absent(history(3_000), period));
+    let with_flows = SideHistory {
+        has_flows: true,
+        ..history(60_000)
+    };
+    assert!(!backend.is_absent(with_flows, period));
+    // The platform stops a side process once its backend server has left.
+    let stopping = |uptime_ms: u64| SideHistory {
+        stopping: true,
+        ..history(uptime_ms)
+    };
+    assert!(!backend.is_absent(stopping(2_399), period));
+    assert!(backend.is_absent(stopping(2_400), period));
+    let mut reported = BackendTracker::default();
+    reported.record_report(report(100, 7, BackendState::Leaving), OLD_BACKEND);
+    assert!(!reported.is_absent(history(60_000), period));
+}
--- a/crates/daemon/src/passthrough_packets.rs
+++ b/crates/daemon/src/passthrough_packets.rs
@@ -230,15 +230,18 @@
     }
 
     fn backend_info(&self, now: TimePoint) -> BackendInfo {
+        let is_absent = self.shared.is_backend_absent();
         let tracker = self.shared.backend();
         BackendInfo {
-            accepts_flows: tracker.accepts_flows() && !self.shared.stopping.load(Ordering::Relaxed),
+            accepts_flows: tracker.accepts_flows()
+                && !is_absent
+                && !self.shared.stopping.load(Ordering::Relaxed),
             slots: tracker
                 .current()
                 .map_or(ASSUMED_SLOTS, |report| report.slots.max(1)),
             flow_limit: self.settings.flow_limit,
             cold: tracker.is_cold(now),
-            observed_from_start: tracker.is_observed_from_start(),
+            observed_from_start: tracker.is_observed_from_start() || is_absent,
         }
     }
 
--- a/crates/daemon/src/passthrough_side.rs
+++ b/crates/daemon/src/passthrough_side.rs
@@ -9,7 +9,7 @@
 use compact_str::ToCompactString;
 use crossbeam_channel::{Receiver, RecvTimeoutError};
 
-use chestnutlb_core::{BackendChange, BackendTracker, HostState, TimePoint};
+use chestnutlb_core::{BackendChange, BackendTracker, HostState, SideHistory, TimePoint};
 use chestnutlb_wire::status::SideStatus;
 
 use crate::metrics::CounterSet;
@@ -33,6 +33,7 @@
     pub counters: Arc<CounterSet>,
     /// Settings of the process.
     pub settings: Arc<SideSettings>,
+    report_period: Option<Duration>,
     /// Whether the process has received a stop signal.
     pub stopping: AtomicBool,
     /// Number of flows in the flow table.
@@ -45,10 +46,15 @@
 }
 
 impl PassthroughShared {
-    fn new(settings: Arc<SideSettings>, counters: Arc<CounterSet>) -> Self {
+    fn new(
+        settings: Arc<SideSettings>,
+        report_period: Option<Duration>,
+        counters: Arc<CounterSet>,
+    ) -> Self {
         Self {
             counters,
             settings,
+            report_period,
             stopping: AtomicBool::new(false),
             flows: AtomicU64::new(0),
             at_work: AtomicU64::new(0),
@@ -83,8 +89,22 @@
         );
     }
 
+    /// Returns whether no backend server runs beside this process.
+    pub fn is_backend_absent(&self) -> bool {
+        let history = SideHistory {
+            uptime: clock::uptime(),
+            has_flows: self.flows.load(Ordering::Relaxed) > 0,
+            stopping: self.stopping.load(Ordering::Relaxed),
+        };
+        self.report_period
+            .is_some_and(|period| self.backend().is_absent(history, period))
+    }
+
     /// Returns the state of the host for the roster.
     pub fn state(&self, now: TimePoint) -> HostState {
+        if self.is_backend_absent() {
+            return HostState::Gone;
+        }
         let stopping = self.stopping.load(Ordering::Relaxed);
         self.backend().host_state(stopping, now)
     }
@@ -123,7 +143,11 @@
         "started"
     );
     let settings = Arc::new(settings.clone());
-    let shared = Arc::new(PassthroughShared::new(Arc::clone(&settings), counters));
+    let shared = Arc::new(PassthroughShared::new(
+        Arc::clone(&settings),
+        passthrough.report_period,
+        counters,
+    ));
     http::start(server(Arc::clone(&shared), settings.status))?;
 
     let format = PacketFormat::new(settings.dialect, settings.callers);
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -150,6 +150,8 @@
     flow_age_ms: u64,
     #[serde(default = "default_flow_idle")]
     flow_idle_ms: u64,
+    #[serde(default)]
+    report_period_ms: Option<u64>,
     #[serde(default = "default_flow_limit")]
     flow_limit: usize,
 }
@@ -255,6 +257,8 @@
     pub flow_age: Duration,
     /// Time without packets after which a flow may be dropped from the flow table.
     pub flow_idle: Duration,
+    /// Interval between two reports of the backend server; `None` if it is not known.
+    pub report_period: Option<Duration>,
     /// Maximum number of flows that the backend server holds at once.
     pub flow_limit: usize,
 }
@@ -380,6 +384,7 @@
             outbound: parse_text("passthrough.outbound", &wire.outbound, ADDRESS_FORMAT)?,
             flow_age: Duration::from_millis(wire.flow_age_ms),
             flow_idle: Duration::from_millis(wire.flow_idle_ms),
+            report_period: wire.report_period_ms.map(Duration::from_millis),
             flow_limit: wire.flow_limit,
         })
     }
