--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -129,7 +129,8 @@
     // When this entry VM last had the same versions as a peer or last requested all
     // documents that differ.
     last_in_sync: TimePoint,
-    watching: bool,
+    // `None` until the first `Watch` action: the daemon watches from its start.
+    watching: Option<bool>,
     stopping: bool,
     random: StdRng,
 }
@@ -165,7 +166,7 @@
             newer_rosters: BTreeMap::new(),
             view_confirmed_at: None,
             last_in_sync: now,
-            watching: false,
+            watching: None,
             stopping: false,
             random: StdRng::seed_from_u64(seed),
         }
@@ -192,7 +193,7 @@
 
     /// Returns whether this entry VM watches the platform for changes.
     pub fn is_watching(&self) -> bool {
-        self.watching
+        self.watching.unwrap_or(true)
     }
 
     /// Returns when the platform last confirmed that the local documents are current.
@@ -806,8 +807,8 @@
         self.progress
             .retain(|_, progress| now.since(progress.last_seen) < SUSPECT_AFTER * 5);
         let watching = !self.stopping && self.rings.is_watcher();
-        if watching != self.watching {
-            self.watching = watching;
+        if self.watching != Some(watching) {
+            self.watching = Some(watching);
             actions.push(ControlAction::Watch(watching));
         }
         let watched: Vec<EntryRecord> = self.rings.predecessors().into_iter().cloned().collect();
--- a/crates/core/tests/control.rs
+++ b/crates/core/tests/control.rs
@@ -735,3 +735,38 @@
     }
     assert_eq!(outdated.documents().version(&manifest), ObjectVersion(1));
 }
+
+// On the users' bench, entry VMs that were rolled went on watching for the rest of the day: they
+// knew the other members before their first check of their duties.
+#[test]
+fn entry_vm_that_knows_the_members_at_its_first_check_stops_watching() {
+    let members = DocumentId::new(DocumentKind::Members, "honam-1");
+    let watches_after_start = |number: usize| {
+        let me = entry(number, "honam-1");
+        let mut control = EntryControl::new(me, Vec::new(), 1, TimePoint(0));
+        assert!(control.is_watching());
+        let entries = (0..9).map(|number| DocumentItem::Entry(entry(number, "honam-1")));
+        control.handle(
+            ControlEvent::Loaded {
+                id: members.clone(),
+                version: ObjectVersion(1),
+                items: entries.collect(),
+            },
+            TimePoint(1),
+        );
+        let mut watches = true;
+        for at in [200, 400] {
+            while let Some(kind) = control.poll_timer(TimePoint(at)) {
+                for action in control.handle(ControlEvent::Tick(kind), TimePoint(at)) {
+                    if let ControlAction::Watch(enabled) = action {
+                        watches = enabled;
+                    }
+                }
+            }
+        }
+        assert_eq!(watches, control.is_watching());
+        watches
+    };
+    let watchers = (0..9).filter(|number| watches_after_start(*number));
+    assert_eq!(watchers.count(), 1);
+}
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -57,7 +57,7 @@
     /// The object had this version instead of the expected one; nothing was
     /// written. Revision zero stands for an object that does not exist or, after a restore
     /// of the store, for one that has to be read again.
-    Conflict(ObjectVersion),
+    Conflict(ObjectVersion, Option<serde_json::Value>),
     /// The write may or may not have taken effect.
     Unknown(StoreError),
 }
@@ -217,7 +217,7 @@
         };
         let version = StoreAnswer::version(era, reply.version)?;
         if status == 409 {
-            return Ok(WriteOutcome::Conflict(version));
+            return Ok(WriteOutcome::Conflict(version, None));
         }
         if !expected.is_absent() && era != expected.era() {
             // The object may have been another one that has the same version in this era.
@@ -273,7 +273,7 @@
         value: &serde_json::Value,
     ) -> WriteOutcome {
         if self.eras.is_outdated(expected) {
-            return WriteOutcome::Conflict(self.eras.unread_version());
+            return WriteOutcome::Conflict(self.eras.unread_version(), None);
         }
         let call = self
             .agent
--- a/crates/store/src/commit.rs
+++ b/crates/store/src/commit.rs
@@ -165,7 +165,7 @@
     };
     match client.write(&manifest_id(manifest), expected, &value) {
         WriteOutcome::Written(version) => CommitOutcome::Committed(version),
-        WriteOutcome::Conflict(found) => {
+        WriteOutcome::Conflict(found, _) => {
             resolve_conflict(client, manifest, expected, found, commit_id)
         }
         WriteOutcome::Unknown(error) => CommitOutcome::Unknown(error),
--- a/crates/store/src/objects.rs
+++ b/crates/store/src/objects.rs
@@ -183,13 +183,13 @@
     apply: impl Fn(ObjectVersion, Option<serde_json::Value>) -> Result<serde_json::Value, StoreError>,
 ) -> EditOutcome {
     // The cached object saves a read. If it is outdated, the write conflicts and the
-    // next attempt reads the object.
-    let mut cached = client
+    // next attempt takes the object of that answer, or reads it.
+    let mut known = client
         .cached_object(id)
         .filter(|object| object.version >= oldest.0);
+    let mut is_cached = known.is_some();
     for _ in 0..MAX_CONFLICTS {
-        let is_cached = cached.is_some();
-        let current = match cached.take() {
+        let current = match known.take() {
             Some(object) => Some(object),
             None => match client.read(id) {
                 Ok(current) => current,
@@ -205,7 +205,7 @@
             Err(error) => return EditOutcome::Unknown(error),
         };
         let written = if value.as_ref() == Some(&next) {
-            if is_cached {
+            if std::mem::take(&mut is_cached) {
                 // The stored object may lack the edit: others may have changed it since.
                 continue;
             }
@@ -220,10 +220,14 @@
                     Err(error) => EditOutcome::Unknown(error),
                 };
             }
+            WriteOutcome::Conflict(ObjectVersion(version), content) => {
+                known = content.map(|value| ObjectReply { version, value });
+            }
             // A write of which the revision may have matched by accident is read back.
-            WriteOutcome::Conflict(_) | WriteOutcome::Unknown(StoreError::Restored) => {}
+            WriteOutcome::Unknown(StoreError::Restored) => {}
             WriteOutcome::Unknown(error) => return EditOutcome::Unknown(error),
         }
+        is_cached = false;
     }
     EditOutcome::Conflict
 }
--- a/crates/store/tests/eras.rs
+++ b/crates/store/tests/eras.rs
@@ -202,14 +202,14 @@
     assert_eq!(matched, WriteOutcome::Unknown(StoreError::Restored));
     platform.take_calls();
     let outdated = client.write(&id, version(1, 15), &json!(3));
-    assert_eq!(outdated, WriteOutcome::Conflict(version(2, 0)));
+    assert_eq!(outdated, WriteOutcome::Conflict(version(2, 0), None));
     assert!(platform.take_calls().is_empty());
     let reply = client.read(&id).unwrap().unwrap();
     assert_eq!(ObjectVersion(reply.version), version(2, 16));
     let written = client.write(&id, version(2, 16), &json!(4));
     assert_eq!(written, WriteOutcome::Written(version(2, 17)));
     let conflict = client.write(&id, version(2, 16), &json!(5));
-    assert_eq!(conflict, WriteOutcome::Conflict(version(2, 17)));
+    assert_eq!(conflict, WriteOutcome::Conflict(version(2, 17), None));
 }
 
 #[test]
--- a/crates/store/tests/roster_edits.rs
+++ b/crates/store/tests/roster_edits.rs
@@ -1,6 +1,7 @@
 //! Roster edits that meet a later version than the one that they were derived from.
 
 use std::sync::Mutex;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use serde_json::Value;
@@ -19,6 +20,9 @@
 struct OneObjectStore {
     object: Mutex<Option<(ObjectVersion, Value)>>,
     cached: Mutex<Option<(ObjectVersion, Value)>>,
+    // Whether a conflict tells the content of the object.
+    tells_content: bool,
+    reads: AtomicUsize,
 }
 
 fn reply((version, value): (ObjectVersion, Value)) -> ObjectReply {
@@ -51,6 +55,7 @@
     }
 
     fn read(&self, _id: &DocumentId) -> Result<Option<ObjectReply>, StoreError> {
+        self.reads.fetch_add(1, Ordering::SeqCst);
         Ok(self.object.lock().unwrap().clone().map(reply))
     }
 
@@ -60,7 +65,8 @@
             .as_ref()
             .map_or(ObjectVersion(0), |(version, _)| *version);
         if current != expected {
-            return WriteOutcome::Conflict(current);
+            let content = self.tells_content.then(|| object.clone()).flatten();
+            return WriteOutcome::Conflict(current, content.map(|(_, value)| value));
         }
         let next = ObjectVersion(current.0 + 1);
         *object = Some((next, value.clone()));
@@ -130,3 +136,22 @@
     let (version, hosts) = edit(&store, 1, &[RosterEdit::Remove(host(1)), put(3)]);
     assert_eq!((version, hosts), (3, vec!["host-2".to_owned()]));
 }
+
+// An entry VM whose cached object is outdated, as when several start at once.
+#[test]
+fn edit_after_a_conflict_reads_only_if_the_conflict_does_not_tell_the_object() {
+    for (tells_content, reads) in [(false, 1), (true, 0)] {
+        let store = OneObjectStore {
+            tells_content,
+            ..OneObjectStore::default()
+        };
+        let put = |number| RosterEdit::Put(host(number));
+        edit(&store, 0, &[put(1), put(2)]);
+        *store.cached.lock().unwrap() = store.object.lock().unwrap().clone();
+        edit(&store, 1, &[put(3)]);
+        store.reads.store(0, Ordering::SeqCst);
+        let (version, hosts) = edit(&store, 1, &[RosterEdit::Remove(host(1)), put(4)]);
+        assert_eq!((version, hosts.join(" ")), (3, "host-2 host-3".to_owned()));
+        assert_eq!(store.reads.load(Ordering::SeqCst), reads);
+    }
+}
