--- a/crates/core/src/backend.rs
+++ b/crates/core/src/backend.rs
@@ -24,8 +24,8 @@
 /// backend server runs beside it, in tenths of the report period: two reports are missing.
 const ABSENT_AFTER_TENTHS: u32 = 25;
 
-/// The same for a side process that is being stopped, which happens once its backend server
-/// has left.
+/// The same for a side process that is being stopped, with or without flows: it is stopped once
+/// its backend server has left, or while that one lives and reports.
 const ABSENT_AT_STOP_TENTHS: u32 = 20;
 
 /// State that a backend server reports.
@@ -144,13 +144,13 @@
     /// side process of a backend server that was leaving starts again, and its backend server
     /// does not. `report_period` is the interval between two reports.
     pub fn is_absent(&self, history: SideHistory, report_period: Duration) -> bool {
-        let tenths = if history.stopping {
-            ABSENT_AT_STOP_TENTHS
-        } else {
-            ABSENT_AFTER_TENTHS
-        };
-        let has_been_silent = history.uptime >= report_period * tenths / 10;
-        self.current.is_none() && !history.has_flows && has_been_silent
+        let has_been_silent = |tenths| history.uptime >= report_period * tenths / 10;
+        self.current.is_none()
+            && if history.stopping {
+                has_been_silent(ABSENT_AT_STOP_TENTHS)
+            } else {
+                !history.has_flows && has_been_silent(ABSENT_AFTER_TENTHS)
+            }
     }
 
     /// Returns whether all of its flows began after the start of this process: the
--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -38,6 +38,10 @@
 /// Number of random peers that each change is gossiped to immediately.
 pub const GOSSIP_FANOUT: usize = 4;
 
+/// Number of them in other data centres, if the own one has enough entry VMs. Each entry VM
+/// gossips each change, so a few copies cross to every data centre, and most stay near.
+pub const FAR_GOSSIP: usize = 1;
+
 /// Number of recently changed documents listed in a heartbeat.
 pub const RECENT_LIMIT: usize = 8;
 
@@ -705,12 +709,12 @@
     }
 
     fn random_peers(&mut self) -> Vec<EntryRecord> {
-        self.rings
-            .peers()
-            .choose_multiple(&mut self.random, GOSSIP_FANOUT)
-            .into_iter()
-            .cloned()
-            .collect()
+        let random = &mut self.random;
+        let near_count = GOSSIP_FANOUT - FAR_GOSSIP;
+        let mut peers = self.rings.near_peers().choose_multiple(random, near_count);
+        let far_count = GOSSIP_FANOUT - peers.len();
+        peers.extend(self.rings.far_peers().choose_multiple(random, far_count));
+        peers.into_iter().cloned().collect()
     }
 
     fn heartbeat(&self, now: TimePoint) -> Heartbeat {
--- a/crates/core/src/member_rings.rs
+++ b/crates/core/src/member_rings.rs
@@ -51,10 +51,18 @@
         self.global.entries()
     }
 
-    /// Returns the entry VMs of all data centres without this one.
-    pub fn peers(&self) -> impl Iterator<Item = &EntryRecord> {
-        let me = &self.me.name;
-        self.global.entries().filter(move |entry| entry.name != *me)
+    /// Returns the other entry VMs of the data centre of this one.
+    pub fn near_peers(&self) -> impl Iterator<Item = &EntryRecord> {
+        let me = &self.me;
+        let near = self.ring_of(&me.datacenter).entries();
+        near.filter(move |entry| entry.name != me.name)
+    }
+
+    /// Returns the entry VMs of other data centres.
+    pub fn far_peers(&self) -> impl Iterator<Item = &EntryRecord> {
+        let local = &self.me.datacenter;
+        let entries = self.global.entries();
+        entries.filter(move |entry| entry.datacenter != *local)
     }
 
     /// Returns whether an entry VM of this name is a member.
--- a/crates/core/tests/backends.rs
+++ b/crates/core/tests/backends.rs
@@ -142,8 +142,10 @@
         ..history(60_000)
     };
     assert!(!backend.is_absent(with_flows, period));
-    // The platform stops a side process once its backend server has left.
+    // The platform stops a side process once its backend server has left. Late packets of flows
+    // that had ended there look like flows.
     let stopping = |uptime_ms: u64| SideHistory {
+        has_flows: true,
         stopping: true,
         ..history(uptime_ms)
     };
