--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -15,24 +15,20 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use rand::SeedableRng;
 use rand::rngs::StdRng;
-use rand::seq::IteratorRandom;
-use rand::{Rng, SeedableRng};
 
 use crate::chart::HostState;
-use crate::document::{DocumentId, DocumentItem, DocumentKind, DocumentStore, ItemChange};
+use crate::document::{DocumentId, DocumentItem, DocumentKind, DocumentStore};
 use crate::events::{ControlAction, ControlEvent, Heartbeat, MemberEdit, RegistrationReply};
-use crate::host_tracker::{
-    GONE_AFTER, HostRevision, HostTracker, LAST_FLOW_DELAY, RosterEdit, SUSPECT_AFTER,
-};
-use crate::ids::{DatacenterName, EntryName, HostName, ObjectVersion, ServiceId, StoreEra};
-use crate::manifest::ServiceKind;
+use crate::host_tracker::{HostRevision, HostTracker};
+use crate::ids::{EntryName, HostName, ObjectVersion, ServiceId};
 use crate::member_rings::MemberRings;
-use crate::members::{EntryMonitor, EntryRecord, RANK_DELAY, TRACKERS_PER_HOST};
+use crate::members::{EntryMonitor, EntryRecord, TRACKERS_PER_HOST};
 use crate::roster::HostRecord;
 use crate::timer::{TimerKind, TimerService};
 use crate::units::TimePoint;
-use crate::view::{RosterCoverage, RoutingView};
+use crate::view::RoutingView;
 use crate::view_builder::ViewBuilder;
 
 /// Number of random peers that each change is gossiped to immediately.
@@ -93,7 +89,7 @@
 
 /// A read, pull or write in flight to the platform or a peer.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
-enum ControlJob {
+pub(crate) enum ControlJob {
     /// Read, pull or write of one document.
     Document(DocumentId),
     /// Pull of every document that differs from a peer.
@@ -103,40 +99,40 @@
 /// Control plane state of one entry VM.
 #[derive(Debug)]
 pub struct EntryControl {
-    me: EntryRecord,
-    seeds: Vec<SocketAddrV4>,
+    pub(crate) me: EntryRecord,
+    pub(crate) seeds: Vec<SocketAddrV4>,
     // Maximum age of passthrough flows, if silent hosts stay listed for it.
-    flow_age: Option<Duration>,
-    documents: DocumentStore,
-    timers: TimerService,
-    tracker: HostTracker,
-    entry_monitor: EntryMonitor,
-    progress: BTreeMap<HostName, HostProgress>,
-    silent_entries: HashMap<EntryName, TimePoint>,
+    pub(crate) flow_age: Option<Duration>,
+    pub(crate) documents: DocumentStore,
+    pub(crate) timers: TimerService,
+    pub(crate) tracker: HostTracker,
+    pub(crate) entry_monitor: EntryMonitor,
+    pub(crate) progress: BTreeMap<HostName, HostProgress>,
+    pub(crate) silent_entries: HashMap<EntryName, TimePoint>,
     // When the members last changed, and with them the registration targets of hosts.
-    members_changed_at: TimePoint,
-    recent: VecDeque<(DocumentId, ObjectVersion)>,
-    jobs: HashMap<ControlJob, TimePoint>,
-    view_builder: ViewBuilder,
-    rings: MemberRings,
-    roster_scan_due: bool,
+    pub(crate) members_changed_at: TimePoint,
+    pub(crate) recent: VecDeque<(DocumentId, ObjectVersion)>,
+    pub(crate) jobs: HashMap<ControlJob, TimePoint>,
+    pub(crate) view_builder: ViewBuilder,
+    pub(crate) rings: MemberRings,
+    pub(crate) roster_scan_due: bool,
     // When the rings follow the members documents again after a restore of the store.
-    settled_at: Option<TimePoint>,
+    pub(crate) settled_at: Option<TimePoint>,
     // Whether a view was built for which `Publish` has not been returned yet.
-    publish_due: bool,
+    pub(crate) publish_due: bool,
     // When the platform last confirmed that the documents are current.
-    confirmed_at: Option<TimePoint>,
+    pub(crate) confirmed_at: Option<TimePoint>,
     // Versions of rosters that peers or the platform have named and that are not in force here.
-    newer_rosters: BTreeMap<DocumentId, ObjectVersion>,
+    pub(crate) newer_rosters: BTreeMap<DocumentId, ObjectVersion>,
     // The same for the view: the last confirmation of documents that it was built from.
-    view_confirmed_at: Option<TimePoint>,
+    pub(crate) view_confirmed_at: Option<TimePoint>,
     // When this entry VM last had the same versions as a peer or last requested all
     // documents that differ.
-    last_in_sync: TimePoint,
+    pub(crate) last_in_sync: TimePoint,
     // `None` until the first `Watch` action: the daemon watches from its start.
-    watching: Option<bool>,
-    stopping: bool,
-    random: StdRng,
+    pub(crate) watching: Option<bool>,
+    pub(crate) stopping: bool,
+    pub(crate) random: StdRng,
 }
 
 impl EntryControl {
@@ -213,7 +209,7 @@
             .filter(|_| self.newer_rosters.is_empty())
     }
 
-    fn record_named_version(&mut self, id: &DocumentId, version: ObjectVersion) {
+    pub(crate) fn record_named_version(&mut self, id: &DocumentId, version: ObjectVersion) {
         if id.kind == DocumentKind::Roster && version > self.documents.version(id) {
             let newest = self.newer_rosters.entry(id.clone()).or_default();
             *newest = version.max(*newest);
@@ -255,7 +251,7 @@
     }
 
     // Passes the records registered here to the view builder.
-    fn update_registered(&mut self, now: TimePoint) {
+    pub(crate) fn update_registered(&mut self, now: TimePoint) {
         let registered = self
             .tracker
             .registered_hosts(now)
@@ -264,11 +260,11 @@
         self.view_builder.set_registered(registered);
     }
 
-    fn members_id(&self) -> DocumentId {
+    pub(crate) fn members_id(&self) -> DocumentId {
         DocumentId::new(DocumentKind::Members, self.me.datacenter.as_str())
     }
 
-    fn members_write(&self, id: DocumentId, edit: MemberEdit) -> ControlAction {
+    pub(crate) fn members_write(&self, id: DocumentId, edit: MemberEdit) -> ControlAction {
         let base = self.documents.version(&id);
         ControlAction::WriteMembers(id, base, vec![edit])
     }
@@ -508,7 +504,7 @@
 
     // Returns whether no read, pull or write of this document is in flight, and if
     // so records one as in flight.
-    fn claim_document(&mut self, id: &DocumentId, now: TimePoint) -> bool {
+    pub(crate) fn claim_document(&mut self, id: &DocumentId, now: TimePoint) -> bool {
         self.claim_job(ControlJob::Document(id.clone()), now)
     }
 
@@ -523,370 +519,13 @@
         free
     }
 
-    fn end_job(&mut self, id: &DocumentId) {
+    pub(crate) fn end_job(&mut self, id: &DocumentId) {
         self.jobs.remove(&ControlJob::Document(id.clone()));
     }
-
-    fn on_listed(
-        &mut self,
-        list: Vec<(DocumentId, ObjectVersion)>,
-        stale: bool,
-        now: TimePoint,
-        actions: &mut Vec<ControlAction>,
-    ) {
-        let mut up_to_date = !stale;
-        for (id, version) in list {
-            up_to_date &= version >= self.documents.version(&id);
-            self.record_named_version(&id, version);
-            if version > self.documents.version(&id) {
-                up_to_date = false;
-                if self.claim_document(&id, now) {
-                    actions.push(ControlAction::Load(id));
-                }
-            }
-        }
-        if up_to_date {
-            // The first view of all documents replaces that of the first roster.
-            if self.confirmed_at.is_none() {
-                self.view_builder.expedite();
-            }
-            self.confirmed_at = Some(now);
-        }
-    }
-
-    // The rosters name every possible owner of a passthrough flow as long as the store was never
-    // restored: a silent host stays listed until no flow of it can live, and a host in no roster
-    // gets no flows in a large fleet.
-    fn on_first_era(
-        &mut self,
-        first_era: Option<StoreEra>,
-        era: StoreEra,
-        listed: &[DocumentId],
-        actions: &mut Vec<ControlAction>,
-    ) {
-        let is_roster = |id: &DocumentId| id.kind == DocumentKind::Roster;
-        let has_rosters =
-            listed.iter().any(is_roster) || self.documents.iter().any(|(id, _)| is_roster(id));
-        // Rosters without a first era were written by an earlier release, or after a restore.
-        if first_era.is_none() && !has_rosters {
-            actions.push(ControlAction::RecordFirstEra(era));
-        }
-        self.view_builder.set_roster_coverage(
-            if first_era == Some(era) && self.flow_age.is_some() {
-                RosterCoverage::AllOwners
-            } else {
-                RosterCoverage::Unknown
-            },
-        );
-    }
-
-    // Replaces the documents of an earlier era that a list of all rosters and members lacks by
-    // empty ones: the copy that the store was restored from is older than them.
-    fn on_all_listed(
-        &mut self,
-        version: ObjectVersion,
-        listed: &[DocumentId],
-        now: TimePoint,
-        actions: &mut Vec<ControlAction>,
-    ) {
-        let is_lost = |id: &DocumentId| {
-            matches!(id.kind, DocumentKind::Roster | DocumentKind::Members) && !listed.contains(id)
-        };
-        let held = self.documents.iter();
-        let lost: Vec<DocumentId> = held
-            .filter(|(id, document)| is_lost(id) && document.version().era() < version.era())
-            .map(|(id, _)| id.clone())
-            .collect();
-        for id in lost {
-            self.replace_document(id, version.absent(), Vec::new(), now, actions);
-        }
-    }
-
-    fn replace_document(
-        &mut self,
-        id: DocumentId,
-        version: ObjectVersion,
-        items: Vec<DocumentItem>,
-        now: TimePoint,
-        actions: &mut Vec<ControlAction>,
-    ) {
-        let before = self.documents.version(&id);
-        if let Some(changes) = self.documents.replace(&id, version, items) {
-            self.on_changed(id, before, &changes, now, actions);
-        }
-    }
-
-    fn on_changed(
-        &mut self,
-        id: DocumentId,
-        before: ObjectVersion,
-        changes: &[ItemChange],
-        now: TimePoint,
-        actions: &mut Vec<ControlAction>,
-    ) {
-        self.end_job(&id);
-        self.jobs.remove(&ControlJob::Repair);
-        let version = self.documents.version(&id);
-        self.newer_rosters
-            .retain(|newer_id, newer| *newer_id != id || *newer > version);
-        let is_restored = before != ObjectVersion(0) && before.era() != version.era();
-        match id.kind {
-            DocumentKind::Members => {
-                if is_restored {
-                    self.settled_at = Some(now + RESTORE_SETTLE_TIME);
-                }
-                self.update_member_rings(now);
-            }
-            DocumentKind::Roster if is_restored => {
-                self.view_builder
-                    .set_roster_coverage(RosterCoverage::Unknown);
-                self.track_restored_roster(&id, now);
-                self.roster_scan_due = true;
-            }
-            DocumentKind::Roster => {
-                self.track_roster(&id, changes, now, actions);
-                self.roster_scan_due = true;
-            }
-            DocumentKind::Grants | DocumentKind::Manifest => {}
-        }
-        if id.kind != DocumentKind::Members {
-            self.view_builder
-                .apply_changes(&id, changes, &self.documents);
-        }
-        self.recent.retain(|(recent_id, _)| *recent_id != id);
-        self.recent.push_front((id.clone(), version));
-        self.recent.truncate(RECENT_LIMIT);
-        actions.push(ControlAction::InForce(id.clone(), version));
-        let heartbeat = self.heartbeat_at_change(id, version);
-        for peer in self.random_peers() {
-            actions.push(ControlAction::Heartbeat(peer.peers, heartbeat.clone()));
-        }
-    }
-
-    fn track_roster(
-        &mut self,
-        id: &DocumentId,
-        changes: &[ItemChange],
-        now: TimePoint,
-        actions: &mut Vec<ControlAction>,
-    ) {
-        for change in changes {
-            if let (Some(DocumentItem::Host(record)), None) = (&change.old, &change.new)
-                && self.tracker.record_removal(&record.name, now)
-            {
-                actions.push(ControlAction::OutdatedHostDropped(record.name.clone()));
-            }
-        }
-        let documents = &self.documents;
-        self.tracker
-            .record_roster(&id.name, |record| find_host(documents, record));
-        self.update_registered(now);
-    }
-
-    fn track_restored_roster(&mut self, id: &DocumentId, now: TimePoint) {
-        let documents = &self.documents;
-        let listed = |record: &HostRecord| find_host(documents, record);
-        self.tracker.record_restored_roster(&id.name, listed, now);
-        self.update_registered(now);
-    }
-
-    // Rebuilds the rings from the members documents, unless these are to be completed after a
-    // restore of the store.
-    fn update_member_rings(&mut self, now: TimePoint) {
-        if self.settled_at.is_some_and(|settled_at| now < settled_at) {
-            return;
-        }
-        self.settled_at = None;
-        self.members_changed_at = now;
-        self.rings
-            .rebuild(self.documents.items(DocumentKind::Members));
-        self.view_builder
-            .set_registration_reach(self.rings.registration_reach());
-        let rings = &self.rings;
-        self.tracker
-            .reassign(|record| rings.tracker_rank(record), now);
-        self.roster_scan_due = true;
-    }
-
-    fn random_peers(&mut self) -> Vec<EntryRecord> {
-        let random = &mut self.random;
-        let near_count = GOSSIP_FANOUT - FAR_GOSSIP;
-        let mut peers = self.rings.near_peers().choose_multiple(random, near_count);
-        let far_count = GOSSIP_FANOUT - peers.len();
-        peers.extend(self.rings.far_peers().choose_multiple(random, far_count));
-        peers.into_iter().cloned().collect()
-    }
-
-    fn heartbeat(&self, now: TimePoint) -> Heartbeat {
-        Heartbeat {
-            entry: self.me.clone(),
-            summary: self.documents.summary(),
-            age: self.confirmation_age(now).unwrap_or(Duration::MAX),
-            recent: self.recent.iter().cloned().collect(),
-        }
-    }
-
-    // Returns the heartbeat that gossips one change. Its maximal age keeps receivers
-    // from taking it as a confirmation by the platform.
-    fn heartbeat_at_change(&self, id: DocumentId, version: ObjectVersion) -> Heartbeat {
-        Heartbeat {
-            entry: self.me.clone(),
-            summary: self.documents.summary(),
-            age: Duration::MAX,
-            recent: vec![(id, version)],
-        }
-    }
-
-    fn on_tick(&mut self, kind: TimerKind, now: TimePoint, actions: &mut Vec<ControlAction>) {
-        match kind {
-            TimerKind::Heartbeat => self.send_heartbeats(now, actions),
-            TimerKind::Batch => self.write_roster(now, actions),
-            TimerKind::Liveness => self.check_liveness(now, actions),
-            TimerKind::Repair => self.repair(now, actions),
-            _ => {}
-        }
-    }
-
-    fn send_heartbeats(&mut self, now: TimePoint, actions: &mut Vec<ControlAction>) {
-        let heartbeat = self.heartbeat(now);
-        let mut targets: Vec<_> = self
-            .rings
-            .successors()
-            .into_iter()
-            .map(|entry| entry.peers)
-            .collect();
-        if targets.is_empty() || self.confirmed_at.is_none() {
-            targets.extend(self.seeds.iter().copied());
-        } else if !self.seeds.is_empty() {
-            // A random seed in each round lets partitioned groups of entry VMs find
-            // each other again.
-            let seed = self.random.random_range(0..self.seeds.len());
-            targets.push(self.seeds[seed]);
-        }
-        targets.sort_unstable();
-        targets.dedup();
-        targets.retain(|target| *target != self.me.peers);
-        for target in targets {
-            actions.push(ControlAction::Heartbeat(target, heartbeat.clone()));
-        }
-    }
-
-    fn write_roster(&mut self, now: TimePoint, actions: &mut Vec<ControlAction>) {
-        let documents = &self.documents;
-        let current = |record: &HostRecord| find_host(documents, record);
-        let flow_age = self.flow_age;
-        let gone_after = |record: &HostRecord| match flow_age {
-            Some(flow_age) if may_own_passthrough_flows(documents, record) => {
-                flow_age + LAST_FLOW_DELAY
-            }
-            _ => GONE_AFTER,
-        };
-        let edits = self.tracker.edits(current, gone_after, now);
-        self.update_registered(now);
-        let mut suspects = BTreeMap::new();
-        let mut rosters: BTreeMap<DatacenterName, Vec<RosterEdit>> = BTreeMap::new();
-        for edit in edits {
-            let record = edit.record();
-            let is_removal = matches!(edit, RosterEdit::Remove(_));
-            if is_removal || record.state == HostState::Suspect {
-                suspects.insert(record.name.clone(), record.service.clone());
-            }
-            let datacenter = record.datacenter.clone();
-            rosters.entry(datacenter).or_default().push(edit);
-        }
-        self.view_builder.set_suspects(suspects);
-        for (datacenter, edits) in rosters {
-            let id = DocumentId::new(DocumentKind::Roster, datacenter.as_str());
-            if !self.stopping && self.claim_document(&id, now) {
-                let base = self.documents.version(&id);
-                actions.push(ControlAction::WriteRoster(id, base, edits));
-            }
-        }
-    }
-
-    fn check_liveness(&mut self, now: TimePoint, actions: &mut Vec<ControlAction>) {
-        if self.settled_at.is_some() {
-            self.update_member_rings(now);
-        }
-        self.progress
-            .retain(|_, progress| now.since(progress.last_seen) < SUSPECT_AFTER * 5);
-        let watching = !self.stopping && self.rings.is_watcher();
-        if self.watching != Some(watching) {
-            self.watching = Some(watching);
-            actions.push(ControlAction::Watch(watching));
-        }
-        let watched: Vec<EntryRecord> = self.rings.predecessors().into_iter().cloned().collect();
-        let names: Vec<_> = watched.iter().map(|entry| entry.name.clone()).collect();
-        let silent = self.entry_monitor.silent(&names, now);
-        self.silent_entries.retain(|name, _| silent.contains(name));
-        for (rank, entry) in watched.into_iter().enumerate() {
-            if !silent.contains(&entry.name) {
-                continue;
-            }
-            let since = *self.silent_entries.entry(entry.name.clone()).or_insert(now);
-            let id = DocumentId::new(DocumentKind::Members, entry.datacenter.as_str());
-            if now.since(since) >= RANK_DELAY * rank as u32 && self.claim_document(&id, now) {
-                actions.push(self.members_write(id, MemberEdit::Remove(entry)));
-            }
-        }
-    }
-
-    fn repair(&mut self, now: TimePoint, actions: &mut Vec<ControlAction>) {
-        if self.stopping {
-            return;
-        }
-        let members = self.members_id();
-        // A restart with unchanged addresses needs no write of the members document.
-        let document = self.documents.get(&members);
-        let own_item = document.and_then(|document| document.item(self.me.name.as_str()));
-        let is_listed = own_item.is_some_and(|item| match item {
-            DocumentItem::Entry(entry) => {
-                (entry.peers, entry.status) == (self.me.peers, self.me.status)
-            }
-            _ => false,
-        });
-        if !is_listed && self.claim_document(&members, now) {
-            let edit = MemberEdit::Put(self.me.clone());
-            actions.push(self.members_write(members, edit));
-        }
-        if std::mem::take(&mut self.roster_scan_due) {
-            self.track_roster_hosts(now);
-        }
-    }
-
-    // Starts to track the roster hosts for which this entry VM is a tracker, including
-    // those that have not registered here since this process started.
-    fn track_roster_hosts(&mut self, now: TimePoint) {
-        let rosters = self
-            .documents
-            .iter()
-            .filter(|(id, _)| id.kind == DocumentKind::Roster);
-        for (id, document) in rosters {
-            let may_track = id
-                .name
-                .parse()
-                .is_ok_and(|datacenter| self.rings.may_track(&datacenter));
-            if !may_track {
-                continue;
-            }
-            for item in document.items() {
-                if let DocumentItem::Host(record) = item
-                    && let Some(rank) = self.rings.tracker_rank(record)
-                {
-                    self.tracker.track_from_roster(record, rank, now);
-                }
-            }
-        }
-    }
-}
-
-// The host of a service that no manifest has may own flows too.
-fn may_own_passthrough_flows(documents: &DocumentStore, record: &HostRecord) -> bool {
-    let service = documents.service(&record.service);
-    service.is_none_or(|(spec, _)| spec.kind == ServiceKind::Passthrough)
 }
 
-fn find_host(documents: &DocumentStore, record: &HostRecord) -> Option<HostRecord> {
+// Returns the record of a host in the roster of its data centre.
+pub(crate) fn find_host(documents: &DocumentStore, record: &HostRecord) -> Option<HostRecord> {
     let id = DocumentId::new(DocumentKind::Roster, record.datacenter.as_str());
     match documents.get(&id)?.item(record.name.as_str())? {
         DocumentItem::Host(found) => Some(HostRecord::clone(found)),
--- /dev/null
+++ b/crates/core/src/control_documents.rs
@@ -0,0 +1,230 @@
+//! Documents of an entry VM: versions that the platform lists, new contents, and what follows
+//! from a change.
+
+use std::time::Duration;
+
+use rand::seq::IteratorRandom;
+
+use crate::control::{
+    ControlJob, EntryControl, FAR_GOSSIP, GOSSIP_FANOUT, RECENT_LIMIT, RESTORE_SETTLE_TIME,
+    find_host,
+};
+use crate::document::{DocumentId, DocumentItem, DocumentKind, ItemChange};
+use crate::events::{ControlAction, Heartbeat};
+use crate::ids::{ObjectVersion, StoreEra};
+use crate::members::EntryRecord;
+use crate::roster::HostRecord;
+use crate::units::TimePoint;
+use crate::view::RosterCoverage;
+
+impl EntryControl {
+    pub(crate) fn on_listed(
+        &mut self,
+        list: Vec<(DocumentId, ObjectVersion)>,
+        stale: bool,
+        now: TimePoint,
+        actions: &mut Vec<ControlAction>,
+    ) {
+        let mut up_to_date = !stale;
+        for (id, version) in list {
+            up_to_date &= version >= self.documents.version(&id);
+            self.record_named_version(&id, version);
+            if version > self.documents.version(&id) {
+                up_to_date = false;
+                if self.claim_document(&id, now) {
+                    actions.push(ControlAction::Load(id));
+                }
+            }
+        }
+        if up_to_date {
+            // The first view of all documents replaces that of the first roster.
+            if self.confirmed_at.is_none() {
+                self.view_builder.expedite();
+            }
+            self.confirmed_at = Some(now);
+        }
+    }
+
+    // The rosters name every possible owner of a passthrough flow as long as the store was never
+    // restored: a silent host stays listed until no flow of it can live, and a host in no roster
+    // gets no flows in a large fleet.
+    pub(crate) fn on_first_era(
+        &mut self,
+        first_era: Option<StoreEra>,
+        era: StoreEra,
+        listed: &[DocumentId],
+        actions: &mut Vec<ControlAction>,
+    ) {
+        let is_roster = |id: &DocumentId| id.kind == DocumentKind::Roster;
+        let has_rosters =
+            listed.iter().any(is_roster) || self.documents.iter().any(|(id, _)| is_roster(id));
+        // Rosters without a first era were written by an earlier release, or after a restore.
+        if first_era.is_none() && !has_rosters {
+            actions.push(ControlAction::RecordFirstEra(era));
+        }
+        self.view_builder.set_roster_coverage(
+            if first_era == Some(era) && self.flow_age.is_some() {
+                RosterCoverage::AllOwners
+            } else {
+                RosterCoverage::Unknown
+            },
+        );
+    }
+
+    // Replaces the documents of an earlier era that a list of all rosters and members lacks by
+    // empty ones: the copy that the store was restored from is older than them.
+    pub(crate) fn on_all_listed(
+        &mut self,
+        version: ObjectVersion,
+        listed: &[DocumentId],
+        now: TimePoint,
+        actions: &mut Vec<ControlAction>,
+    ) {
+        let is_lost = |id: &DocumentId| {
+            matches!(id.kind, DocumentKind::Roster | DocumentKind::Members) && !listed.contains(id)
+        };
+        let held = self.documents.iter();
+        let lost: Vec<DocumentId> = held
+            .filter(|(id, document)| is_lost(id) && document.version().era() < version.era())
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in lost {
+            self.replace_document(id, version.absent(), Vec::new(), now, actions);
+        }
+    }
+
+    pub(crate) fn replace_document(
+        &mut self,
+        id: DocumentId,
+        version: ObjectVersion,
+        items: Vec<DocumentItem>,
+        now: TimePoint,
+        actions: &mut Vec<ControlAction>,
+    ) {
+        let before = self.documents.version(&id);
+        if let Some(changes) = self.documents.replace(&id, version, items) {
+            self.on_changed(id, before, &changes, now, actions);
+        }
+    }
+
+    pub(crate) fn on_changed(
+        &mut self,
+        id: DocumentId,
+        before: ObjectVersion,
+        changes: &[ItemChange],
+        now: TimePoint,
+        actions: &mut Vec<ControlAction>,
+    ) {
+        self.end_job(&id);
+        self.jobs.remove(&ControlJob::Repair);
+        let version = self.documents.version(&id);
+        self.newer_rosters
+            .retain(|newer_id, newer| *newer_id != id || *newer > version);
+        let is_restored = before != ObjectVersion(0) && before.era() != version.era();
+        match id.kind {
+            DocumentKind::Members => {
+                if is_restored {
+                    self.settled_at = Some(now + RESTORE_SETTLE_TIME);
+                }
+                self.update_member_rings(now);
+            }
+            DocumentKind::Roster if is_restored => {
+                self.view_builder
+                    .set_roster_coverage(RosterCoverage::Unknown);
+                self.track_restored_roster(&id, now);
+                self.roster_scan_due = true;
+            }
+            DocumentKind::Roster => {
+                self.track_roster(&id, changes, now, actions);
+                self.roster_scan_due = true;
+            }
+            DocumentKind::Grants | DocumentKind::Manifest => {}
+        }
+        if id.kind != DocumentKind::Members {
+            self.view_builder
+                .apply_changes(&id, changes, &self.documents);
+        }
+        self.recent.retain(|(recent_id, _)| *recent_id != id);
+        self.recent.push_front((id.clone(), version));
+        self.recent.truncate(RECENT_LIMIT);
+        actions.push(ControlAction::InForce(id.clone(), version));
+        let heartbeat = self.heartbeat_at_change(id, version);
+        for peer in self.random_peers() {
+            actions.push(ControlAction::Heartbeat(peer.peers, heartbeat.clone()));
+        }
+    }
+
+    fn track_roster(
+        &mut self,
+        id: &DocumentId,
+        changes: &[ItemChange],
+        now: TimePoint,
+        actions: &mut Vec<ControlAction>,
+    ) {
+        for change in changes {
+            if let (Some(DocumentItem::Host(record)), None) = (&change.old, &change.new)
+                && self.tracker.record_removal(&record.name, now)
+            {
+                actions.push(ControlAction::OutdatedHostDropped(record.name.clone()));
+            }
+        }
+        let documents = &self.documents;
+        self.tracker
+            .record_roster(&id.name, |record| find_host(documents, record));
+        self.update_registered(now);
+    }
+
+    fn track_restored_roster(&mut self, id: &DocumentId, now: TimePoint) {
+        let documents = &self.documents;
+        let listed = |record: &HostRecord| find_host(documents, record);
+        self.tracker.record_restored_roster(&id.name, listed, now);
+        self.update_registered(now);
+    }
+
+    // Rebuilds the rings from the members documents, unless these are to be completed after a
+    // restore of the store.
+    pub(crate) fn update_member_rings(&mut self, now: TimePoint) {
+        if self.settled_at.is_some_and(|settled_at| now < settled_at) {
+            return;
+        }
+        self.settled_at = None;
+        self.members_changed_at = now;
+        self.rings
+            .rebuild(self.documents.items(DocumentKind::Members));
+        self.view_builder
+            .set_registration_reach(self.rings.registration_reach());
+        let rings = &self.rings;
+        self.tracker
+            .reassign(|record| rings.tracker_rank(record), now);
+        self.roster_scan_due = true;
+    }
+
+    fn random_peers(&mut self) -> Vec<EntryRecord> {
+        let random = &mut self.random;
+        let near_count = GOSSIP_FANOUT - FAR_GOSSIP;
+        let mut peers = self.rings.near_peers().choose_multiple(random, near_count);
+        let far_count = GOSSIP_FANOUT - peers.len();
+        peers.extend(self.rings.far_peers().choose_multiple(random, far_count));
+        peers.into_iter().cloned().collect()
+    }
+
+    pub(crate) fn heartbeat(&self, now: TimePoint) -> Heartbeat {
+        Heartbeat {
+            entry: self.me.clone(),
+            summary: self.documents.summary(),
+            age: self.confirmation_age(now).unwrap_or(Duration::MAX),
+            recent: self.recent.iter().cloned().collect(),
+        }
+    }
+
+    // Returns the heartbeat that gossips one change. Its maximal age keeps receivers
+    // from taking it as a confirmation by the platform.
+    fn heartbeat_at_change(&self, id: DocumentId, version: ObjectVersion) -> Heartbeat {
+        Heartbeat {
+            entry: self.me.clone(),
+            summary: self.documents.summary(),
+            age: Duration::MAX,
+            recent: vec![(id, version)],
+        }
+    }
+}
