Hosts that denied a flow are not asked again while others find out

Cause: after a loss of power most flows are looked up twice, since some hosts can't tell at first: they get the packet, and every host is asked again.

Ruled out: fewer hosts in the first lookup (all have to deny the flow in the end), waiting for more flows to share a query (17 lookups a second and entry VM).

Change: a denial is kept for a second. A host that certainly does not own an open flow never will, and the verdict still requires every host known then.

The test fails before: packet_visits_hosts_that_cannot_tell_before_the_verdict with its new line, denials_of_an_undetermined_lookup_hold_for_a_second.

--- a/crates/core/src/owner_lookup.rs
+++ b/crates/core/src/owner_lookup.rs
@@ -9,7 +9,7 @@
 //!
 //! A host replies [`OwnershipReply::NotOwned`] only if it has tracked its backend server
 //! from the start or for longer than the maximum age of a flow, or if its backend server
-//! returned a packet of the flow. If all hosts reply so, the backend server of the flow
+//! returned a packet of the flow. It is not asked again while the others find out. If all hosts reply so, the backend server of the flow
 //! no longer exists. An unreachable host is queried too, but its reply is not required:
 //! packets of the flow cannot reach it either.
 //!
@@ -19,9 +19,12 @@
 
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::net::SocketAddrV4;
+use std::num::NonZeroUsize;
 use std::sync::Arc;
 use std::time::Duration;
 
+use lru::LruCache;
+
 use crate::flow::{FlowKey, TcpSegment};
 use crate::host_tracker::SUSPECT_AFTER;
 use crate::units::TimePoint;
@@ -61,6 +64,13 @@
 /// than the flow is worth.
 pub const MAX_LOOKUP_HOSTS: usize = 256;
 
+/// Time for which the hosts that denied a flow are not asked again, while the others find out
+/// whether they own it. A host that certainly does not own an open flow never will.
+const DENIAL_LIFETIME: Duration = Duration::from_secs(1);
+
+/// Maximum number of flows whose denials are kept.
+const MAX_DENIED_FLOWS: NonZeroUsize = NonZeroUsize::new(1024).unwrap();
+
 /// Reply of a host to a lookup query for one flow.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum OwnershipReply {
@@ -119,10 +129,19 @@
     pub flows: Vec<FlowKey>,
 }
 
+// The hosts that denied a flow in a lookup that others could not complete.
+#[derive(Debug)]
+struct FlowDenials {
+    hosts: Vec<SocketAddrV4>,
+    since: TimePoint,
+}
+
 #[derive(Debug)]
 struct OwnerLookup {
     segment: TcpSegment,
     hosts: Arc<[SocketAddrV4]>,
+    // Those of them to query; the others have denied the flow before.
+    queried: Arc<[SocketAddrV4]>,
     begun_at: TimePoint,
     // Hosts that replied `NotOwned`.
     not_owners: Vec<SocketAddrV4>,
@@ -194,9 +213,10 @@
 }
 
 /// The owner lookups of an entry VM.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct OwnerLookups {
     lookups: HashMap<FlowKey, OwnerLookup>,
+    denials: LruCache<FlowKey, FlowDenials>,
     // Flows whose lookups wait for the rate limit, in order.
     waiting: VecDeque<FlowKey>,
     last_batch: BatchNumber,
@@ -209,6 +229,22 @@
     refilled_at: TimePoint,
 }
 
+impl Default for OwnerLookups {
+    fn default() -> Self {
+        Self {
+            lookups: HashMap::new(),
+            denials: LruCache::new(MAX_DENIED_FLOWS),
+            waiting: VecDeque::new(),
+            last_batch: BatchNumber::default(),
+            missed_queries: HashMap::new(),
+            vanished: HashSet::new(),
+            finished: Vec::new(),
+            query_tokens: 0,
+            refilled_at: TimePoint::default(),
+        }
+    }
+}
+
 impl OwnerLookups {
     /// Returns the number of lookups in progress.
     pub fn len(&self) -> usize {
@@ -221,7 +257,8 @@
     }
 
     /// Starts a lookup of this segment's flow among `hosts`, unless one is in progress or
-    /// there are more than [`MAX_LOOKUP_HOSTS`] in the view.
+    /// there are more than [`MAX_LOOKUP_HOSTS`] in the view. Hosts that have just denied the
+    /// flow are not asked again.
     pub fn begin(&mut self, segment: &TcpSegment, hosts: Arc<[SocketAddrV4]>, now: TimePoint) {
         self.expire(now);
         let in_progress = self.lookups.contains_key(&segment.key);
@@ -229,11 +266,13 @@
         if in_progress || hosts.is_empty() || in_view.count() > MAX_LOOKUP_HOSTS {
             return;
         }
+        let (not_owners, queried) = self.divide_by_denials(segment.key, &hosts, now);
         let lookup = OwnerLookup {
             segment: *segment,
-            not_owners: Vec::with_capacity(hosts.len()),
+            not_owners,
             unknown: Vec::new(),
             hosts,
+            queried,
             begun_at: now,
             phase: LookupPhase::Waiting(now),
         };
@@ -241,6 +280,28 @@
         self.waiting.push_back(segment.key);
     }
 
+    // Returns the hosts that have denied the flow, and those to query.
+    fn divide_by_denials(
+        &mut self,
+        key: FlowKey,
+        hosts: &Arc<[SocketAddrV4]>,
+        now: TimePoint,
+    ) -> (Vec<SocketAddrV4>, Arc<[SocketAddrV4]>) {
+        let denials = self.denials.pop(&key);
+        let denials = denials.filter(|denials| now.since(denials.since) < DENIAL_LIFETIME);
+        let has_denied = |host: &SocketAddrV4| {
+            denials
+                .as_ref()
+                .is_some_and(|denials| denials.hosts.contains(host))
+        };
+        let (not_owners, queried): (Vec<_>, Vec<_>) = hosts.iter().copied().partition(has_denied);
+        if not_owners.is_empty() || queried.is_empty() {
+            (Vec::with_capacity(hosts.len()), Arc::clone(hosts))
+        } else {
+            (not_owners, queried.into())
+        }
+    }
+
     /// Replaces the hosts that are queried though they are not in the view.
     pub fn set_vanished(&mut self, vanished: impl Iterator<Item = SocketAddrV4>) {
         self.vanished = vanished.collect();
@@ -350,7 +411,7 @@
         while let Some(key) = self.waiting.front() {
             match self.lookups.get(key) {
                 Some(lookup) if matches!(lookup.phase, LookupPhase::Waiting(_)) => {
-                    return Some(Arc::clone(&lookup.hosts));
+                    return Some(Arc::clone(&lookup.queried));
                 }
                 _ => self.waiting.pop_front(),
             };
@@ -404,6 +465,11 @@
         Some(if lookup.unknown.is_empty() {
             LookupResult::NotFound(lookup.completed())
         } else {
+            let denials = FlowDenials {
+                hosts: lookup.not_owners,
+                since: now,
+            };
+            self.denials.put(key, denials);
             LookupResult::Undetermined(lookup.unknown)
         })
     }
--- a/crates/core/tests/owner_lookup.rs
+++ b/crates/core/tests/owner_lookup.rs
@@ -216,10 +216,28 @@
     let decision = router.reroute(&view, &data(1, 700), other, now).unwrap();
     assert_eq!(decision, RerouteDecision::AwaitLookup);
     let queried: Vec<_> = router.take_queries(now).iter().map(|q| q.host).collect();
+    assert_eq!(queried, [other], "the others have denied the flow");
     let verdict = record_unknown(&mut router, &view, &queried, &[], now);
     assert_eq!(verdict, Some(LookupVerdict::NoOwner(data(1, 700))));
 }
 
+#[test]
+fn denials_of_an_undetermined_lookup_hold_for_a_second() {
+    let view = passthrough_view(3);
+    for (later_ms, hosts) in [(999, 1), (1_000, 3)] {
+        let mut router = settled_router(&view);
+        let queried = start_lookup(&mut router, &view, START_MS);
+        let replied_ms = START_MS + WALK_MS + REPLY_MS;
+        let unknown = &queried[..1];
+        record_unknown(&mut router, &view, &queried, unknown, TimePoint(replied_ms));
+        let now = TimePoint(replied_ms + later_ms);
+        router
+            .reroute(&view, &data(1, 700), unknown[0], now)
+            .unwrap();
+        assert_eq!(router.take_queries(now).len(), hosts, "{later_ms} ms later");
+    }
+}
+
 #[test]
 fn hosts_that_never_can_tell_prevent_the_verdict_and_repeat_few_walks() {
     let view = passthrough_view(3);
