Replies to a lookup are counted by host, not searched

Cause, by reading: each reply searched all hosts, and for each of them the replies so far, so a lookup among n hosts took n^3 steps.

Change: the sorted hosts have an answer each. No change of behaviour.

--- a/crates/core/src/owner_lookup.rs
+++ b/crates/core/src/owner_lookup.rs
@@ -9,8 +9,8 @@
 //!
 //! A host replies [`OwnershipReply::NotOwned`] only if it has tracked its backend server
 //! from the start or for longer than the maximum age of a flow, or if its backend server
-//! returned a packet of the flow. It is not asked again while the others find out. If all hosts reply so, the backend server of the flow
-//! no longer exists. An unreachable host is queried too, but its reply is not required:
+//! returned a packet of the flow. It is not asked again while the others find out. If all
+//! hosts reply so, the backend server of the flow no longer exists. An unreachable host is queried too, but its reply is not required:
 //! packets of the flow cannot reach it either.
 //!
 //! After a crash, thousands of flows lose their owner at once. The number of queries is
@@ -129,7 +129,7 @@
     pub flows: Vec<FlowKey>,
 }
 
-// The hosts that denied a flow in a lookup that others could not complete.
+// The hosts, sorted, that denied a flow in a lookup that others could not complete.
 #[derive(Debug)]
 struct FlowDenials {
     hosts: Vec<SocketAddrV4>,
@@ -143,13 +143,18 @@
     // Those of them to query; the others have denied the flow before.
     queried: Arc<[SocketAddrV4]>,
     begun_at: TimePoint,
-    // Hosts that replied `NotOwned`.
-    not_owners: Vec<SocketAddrV4>,
-    // Hosts that replied `Unknown`.
-    unknown: Vec<SocketAddrV4>,
+    // What each of `hosts` has replied.
+    answers: Vec<HostAnswer>,
     phase: LookupPhase,
 }
 
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum HostAnswer {
+    Silent,
+    NotOwned,
+    Unknown,
+}
+
 // Number of a batch of flows that share their queries.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
 struct BatchNumber(u64);
@@ -179,10 +184,15 @@
 }
 
 impl OwnerLookup {
-    fn silent_hosts(&self) -> impl Iterator<Item = &SocketAddrV4> {
-        self.hosts
-            .iter()
-            .filter(|host| !self.not_owners.contains(host) && !self.unknown.contains(host))
+    fn hosts_that(&self, answer: HostAnswer) -> impl Iterator<Item = SocketAddrV4> {
+        let answers = self.hosts.iter().zip(&self.answers);
+        answers
+            .filter(move |(_, given)| **given == answer)
+            .map(|(host, _)| *host)
+    }
+
+    fn silent_hosts(&self) -> impl Iterator<Item = SocketAddrV4> {
+        self.hosts_that(HostAnswer::Silent)
     }
 
     fn completed(&self) -> CompletedLookup {
@@ -200,9 +210,9 @@
                 .filter(|host| !unreachable.contains(host))
         };
         let incomplete = IncompleteLookup {
-            unknown: self.unknown.len(),
+            unknown: self.hosts_that(HostAnswer::Unknown).count(),
             silent: missing().count(),
-            silent_host: missing().next().copied(),
+            silent_host: missing().next(),
         };
         if incomplete.unknown == 0 && incomplete.silent == 0 {
             LookupResult::NotFound(self.completed())
@@ -257,8 +267,8 @@
     }
 
     /// Starts a lookup of this segment's flow among `hosts`, unless one is in progress or
-    /// there are more than [`MAX_LOOKUP_HOSTS`] in the view. Hosts that have just denied the
-    /// flow are not asked again.
+    /// there are more than [`MAX_LOOKUP_HOSTS`] in the view. `hosts` are sorted. Those that have
+    /// just denied the flow are not asked again.
     pub fn begin(&mut self, segment: &TcpSegment, hosts: Arc<[SocketAddrV4]>, now: TimePoint) {
         self.expire(now);
         let in_progress = self.lookups.contains_key(&segment.key);
@@ -266,13 +276,19 @@
         if in_progress || hosts.is_empty() || in_view.count() > MAX_LOOKUP_HOSTS {
             return;
         }
-        let (not_owners, queried) = self.divide_by_denials(segment.key, &hosts, now);
+        let answers = self.earlier_answers(segment.key, &hosts, now);
+        let silent = hosts.iter().zip(&answers);
+        let silent = silent.filter(|(_, answer)| **answer == HostAnswer::Silent);
+        let queried = if silent.clone().count() == hosts.len() {
+            Arc::clone(&hosts)
+        } else {
+            silent.map(|(host, _)| *host).collect()
+        };
         let lookup = OwnerLookup {
             segment: *segment,
-            not_owners,
-            unknown: Vec::new(),
             hosts,
             queried,
+            answers,
             begun_at: now,
             phase: LookupPhase::Waiting(now),
         };
@@ -280,25 +296,27 @@
         self.waiting.push_back(segment.key);
     }
 
-    // Returns the hosts that have denied the flow, and those to query.
-    fn divide_by_denials(
+    // Returns what the hosts have replied in a lookup of the flow just before.
+    fn earlier_answers(
         &mut self,
         key: FlowKey,
-        hosts: &Arc<[SocketAddrV4]>,
+        hosts: &[SocketAddrV4],
         now: TimePoint,
-    ) -> (Vec<SocketAddrV4>, Arc<[SocketAddrV4]>) {
+    ) -> Vec<HostAnswer> {
         let denials = self.denials.pop(&key);
         let denials = denials.filter(|denials| now.since(denials.since) < DENIAL_LIFETIME);
-        let has_denied = |host: &SocketAddrV4| {
-            denials
-                .as_ref()
-                .is_some_and(|denials| denials.hosts.contains(host))
-        };
-        let (not_owners, queried): (Vec<_>, Vec<_>) = hosts.iter().copied().partition(has_denied);
-        if not_owners.is_empty() || queried.is_empty() {
-            (Vec::with_capacity(hosts.len()), Arc::clone(hosts))
+        let denied = denials.map_or(Vec::new(), |denials| denials.hosts);
+        let answers: Vec<_> = hosts
+            .iter()
+            .map(|host| match denied.binary_search(host) {
+                Ok(_) => HostAnswer::NotOwned,
+                Err(_) => HostAnswer::Silent,
+            })
+            .collect();
+        if answers.contains(&HostAnswer::Silent) {
+            answers
         } else {
-            (not_owners, queried.into())
+            vec![HostAnswer::Silent; hosts.len()]
         }
     }
 
@@ -350,7 +368,7 @@
                 LookupPhase::Waiting(_) => LookupResult::NotStarted,
                 LookupPhase::Queried(at, batch) => {
                     let silent = lookup.silent_hosts();
-                    missed.extend(silent.map(|host| ((batch, *host), at)));
+                    missed.extend(silent.map(|host| ((batch, host), at)));
                     self.timeout_result(&lookup, now)
                 }
             };
@@ -371,8 +389,8 @@
     }
 
     fn timeout_result(&self, lookup: &OwnerLookup, now: TimePoint) -> LookupResult {
-        let silent = lookup.silent_hosts().copied();
-        let mut unreachable: Vec<_> = silent
+        let mut unreachable: Vec<_> = lookup
+            .silent_hosts()
             .filter(|host| self.is_unreachable(*host, now))
             .collect();
         let in_view = |host: &&SocketAddrV4| !self.vanished.contains(host);
@@ -447,30 +465,32 @@
         let lookup = self.lookups.get_mut(&key)?;
         let queried =
             matches!(lookup.phase, LookupPhase::Queried(..)) && !lookup.phase.is_expired(now);
-        if !queried || !lookup.silent_hosts().any(|silent| *silent == host) {
+        let index = lookup.hosts.binary_search(&host).ok()?;
+        if !queried || lookup.answers[index] != HostAnswer::Silent {
             return None;
         }
-        match reply {
+        lookup.answers[index] = match reply {
             OwnershipReply::Owned => {
                 self.lookups.remove(&key);
                 return Some(LookupResult::Found(host));
             }
-            OwnershipReply::Unknown => lookup.unknown.push(host),
-            OwnershipReply::NotOwned => lookup.not_owners.push(host),
-        }
-        if lookup.not_owners.len() + lookup.unknown.len() < lookup.hosts.len() {
+            OwnershipReply::Unknown => HostAnswer::Unknown,
+            OwnershipReply::NotOwned => HostAnswer::NotOwned,
+        };
+        if lookup.answers.contains(&HostAnswer::Silent) {
             return None;
         }
         let lookup = self.lookups.remove(&key)?;
-        Some(if lookup.unknown.is_empty() {
+        let unknown: Vec<_> = lookup.hosts_that(HostAnswer::Unknown).collect();
+        Some(if unknown.is_empty() {
             LookupResult::NotFound(lookup.completed())
         } else {
             let denials = FlowDenials {
-                hosts: lookup.not_owners,
+                hosts: lookup.hosts_that(HostAnswer::NotOwned).collect(),
                 since: now,
             };
             self.denials.put(key, denials);
-            LookupResult::Undetermined(lookup.unknown)
+            LookupResult::Undetermined(unknown)
         })
     }
 }
