Early packets and absent backend servers are logged and counted

A line for each flow whose packet is kept, within the budget of the flow log, and counter `packets.early`; the line on a changed host state says whether the backend server was taken for absent.

--- a/crates/core/src/members.rs
+++ b/crates/core/src/members.rs
@@ -22,7 +22,8 @@
 pub const FULL_MESH_FLEET: usize = 12;
 
 /// Number of registration targets of a host in a fleet of more than [`FULL_MESH_FLEET`] and up
-/// to [`FULL_FANOUT_FLEET`] entry VMs, its trackers first. The other targets receive the host's changes without the platform.
+/// to [`FULL_FANOUT_FLEET`] entry VMs, its trackers first. The other targets receive the host's
+/// changes without the platform.
 pub const REGISTRATION_FANOUT: usize = 8;
 
 /// Number of entry VMs from which on a host registers at fewer of them, in inverse proportion
--- a/crates/core/src/view.rs
+++ b/crates/core/src/view.rs
@@ -150,13 +150,8 @@
     let mut groups: BTreeMap<DatacenterName, Vec<RankedHost>> = BTreeMap::new();
     if hosts.len() > CHAIN_HOPS {
         for (host, ranked) in hosts.iter().zip(ranked) {
-            let datacenter = &host.record.datacenter;
-            match groups.get_mut(datacenter) {
-                Some(group) => group.push(*ranked),
-                None => {
-                    groups.insert(datacenter.clone(), vec![*ranked]);
-                }
-            }
+            let datacenter = host.record.datacenter.clone();
+            groups.entry(datacenter).or_default().push(*ranked);
         }
     }
     groups
--- a/crates/core/src/view_builder.rs
+++ b/crates/core/src/view_builder.rs
@@ -16,9 +16,8 @@
 use crate::units::TimePoint;
 use crate::view::{RegistrationReach, RosterCoverage, RoutingView, ServiceView};
 
-/// Minimum interval between two views unless a change is urgent. Ranking the hosts of a
-/// large service for all buckets takes milliseconds of CPU time, which small entry VMs
-/// need for manifests.
+/// Minimum interval between two views unless a change is urgent. Each costs CPU time in
+/// proportion to the hosts of the changed services, which small entry VMs need for packets.
 pub const VIEW_PERIOD: Duration = Duration::from_millis(100);
 
 /// Builds routing views. Only services that have changed are rebuilt, and non-urgent
--- a/crates/daemon/src/entry_packets.rs
+++ b/crates/daemon/src/entry_packets.rs
@@ -106,6 +106,19 @@
         }
     }
 
+    // Keeps a packet that can't be forwarded if the configuration is not known yet. Returns
+    // whether it is kept.
+    fn keep_early(&mut self, segment: &TcpSegment, packet: &[u8], arrived_at: TimePoint) -> bool {
+        let is_kept = self.early_packets.keep(segment.key, packet, arrived_at);
+        if is_kept {
+            self.counters.add(Counter::PacketsEarly);
+            if self.should_log(segment) {
+                log::info!(target: "route", flow:% = segment.key; "kept until configured");
+            }
+        }
+        is_kept
+    }
+
     // Forwards the packets that came before the configuration; `is_fresh` states whether the
     // view is confirmed.
     fn forward_early_packets(&mut self, is_fresh: bool, now: TimePoint) {
@@ -264,12 +277,12 @@
         match view.service_at(segment.key.service) {
             Some(service) if is_passthrough(service) => {
                 let plan = self.passthrough.route(&view, &segment, now);
-                if plan.is_err() && self.early_packets.keep(segment.key, packet, arrived_at) {
+                if plan.is_err() && self.keep_early(&segment, packet, arrived_at) {
                     return Ok(());
                 }
                 self.send_passthrough(&view, &segment, plan, packet);
             }
-            None if self.early_packets.keep(segment.key, packet, arrived_at) => {}
+            None if self.keep_early(&segment, packet, arrived_at) => {}
             _ => match self.router.route(&segment, now) {
                 RouteDecision::Forward(plan) => self.send(&segment, &plan, packet),
                 RouteDecision::Drop(cause) => self.drop_packet(&segment, cause),
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -49,6 +49,8 @@
     PacketsNoService = "packets.no-service",
     /// Packets for a service without hosts.
     PacketsNoHost = "packets.no-host",
+    /// Packets kept until the configuration is read, each as often as it was tried.
+    PacketsEarly = "packets.early",
     /// Packets that the socket failed to send.
     PacketsUnsent = "packets.unsent",
     /// Packets that a host returned because it does not own their flow.
--- a/crates/daemon/src/passthrough_control.rs
+++ b/crates/daemon/src/passthrough_control.rs
@@ -58,7 +58,8 @@
         }
         log::info!(
             target: "host",
-            host:% = self.shared.settings.name, from:% = self.state, state:% = state;
+            host:% = self.shared.settings.name, from:% = self.state, state:% = state,
+            backend_absent = self.shared.is_backend_absent();
             "changed"
         );
         self.state = state;
