An entry VM that lags knows it

Cause: an entry VM without processor time handles events late, and took what they said for true at that moment. A list of versions that had waited for ten seconds made its documents count as confirmed now, so it could give verdicts by an old view, and told hosts and operators that it was fresh.

Change: events carry their arrival through the ring, and a confirmation is as old as the event that brought it. Histogram `event_lag`; from a second on a log line, one a second at most.

Not changed: the order of events. A configuration waits behind rosters.

The test fails before: confirmation_is_as_old_as_the_event_that_brought_it.

--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -129,6 +129,8 @@
     // When this entry VM last had the same versions as a peer or last requested all
     // documents that differ.
     pub(crate) last_in_sync: TimePoint,
+    // Time for which the event that is handled has waited.
+    pub(crate) event_lag: Duration,
     // `None` until the first `Watch` action: the daemon watches from its start.
     pub(crate) watching: Option<bool>,
     pub(crate) stopping: bool,
@@ -166,6 +168,7 @@
             newer_rosters: BTreeMap::new(),
             view_confirmed_at: None,
             last_in_sync: now,
+            event_lag: Duration::ZERO,
             watching: None,
             stopping: false,
             random: StdRng::seed_from_u64(seed),
@@ -274,6 +277,20 @@
         self.rings.entries()
     }
 
+    /// Handles an event that arrived earlier, as [`Self::handle`] does. What it says of the time
+    /// was true at its arrival, so an entry VM that lags does not take its documents for current.
+    pub fn handle_arrived(
+        &mut self,
+        event: ControlEvent,
+        arrived_at: TimePoint,
+        now: TimePoint,
+    ) -> Vec<ControlAction> {
+        self.event_lag = now.since(arrived_at);
+        let actions = self.handle(event, now);
+        self.event_lag = Duration::ZERO;
+        actions
+    }
+
     /// Handles an event and returns the actions to carry out.
     pub fn handle(&mut self, event: ControlEvent, now: TimePoint) -> Vec<ControlAction> {
         let mut actions = Vec::new();
@@ -453,7 +470,8 @@
         self.silent_entries.remove(&heartbeat.entry.name);
         if heartbeat.summary == self.documents.summary() {
             self.last_in_sync = now;
-            let confirmed = TimePoint(now.0.saturating_sub(heartbeat.age.as_millis() as u64));
+            let age = heartbeat.age.saturating_add(self.event_lag);
+            let confirmed = TimePoint(now.0.saturating_sub(age.as_millis() as u64));
             self.confirmed_at = self.confirmed_at.max(Some(confirmed));
             return;
         }
--- a/crates/core/src/control_documents.rs
+++ b/crates/core/src/control_documents.rs
@@ -41,7 +41,8 @@
             if self.confirmed_at.is_none() {
                 self.view_builder.expedite();
             }
-            self.confirmed_at = Some(now);
+            let confirmed = TimePoint(now.0.saturating_sub(self.event_lag.as_millis() as u64));
+            self.confirmed_at = self.confirmed_at.max(Some(confirmed));
         }
     }
 
--- a/crates/core/tests/control.rs
+++ b/crates/core/tests/control.rs
@@ -770,3 +770,37 @@
     let watchers = (0..9).filter(|number| watches_after_start(*number));
     assert_eq!(watchers.count(), 1);
 }
+
+// An entry VM without time left handles events late; it must not count as up to date.
+#[test]
+fn confirmation_is_as_old_as_the_event_that_brought_it() {
+    let start = || {
+        let me = entry(1, "honam-1");
+        EntryControl::new(me, Vec::new(), 1, TimePoint(0))
+    };
+    let (arrived_at, now) = (TimePoint(10_000), TimePoint(16_000));
+    let mut listed = start();
+    let list = ControlEvent::VersionsListed {
+        list: Vec::new(),
+        stale: false,
+    };
+    listed.handle_arrived(list, arrived_at, now);
+    assert_eq!(listed.confirmation_age(now), Some(Duration::from_secs(6)));
+    let mut told = start();
+    let heartbeat = Heartbeat {
+        entry: entry(2, "honam-1"),
+        summary: told.documents().summary(),
+        age: Duration::from_secs(1),
+        recent: Vec::new(),
+    };
+    let event = ControlEvent::HeartbeatReceived(heartbeat);
+    told.handle_arrived(event, arrived_at, now);
+    assert_eq!(told.confirmation_age(now), Some(Duration::from_secs(7)));
+    // The next event has not waited.
+    let list = ControlEvent::VersionsListed {
+        list: Vec::new(),
+        stale: false,
+    };
+    told.handle(list, now);
+    assert_eq!(told.confirmation_age(now), Some(Duration::ZERO));
+}
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -17,14 +17,12 @@
 use crate::entry_http::{EntryShared, server};
 use crate::entry_packets::PacketLoop;
 use crate::entry_store::{WatchState, run_pulls, run_store, run_watch};
+use crate::event_ring::EventRing;
 use crate::metrics::CounterSet;
 use crate::reload::SettingsFile;
 use crate::settings::{Dialect, EntrySettings};
 use crate::{StopSignal, clock, http};
 
-/// Capacity of the ring of events for the control thread.
-const EVENT_RING: usize = 4096;
-
 /// Capacity of each ring of jobs: store calls and pulls from peers.
 const JOB_RING: usize = 256;
 
@@ -64,7 +62,7 @@
     );
 
     let shared = Arc::new(EntryShared::new(own_record.clone(), Arc::clone(&counters)));
-    let (event_ring, events) = bounded(EVENT_RING);
+    let (event_ring, events) = EventRing::new(Arc::clone(&counters));
     let (store_ring, store_jobs) = bounded(JOB_RING);
     let (pull_ring, pull_jobs) = bounded(JOB_RING);
     let (view_ring, views) = bounded(VIEW_RING);
@@ -127,7 +125,7 @@
     file.watch(move |settings| {
         // If the ring is full, the new seeds are dropped: the members already known
         // suffice to reach the other entry VMs.
-        let _ = ring.try_send(ControlEvent::SeedsChanged(settings.seeds().to_vec()));
+        ring.push(ControlEvent::SeedsChanged(settings.seeds().to_vec()));
     })?;
     let rings = ControlRings {
         store: store_ring,
@@ -148,7 +146,7 @@
     shared.stopping.store(true, Ordering::Relaxed);
     // If the ring is full, this entry VM does not remove itself from the members;
     // its neighbours then remove it.
-    let _ = event_ring.try_send(ControlEvent::Stop);
+    event_ring.push(ControlEvent::Stop);
     match stops.recv_timeout(settings.stop_linger) {
         Ok(_) => log::warn!(
             target: "process",
--- a/crates/daemon/src/entry_control.rs
+++ b/crates/daemon/src/entry_control.rs
@@ -19,8 +19,9 @@
 
 use crate::clock;
 use crate::entry_http::EntryShared;
+use crate::event_ring::{ArrivedEvent, EventRing};
 use crate::logs::LoggedVersion;
-use crate::metrics::{Counter, try_push};
+use crate::metrics::{Counter, Timing, try_push};
 
 /// Longest wait for an event.
 const MAX_WAIT: Duration = Duration::from_millis(100);
@@ -28,6 +29,9 @@
 /// Interval at which the control thread publishes its state for the status page.
 const PUBLISH_PERIOD: Duration = Duration::from_millis(100);
 
+/// Time for which an event has waited from which on a line says so, at most one in this time.
+const LAG_LIMIT: Duration = Duration::from_secs(1);
+
 /// Maximum number of host changes that are logged for one view.
 const MAX_LOGGED_HOST_CHANGES: usize = 32;
 
@@ -70,7 +74,7 @@
 pub struct ControlLoop {
     control: EntryControl,
     socket: UdpSocket,
-    events: Receiver<ControlEvent>,
+    events: Receiver<ArrivedEvent>,
     rings: ControlRings,
     watching: Arc<AtomicBool>,
     shared: Arc<EntryShared>,
@@ -78,6 +82,7 @@
     // The view up to which changes of hosts are logged.
     logged_view: Arc<RoutingView>,
     published_at: TimePoint,
+    lag_logged_at: TimePoint,
 }
 
 impl ControlLoop {
@@ -85,7 +90,7 @@
     pub fn new(
         control: EntryControl,
         socket: UdpSocket,
-        events: Receiver<ControlEvent>,
+        events: Receiver<ArrivedEvent>,
         rings: ControlRings,
         watching: Arc<AtomicBool>,
         shared: Arc<EntryShared>,
@@ -100,6 +105,7 @@
             unsent_view: None,
             logged_view: Arc::default(),
             published_at: TimePoint::default(),
+            lag_logged_at: TimePoint::default(),
         }
     }
 
@@ -119,7 +125,7 @@
                 .next_due()
                 .map_or(MAX_WAIT, |due| due.since(clock::now()).min(MAX_WAIT));
             match self.events.recv_timeout(wait) {
-                Ok(event) => self.handle(event),
+                Ok(arrived) => self.handle_arrived(arrived),
                 Err(RecvTimeoutError::Timeout) => {}
                 Err(RecvTimeoutError::Disconnected) => return,
             }
@@ -133,6 +139,27 @@
         }
     }
 
+    // Handles an event of the ring, which may have waited there.
+    fn handle_arrived(&mut self, arrived: ArrivedEvent) {
+        let now = clock::now();
+        let lag = now.since(arrived.arrived_at);
+        self.shared.counters.record_timing(Timing::EventLag, lag);
+        if lag >= LAG_LIMIT && now.since(self.lag_logged_at) >= LAG_LIMIT {
+            self.lag_logged_at = now;
+            log::warn!(
+                target: "process",
+                lag_ms = lag.as_millis() as u64, waiting = self.events.len();
+                "lagging"
+            );
+        }
+        let actions = self
+            .control
+            .handle_arrived(arrived.event, arrived.arrived_at, now);
+        for action in actions {
+            self.execute(action);
+        }
+    }
+
     fn handle(&mut self, event: ControlEvent) {
         for action in self.control.handle(event, clock::now()) {
             self.execute(action);
@@ -276,7 +303,7 @@
 }
 
 /// Runs the thread that receives datagrams from peers and hosts.
-pub fn receive_peers(socket: &UdpSocket, events: &Sender<ControlEvent>, shared: &EntryShared) {
+pub fn receive_peers(socket: &UdpSocket, events: &EventRing, shared: &EntryShared) {
     let counters = &shared.counters;
     let mut datagram = [0; MAX_PEER_DATAGRAM_BYTES + 1];
     loop {
@@ -287,7 +314,7 @@
         counters.add_many(Counter::PeerBytesIn, len as u64);
         match read_event(&datagram[..len], from) {
             Some(event) => {
-                try_push(events, event, counters);
+                events.push(event);
             }
             None => {
                 counters.add(Counter::PeerBad);
--- a/crates/daemon/src/entry_store.rs
+++ b/crates/daemon/src/entry_store.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
 
-use crossbeam_channel::{Receiver, Sender};
+use crossbeam_channel::Receiver;
 
 use chestnutlb_core::{ControlEvent, DocumentId, DocumentPatch, ObjectVersion, StoreEra};
 use chestnutlb_store::{
@@ -19,8 +19,9 @@
 
 use crate::entry_control::{PullJob, StoreJob};
 use crate::entry_http::EntryShared;
+use crate::event_ring::EventRing;
 use crate::http::read_body;
-use crate::metrics::{Counter, CounterSet, try_push};
+use crate::metrics::{Counter, CounterSet};
 
 /// Delay after a failed call to the platform or a stale reply.
 const RETRY_DELAY: Duration = Duration::from_millis(500);
@@ -54,7 +55,7 @@
 pub fn run_store(
     client: &dyn StoreCalls,
     jobs: &Receiver<StoreJob>,
-    events: &Sender<ControlEvent>,
+    events: &EventRing,
     counters: &CounterSet,
 ) {
     for job in jobs {
@@ -89,7 +90,7 @@
                 ControlEvent::WriteFinished(id)
             }
         };
-        try_push(events, event, counters);
+        events.push(event);
     }
 }
 
@@ -130,7 +131,7 @@
     client: &dyn StoreCalls,
     feed: FeedIndex,
     state: &WatchState,
-    events: &Sender<ControlEvent>,
+    events: &EventRing,
     counters: &CounterSet,
 ) {
     let mut position = FeedPosition::default();
@@ -193,12 +194,7 @@
 
 // Sends the content of a feed update to the control thread; `stale` states whether it does not
 // confirm the documents.
-fn forward_update(
-    update: FeedUpdate,
-    stale: bool,
-    events: &Sender<ControlEvent>,
-    counters: &CounterSet,
-) {
+fn forward_update(update: FeedUpdate, stale: bool, events: &EventRing, counters: &CounterSet) {
     let version = update.version();
     let all_listed = |listed: Vec<DocumentId>, first_era: Option<StoreEra>| {
         let event = ControlEvent::AllListed {
@@ -206,7 +202,7 @@
             listed,
             first_era,
         };
-        try_push(events, event, counters);
+        events.push(event);
     };
     let list = match update {
         FeedUpdate::Versions { list, has_all } => {
@@ -232,23 +228,15 @@
             Vec::new()
         }
     };
-    try_push(
-        events,
-        ControlEvent::VersionsListed { list, stale },
-        counters,
-    );
+    events.push(ControlEvent::VersionsListed { list, stale });
 }
 
 // Parses an object of a feed and sends its document to the control thread.
-fn load_object(object: FeedObject, events: &Sender<ControlEvent>, counters: &CounterSet) {
+fn load_object(object: FeedObject, events: &EventRing, counters: &CounterSet) {
     let id = object.id.clone();
     match objects::parse_feed_object(object) {
         Ok(LoadedDocument { version, items }) => {
-            try_push(
-                events,
-                ControlEvent::Loaded { id, version, items },
-                counters,
-            );
+            events.push(ControlEvent::Loaded { id, version, items });
         }
         Err(error) => {
             counters.add(Counter::BodiesBad);
@@ -275,11 +263,7 @@
 }
 
 /// Runs the thread that pulls documents from peers.
-pub fn run_pulls(
-    jobs: &Receiver<PullJob>,
-    events: &Sender<ControlEvent>,
-    shared: &Arc<EntryShared>,
-) {
+pub fn run_pulls(jobs: &Receiver<PullJob>, events: &EventRing, shared: &Arc<EntryShared>) {
     // Connections are not kept: pulls are rare, and an idle connection may have been
     // closed or lost.
     let agent = ureq::AgentBuilder::new()
@@ -290,12 +274,12 @@
         shared.counters.add(Counter::Pulls);
         match pull(&agent, &job, shared) {
             Ok(patches) => {
-                try_push(events, ControlEvent::Pulled(patches), &shared.counters);
+                events.push(ControlEvent::Pulled(patches));
             }
             Err(cause) => {
                 log::warn!(target: "peer", peer:% = job.peer, cause = cause.as_str(); "pull failed");
                 let wanted = job.wanted.into_iter().map(|(id, _)| id).collect();
-                try_push(events, ControlEvent::PullFailed(wanted), &shared.counters);
+                events.push(ControlEvent::PullFailed(wanted));
             }
         }
     }
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -19,6 +19,7 @@
 mod entry_http;
 mod entry_packets;
 mod entry_store;
+mod event_ring;
 mod flow_log;
 mod http;
 mod http1;
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -143,11 +143,18 @@
     Response,
     /// Age of the load report by which the host of a SYN was chosen.
     ReportAge,
+    /// Time for which an event waited for the control thread of an entry VM.
+    EventLag,
 }
 
 impl Timing {
     /// Every timing.
-    pub const ALL: &'static [Timing] = &[Timing::SynReply, Timing::Response, Timing::ReportAge];
+    pub const ALL: &'static [Timing] = &[
+        Timing::SynReply,
+        Timing::Response,
+        Timing::ReportAge,
+        Timing::EventLag,
+    ];
 
     /// Returns the timing's name in metrics.
     pub fn as_str(self) -> &'static str {
@@ -155,6 +162,7 @@
             Self::SynReply => "opening",
             Self::Response => "answer",
             Self::ReportAge => "report_age",
+            Self::EventLag => "event_lag",
         }
     }
 }
