A side process that is stopped right after its start first learns whether to depart

Change: such a process goes on until its backend server has reported or two reports are missing, for three seconds at most. It forwards packets and answers lookups meanwhile.

--- a/crates/core/src/backend.rs
+++ b/crates/core/src/backend.rs
@@ -153,6 +153,13 @@
             }
     }
 
+    /// Returns whether this process can tell by now, `uptime` after its start, whether a backend
+    /// server runs beside it.
+    pub fn is_presence_known(&self, uptime: Duration, report_period: Duration) -> bool {
+        let has_reported = self.current.is_some() || self.gone;
+        has_reported || uptime >= report_period * ABSENT_AT_STOP_TENTHS / 10
+    }
+
     /// Returns whether all of its flows began after the start of this process: the
     /// backend server had just started at its first report, or is in a later epoch.
     pub fn is_observed_from_start(&self) -> bool {
--- a/crates/core/tests/backends.rs
+++ b/crates/core/tests/backends.rs
@@ -155,3 +155,16 @@
     reported.record_report(report(100, 7, BackendState::Leaving), OLD_BACKEND);
     assert!(!reported.is_absent(history(60_000), period));
 }
+
+// A side process that is stopped right after its start stays until then.
+#[test]
+fn presence_of_backend_is_known_from_its_report_or_after_two_periods() {
+    let period = Duration::from_millis(1_200);
+    let uptime = Duration::from_millis;
+    let silent = BackendTracker::default();
+    assert!(!silent.is_presence_known(uptime(2_399), period));
+    assert!(silent.is_presence_known(uptime(2_400), period));
+    let mut reported = BackendTracker::default();
+    reported.record_report(report(100, 7, BackendState::Ready), OLD_BACKEND);
+    assert!(reported.is_presence_known(uptime(1), period));
+}
--- a/crates/daemon/src/passthrough_side.rs
+++ b/crates/daemon/src/passthrough_side.rs
@@ -26,6 +26,13 @@
 /// flows still reach the backend server.
 const STOP_LINGER: Duration = Duration::from_millis(300);
 
+/// Longest time for which a process goes on after a stop signal to find out whether its backend
+/// server is there. Platforms kill a process some seconds after the signal.
+const MAX_STOP_DELAY: Duration = Duration::from_secs(3);
+
+/// Interval between two checks of a stopping process for whether its backend server is there.
+const PRESENCE_POLL_PERIOD: Duration = Duration::from_millis(50);
+
 /// State shared by the threads of the process.
 #[derive(Debug)]
 pub struct PassthroughShared {
@@ -100,6 +107,12 @@
             .is_some_and(|period| self.backend().is_absent(history, period))
     }
 
+    // Returns whether it is known by now whether a backend server runs beside this process.
+    fn is_backend_presence_known(&self) -> bool {
+        self.report_period
+            .is_none_or(|period| self.backend().is_presence_known(clock::uptime(), period))
+    }
+
     /// Returns the state of the host for the roster.
     pub fn state(&self, now: TimePoint) -> HostState {
         if self.is_backend_absent() {
@@ -178,6 +191,14 @@
     }
     log::info!(target: "process", name:% = settings.name; "stopping");
     shared.stopping.store(true, Ordering::Relaxed);
+    // A process that was just started may be stopped since its backend server has left. It goes
+    // on until it can tell, so that the departure is registered.
+    let latest_end = clock::now() + MAX_STOP_DELAY;
+    while !shared.is_backend_presence_known() && clock::now() < latest_end {
+        if stops.recv_timeout(PRESENCE_POLL_PERIOD) != Err(RecvTimeoutError::Timeout) {
+            break;
+        }
+    }
     match stops.recv_timeout(STOP_LINGER) {
         Ok(_) | Err(RecvTimeoutError::Disconnected) => {
             log::warn!(target: "process", name:% = settings.name; "stopped at once");
