--- a/crates/core/benches/changes.rs
+++ b/crates/core/benches/changes.rs
@@ -1,64 +1,27 @@
 //! Time that an entry VM spends on the change of one host: its documents, its view, the
 //! possible owners of flows and the first packet routed by the new view.
 
+mod common;
+
 use std::hint::black_box;
-use std::net::{Ipv4Addr, SocketAddrV4};
 use std::num::NonZeroUsize;
 use std::sync::Arc;
-use std::time::Duration;
 
 use criterion::Criterion;
 
 use chestnutlb_core::document::VersionedItem;
-use chestnutlb_core::manifest::{HostLimits, ServiceTiming};
 use chestnutlb_core::view_builder::VIEW_PERIOD;
 use chestnutlb_core::{
-    AddressBlock, ByteCount, ControlEvent, DocumentId, DocumentItem, DocumentKind, DocumentPatch,
+    AddressBlock, ControlEvent, DocumentId, DocumentItem, DocumentKind, DocumentPatch,
     EntryControl, EntryRecord, FlowKey, HostRecord, HostState, HostWeight, Incarnation,
-    ObjectVersion, PassthroughRouter, PercentShare, RequestClass, RouteRule, ServiceKind,
-    ServiceSpec, TcpSegment, TimePoint,
+    ObjectVersion, PassthroughRouter, ServiceKind, TcpSegment, TimePoint,
 };
+use common::{address, service_address, spec};
 
 const DATACENTERS: u32 = 5;
 const EMPTY_SERVICES: u32 = 120;
 const ENTRIES: u32 = 59;
 
-// Returns the address that is `number` after the IPv4 address `base`.
-fn address(base: u32, number: u32, port: u16) -> SocketAddrV4 {
-    SocketAddrV4::new(Ipv4Addr::from(base + number), port)
-}
-
-fn spec(number: u32) -> ServiceSpec {
-    ServiceSpec {
-        id: format!("firm/service-{number}").parse().unwrap(),
-        kind: ServiceKind::Passthrough,
-        address: address(0x0a14_0000, number, 7000),
-        aliases: Vec::new(),
-        datacenters: Vec::new(),
-        limits: HostLimits {
-            slots: 2,
-            queue: 64,
-            flows: 2000,
-            head: ByteCount(16 << 10),
-            body: ByteCount(1 << 20),
-        },
-        timing: ServiceTiming {
-            drain_grace: Duration::ZERO,
-            warm_up: Duration::ZERO,
-            receive: Duration::ZERO,
-        },
-        eject_limit: PercentShare::new(50).unwrap(),
-        rules: Vec::new(),
-        fallback: RouteRule {
-            method: None,
-            path_prefix: "/".into(),
-            class: RequestClass::Short,
-            repeatable: false,
-            deadline: Duration::from_secs(1),
-        },
-    }
-}
-
 fn datacenter(number: u32) -> String {
     format!("dc-{}", number % DATACENTERS)
 }
@@ -109,8 +72,8 @@
             DocumentId::new(DocumentKind::Grants, "grants"),
             vec![DocumentItem::Grant(block, "firm".into())],
         );
-        let services =
-            (0..=EMPTY_SERVICES).map(|number| DocumentItem::Service(Arc::new(spec(number))));
+        let services = (0..=EMPTY_SERVICES)
+            .map(|number| DocumentItem::Service(Arc::new(spec(number, ServiceKind::Passthrough))));
         changed.load(
             DocumentId::new(DocumentKind::Manifest, "firm"),
             services.collect(),
@@ -173,7 +136,7 @@
         let segment = TcpSegment {
             key: FlowKey {
                 caller: address(0x0b00_0000, self.version as u32, 4000),
-                service: address(0x0a14_0000, 0, 7000),
+                service: service_address(0),
             },
             is_syn: true,
             is_syn_ack: false,
--- a/crates/core/benches/decision.rs
+++ b/crates/core/benches/decision.rs
@@ -1,67 +1,26 @@
 //! Routing decision of an entry VM with 10,000 hosts in its view, compared with plain
 //! hashing.
 
+mod common;
+
 use std::collections::BTreeSet;
 use std::hint::black_box;
-use std::net::{Ipv4Addr, SocketAddrV4};
 use std::sync::Arc;
-use std::time::Duration;
 
 use criterion::Criterion;
 
-use chestnutlb_core::manifest::{HostLimits, ServiceTiming};
 use chestnutlb_core::view::ServiceView;
 use chestnutlb_core::{
-    ByteCount, EntryRouter, FlowKey, HostRecord, HostState, HostWeight, Incarnation, ObjectVersion,
-    PercentShare, RequestClass, RouteRule, RoutingView, ServiceKind, ServiceSpec, TcpSegment,
-    TimePoint,
+    EntryRouter, FlowKey, HostRecord, HostState, HostWeight, Incarnation, ObjectVersion,
+    RoutingView, ServiceKind, ServiceSpec, TcpSegment, TimePoint,
 };
+use common::{address, service_address, spec};
 
 const HOSTS: u32 = 10_000;
 const HOSTS_PER_SERVICE: u32 = 5;
 const FLOWS: usize = 4096;
 const NOW: TimePoint = TimePoint(0);
 
-// Returns the address that is `number` after the IPv4 address `base`.
-fn address(base: u32, number: u32, port: u16) -> SocketAddrV4 {
-    SocketAddrV4::new(Ipv4Addr::from(base + number), port)
-}
-
-fn service_address(service: u32) -> SocketAddrV4 {
-    address(0x0a14_0000, service, 7000)
-}
-
-fn spec(service: u32) -> ServiceSpec {
-    ServiceSpec {
-        id: format!("firm/service-{service}").parse().unwrap(),
-        kind: ServiceKind::Stream,
-        address: service_address(service),
-        aliases: Vec::new(),
-        datacenters: Vec::new(),
-        limits: HostLimits {
-            slots: 3,
-            queue: 64,
-            flows: 2000,
-            head: ByteCount(16 << 10),
-            body: ByteCount(1 << 20),
-        },
-        timing: ServiceTiming {
-            drain_grace: Duration::ZERO,
-            warm_up: Duration::ZERO,
-            receive: Duration::ZERO,
-        },
-        eject_limit: PercentShare::new(50).unwrap(),
-        rules: Vec::new(),
-        fallback: RouteRule {
-            method: None,
-            path_prefix: "/".into(),
-            class: RequestClass::Short,
-            repeatable: false,
-            deadline: Duration::from_secs(1),
-        },
-    }
-}
-
 fn host(number: u32, spec: &ServiceSpec) -> Arc<HostRecord> {
     Arc::new(HostRecord {
         name: format!("host-{number}").parse().unwrap(),
@@ -79,7 +38,7 @@
 fn view() -> Arc<RoutingView> {
     let mut view = RoutingView::default();
     for service in 0..HOSTS / HOSTS_PER_SERVICE {
-        let spec = Arc::new(spec(service));
+        let spec = Arc::new(spec(service, ServiceKind::Stream));
         let first = service * HOSTS_PER_SERVICE;
         let hosts: Vec<_> = (first..first + HOSTS_PER_SERVICE)
             .map(|number| host(number, &spec))
