Process tests: side processes without a backend server

Real processes: one that gets no report registers its departure, replies to lookups that it owns nothing, and serves again after a late report; one that is stopped right after its start registers its departure before it ends; one whose backend server has reported registers as leaving.

--- a/crates/standin/tests/passthrough.rs
+++ b/crates/standin/tests/passthrough.rs
@@ -6,16 +6,18 @@
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 
-use chestnutlb_core::{FlowKey, OwnershipReply, ServiceId, TimePoint};
+use chestnutlb_core::{FlowKey, HostRecord, HostState, OwnershipReply, ServiceId, TimePoint};
 use chestnutlb_stack::FlowStack;
 use chestnutlb_standin::fleet::send_signal;
 use chestnutlb_standin::free_ports::free_address;
 use chestnutlb_standin::http::send_request;
 use chestnutlb_standin::tryout::program_folder;
 use chestnutlb_wire::packet::{WireLookupQuery, mark_returned, write_data, write_lookup_query};
+use chestnutlb_wire::peer::{PeerMessage, scan_message};
 use chestnutlb_wire::{PacketFrame, PacketHeader, WireHop, scan_frame, scan_segment};
 
 const SERVICE: &str = "dalbit/catalogue";
+const REPORT_PERIOD: Duration = Duration::from_millis(200);
 // Timeout for the start of the side process and for the receipt of each packet.
 const TEST_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -62,6 +64,14 @@
 
 impl TestSetup {
     fn start(name: &str) -> Self {
+        Self::start_with_report_period(name, None)
+    }
+
+    // Starts a side process that takes its backend server for absent without reports.
+    fn start_with_report_period(name: &str, period: Option<Duration>) -> Self {
+        let report_period = period.map_or(String::new(), |period| {
+            format!(r#", "report_period_ms": {}"#, period.as_millis())
+        });
         let [packets, outbound, announce, status] =
             std::array::from_fn(|_| free_address().unwrap());
         let (entry, next_host, fabric, backend) =
@@ -70,7 +80,7 @@
             r#"{{"role": "side", "name": "feed-1", "datacenter": "dc-1", "service": "{SERVICE}",
             "packets": "{packets}", "announce": "{announce}", "status": "{status}",
             "fabric": "{}", "seeds": ["{}"], "backend": "{}",
-            "passthrough": {{"outbound": "{outbound}"}}}}"#,
+            "passthrough": {{"outbound": "{outbound}"{report_period}}}}}"#,
             local_address(&fabric),
             local_address(&entry),
             local_address(&backend),
@@ -139,6 +149,15 @@
         self.entry.send_to(&bytes, self.packets).unwrap();
     }
 
+    // Returns the state in the next full registration that the entry VM receives.
+    fn registered_state(&self) -> HostState {
+        loop {
+            if let Ok(PeerMessage::Announce(registration)) = scan_message(&receive(&self.entry)) {
+                return HostRecord::try_from(&registration.host).unwrap().state;
+            }
+        }
+    }
+
     // Sends a lookup query for the flow of a caller's packet, as an entry VM does, and
     // returns the reply.
     fn query_owner(&self, packet: &[u8]) -> OwnershipReply {
@@ -326,3 +345,43 @@
     setup.restart();
     assert_eq!(setup.query_owner(&owned.data), OwnershipReply::Unknown);
 }
+
+// After a loss of power, the side process of a host that was leaving starts again without a
+// backend server.
+#[test]
+fn side_process_without_backend_reports_registers_its_departure() {
+    let period = Some(REPORT_PERIOD);
+    let setup = TestSetup::start_with_report_period("passthrough-absent", period);
+    assert_eq!(setup.registered_state(), HostState::Gone);
+    let unowned = build_handshake(4009);
+    assert_eq!(setup.query_owner(&unowned.data), OwnershipReply::NotOwned);
+    // It was only late.
+    setup.report("ready", 9);
+    assert_eq!(setup.registered_state(), HostState::Serving);
+}
+
+#[test]
+fn side_process_stopped_after_its_start_registers_its_departure() {
+    let period = Some(5 * REPORT_PERIOD);
+    let mut setup = TestSetup::start_with_report_period("passthrough-stopped", period);
+    send_signal(setup.side.id(), signal_hook::consts::SIGTERM).unwrap();
+    assert_eq!(setup.registered_state(), HostState::Gone);
+    let status = setup.side.wait().unwrap();
+    assert!(status.success(), "{status}");
+}
+
+// The backend server lives on with its flows.
+#[test]
+fn stopped_side_process_whose_backend_has_reported_registers_as_leaving() {
+    let period = Some(TEST_TIMEOUT);
+    let mut setup = TestSetup::start_with_report_period("passthrough-rolled", period);
+    setup.report("ready", 9);
+    assert_eq!(setup.registered_state(), HostState::Serving);
+    send_signal(setup.side.id(), signal_hook::consts::SIGTERM).unwrap();
+    // It registers again from time to time.
+    let mut states = std::iter::repeat_with(|| setup.registered_state());
+    let next = states.find(|state| *state != HostState::Serving);
+    assert_eq!(next, Some(HostState::Leaving));
+    let status = setup.side.wait().unwrap();
+    assert!(status.success(), "{status}");
+}
