--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -56,7 +56,8 @@
     Written(ObjectVersion),
     /// The object had this version instead of the expected one; nothing was
     /// written. Revision zero stands for an object that does not exist or, after a restore
-    /// of the store, for one that has to be read again.
+    /// of the store, for one that has to be read again. With its content, if the answer contains
+    /// it.
     Conflict(ObjectVersion, Option<serde_json::Value>),
     /// The write may or may not have taken effect.
     Unknown(StoreError),
