Review case 5: one lost datagram cuts a flow off from its host

Cause: a side process that has just started queries its host about a flow with one packet, and delivers no other until the host sends something. The query has no timeout, so it is not repeated if that packet is lost.

--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -231,6 +231,8 @@
             self.fleet.note("forged", host=self.machine.name)
             return
         key = (packet.src, packet.sport, packet.dst, packet.dport)
+        if self.fleet.is_lost(self, key):
+            return
         now = time.monotonic()
         flow = self.flows.get(key)
         self.fleet.on_host_packet(self, key, packet, flow, now)
@@ -543,7 +545,10 @@
             except OSError:
                 continue
 
-    # What the checks of a case override.
+    # What the cases override.
+    def is_lost(self, host, key):
+        return False
+
     def on_host_packet(self, host, key, packet, flow, now):
         pass
 
