--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -109,7 +109,7 @@
                 "region": ZONES[self.zone], "port_range": [ports["first"], ports["first"] + 15],
                 "seeds": self.fleet.seeds, "heartbeat_ms": int(HEARTBEAT_S * 1000),
                 "zones": ZONES, "bounds": BOUNDS,
-                "platform": {"address": "{}:{}".format(*self.fleet.store_address)},
+                "platform": {"address": self.address("store")},
                 "listen": {name: self.address(name)
                            for name in ("datagram_addr", "ready", "control", "outbound")},
                 **self.extra}
@@ -149,7 +149,8 @@
         self.syn_at = now
         self.received = {}
         self.next = None
-        self.request = None
+        self.text = b""
+        self.answer = None
 
 
 class Host:
@@ -259,28 +260,35 @@
             self.on_data(key, flow, packet)
 
     def on_data(self, key, flow, packet):
-        flow.received.setdefault(packet.seq, packet.data)
+        """Takes data in order and runs each request that is complete. A request is its id,
+        padded to its length with dots and closed by a semicolon."""
         if packet.seq != flow.next:
-            if packet.seq + len(packet.data) == flow.next and flow.request:
+            flow.received[packet.seq] = packet
+            self.reply(packet, packets.ACK, packet.ack, flow.next)
+            if flow.answer and packet.seq < flow.next:
                 self.answer_again(flow)
             return
-        flow.next = packet.seq + len(packet.data) & 0xffffffff
-        request = packet.data.decode()
-        flow.request = None
-        asyncio.get_running_loop().create_task(self.run(key, flow, packet, request))
+        while packet is not None:
+            flow.text += packet.data
+            flow.next = packet.seq + len(packet.data) & 0xffffffff
+            last, packet = packet, flow.received.pop(flow.next, None)
+        self.reply(last, packets.ACK, last.ack, flow.next)
+        if flow.text.endswith(b";"):
+            request = flow.text.decode().rstrip(".;")
+            flow.text, flow.answer = b"", None
+            asyncio.get_running_loop().create_task(self.run(key, flow, last, request))
 
     async def run(self, key, flow, packet, request):
         self.fleet.on_run(self, key, request)
-        self.reply(packet, packets.ACK, packet.ack, flow.next)
         await asyncio.sleep(self.fleet.work_s(request))
         if not self.is_up or self.flows.get(key) is not flow:
             return
         answer = f"200 {request} by {self.machine.name}".encode()
-        flow.request = (packet, answer, flow.next)
+        flow.answer = (packet, answer, flow.next)
         self.answer_again(flow)
 
     def answer_again(self, flow):
-        packet, answer, expected = flow.request
+        packet, answer, expected = flow.answer
         self.reply(packet, packets.ACK, packet.ack, expected, answer)
 
 
@@ -376,6 +384,7 @@
         self.dst, self.dport = packets.address(route[0]), route[1]
         self.seq = random.randrange(1 << 31)
         self.peer_seq = None
+        self.acked = 0
         self.is_open = False
         self.reset_at = None
         self.answers = {}
@@ -414,6 +423,7 @@
                 self.is_open = True
                 self.arrived.set()
             return
+        self.acked = max(self.acked, packet.ack)
         if packet.data:
             if packet.seq == self.peer_seq:
                 self.peer_seq = self.peer_seq + len(packet.data) & 0xffffffff
@@ -443,14 +453,17 @@
                 break
         return self.is_open and self.reset_at is None
 
-    async def request(self, request, budget_s):
+    async def request(self, request, budget_s, length=0):
         """Sends one request and its retransmissions. Returns what became of it."""
-        data = request.encode()
-        seq, self.seq = self.seq, self.seq + len(data)
+        data = request.encode().ljust(length - 1, b".") + b";"
+        parts = [(self.seq + at, data[at:at + packets.DATA_LIMIT])
+                 for at in range(0, len(data), packets.DATA_LIMIT)]
+        self.seq += len(data)
         deadline = time.monotonic() + budget_s
         interval = 0.2
         while True:
-            self.send(packets.ACK, seq, self.peer_seq, data)
+            for seq, part in parts:
+                self.send(packets.ACK, seq, self.peer_seq, part)
             resend_at = min(time.monotonic() + interval, deadline)
             interval = min(interval * 2, 1.6)
             while time.monotonic() < resend_at:
@@ -459,6 +472,7 @@
                 if self.reset_at is not None:
                     return "reset"
                 await self.wait(resend_at - time.monotonic())
+            parts = [part for part in parts if part[0] + len(part[1]) > self.acked]
             if time.monotonic() >= deadline:
                 return "200" if request in self.answers else "deadline"
 
@@ -504,7 +518,6 @@
         self.roles = deploy["roles"]
         self.net = f"127.{random.randrange(20, 250)}.{random.randrange(1, 250)}"
         self.ports = self.free_ports()
-        self.store_address = (f"{self.net}.1", self.ports["store"])
         self.router_ip = f"{self.net}.2"
         self.entries, self.sides, self.hosts, self.consumers = [], [], [], []
         number = 10
@@ -569,8 +582,13 @@
         self.record.write(json.dumps(line) + "\n")
 
     async def start(self, config_spec=None):
-        self.store = store_standin.serve(self.store_address)
+        self.store = store_standin.Store()
         self.store.put("config", "main", config_spec or self.config(7), 0)
+        # Each entry machine reaches the store at an address of its own, so that single ones
+        # can be partitioned from it.
+        for machine in self.entries:
+            here = (machine.ip, self.ports["store"])
+            machine.store_path = store_standin.serve(here, self.store)
         for machine in self.entries + self.sides:
             machine.start()
         for host in self.hosts:
--- a/review/standins/store.py
+++ b/review/standins/store.py
@@ -78,6 +78,11 @@
         pass
 
     def reply(self, status, body):
+        if self.server.is_cut:
+            # What is sent behind a partition gets no answer, and its connection is lost.
+            self.server.healed.wait()
+            self.close_connection = True
+            return
         payload = json.dumps(body).encode()
         self.send_response(status)
         self.send_header("Content-Type", "application/json")
@@ -137,14 +142,29 @@
     daemon_threads = True
     request_queue_size = 256
 
+    def __init__(self, address, handler):
+        super().__init__(address, handler)
+        self.healed = threading.Event()
+        self.healed.set()
+
+    @property
+    def is_cut(self):
+        return not self.healed.is_set()
+
+    def cut(self):
+        """Partitions those that use this address from the store, silently."""
+        self.healed.clear()
+
+    def heal(self):
+        self.healed.set()
+
     def handle_error(self, request, client_address):
         """A client that ends its connection is no error."""
 
 
-def serve(address):
-    """Starts the store on (ip, port) and returns it."""
-    store = Store()
+def serve(address, store):
+    """Serves the store on (ip, port) and returns the server."""
     handler = type("StoreHandler", (Handler,), {"store": store})
     server = Server(address, handler)
     threading.Thread(target=server.serve_forever, daemon=True).start()
-    return store
+    return server
