Reports of a backend server are checked in full where they are decoded

Cause: a report that can't be of the backend server beside the side process was accepted. `version` was not looked at, and of `address` and `zone` only that they are texts. Such a report, with a later start, replaced the backend server's own, which were then outdated: answered with 200, without effect.

Change: every field is decoded into its type, `born` too, with the values that can't be (no slots, slow for more than an hour, a start after the year 9999, an empty version). Service, data centre and address are compared with the settings of the side process, which say which backend server runs here. A deregistration whose body can't be read is rejected instead of taken for one without a start. Rejected and oversized bodies are counted and logged.

Tests: reports_that_can_not_be_of_the_backend_do_not_hide_that_it_drains (process) failed before the change, at the SYN that did not go to the next host, and passes now. The process tests reported "address": "a" and no version themselves, which no backend server does; they send complete reports now, and check the same as before.

--- a/crates/core/src/backend.rs
+++ b/crates/core/src/backend.rs
@@ -1,4 +1,4 @@
-//! Reports of a backend server to its side process, and which of them are current.
+//! The backend server of a side process, and which of its reports are current.
 //!
 //! A report may arrive late, after its sender was replaced at the same address. The start
 //! time of the backend server tells its epochs apart, and a sequence number orders the
@@ -6,8 +6,7 @@
 
 use std::time::Duration;
 
-use compact_str::CompactString;
-
+use crate::backend_report::{BackendReport, BackendState};
 use crate::chart::HostState;
 use crate::units::TimePoint;
 
@@ -28,42 +27,13 @@
 /// its backend server has left, or while that one lives and reports.
 const ABSENT_AT_STOP_TENTHS: u32 = 20;
 
-/// State that a backend server reports.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum BackendState {
-    /// It accepts new flows.
-    Ready,
-    /// It is about to leave and accepts no new flows.
-    Leaving,
-}
-
-/// A report of a backend server.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct BackendReport {
-    /// Name of the backend server.
-    pub name: CompactString,
-    /// Start of the current epoch, in milliseconds since the Unix epoch; zero if it is
-    /// not reported.
-    pub born_ms: u64,
-    /// Sequence number of the report within the epoch.
-    pub sequence: u64,
-    /// Name of the service that it runs.
-    pub service: CompactString,
-    /// Maximum number of requests that it runs concurrently.
-    pub slots: u16,
-    /// The reported state.
-    pub state: BackendState,
-    /// Remaining time for which it is slow, in milliseconds.
-    pub cold_ms: u64,
-}
-
 /// Times at the arrival of a report.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ReportTiming {
     /// Arrival of the report.
     pub now: TimePoint,
-    /// Age of the backend server at that time by the wall clock; `None` if it reports no
-    /// start, or one in the future.
+    /// Age of the backend server at that time by the wall clock; `None` if it reports a start in
+    /// the future.
     pub age: Option<Duration>,
     /// Time since the start of this process.
     pub uptime: Duration,
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -16,6 +16,7 @@
 
 pub mod admission;
 pub mod backend;
+pub mod backend_report;
 pub mod budget;
 pub mod chart;
 pub mod control;
@@ -53,9 +54,8 @@
 pub mod view_builder;
 
 pub use admission::HostAdmission;
-pub use backend::{
-    BackendChange, BackendReport, BackendState, BackendTracker, ReportTiming, SideHistory,
-};
+pub use backend::{BackendChange, BackendTracker, ReportTiming, SideHistory};
+pub use backend_report::{BackendIdentity, BackendReport, BackendState, ForeignReport};
 pub use budget::RetryBudget;
 pub use chart::{
     FlowEvent, FlowState, HostEvent, HostState, RequestEvent, RequestState, check_charts,
--- a/crates/daemon/src/passthrough_http.rs
+++ b/crates/daemon/src/passthrough_http.rs
@@ -1,6 +1,7 @@
 //! The HTTP server of a side process with passthrough flows: reports of the backend
 //! server, status and health.
 
+use std::fmt::Display;
 use std::net::SocketAddrV4;
 use std::sync::Arc;
 
@@ -41,16 +42,12 @@
     name: &str,
     body: Data<'_>,
 ) -> Result<Json<serde_json::Value>, Status> {
-    let bytes = read_report_body(body).await?;
-    let reject = |cause: &dyn std::fmt::Display| {
-        shared.counters.add(Counter::BodiesBad);
-        log::info!(target: "host", backend = name, cause:% = cause; "report refused");
-        Status::BadRequest
-    };
-    let report = decode_report(name, &bytes).map_err(|error| reject(&error))?;
-    if report.service != shared.settings.service.service.as_str() {
-        return Err(reject(&"another service"));
-    }
+    let bytes = read_report_body(shared, name, body).await?;
+    let report = decode_report(name, &bytes).map_err(|error| reject(shared, name, &error))?;
+    shared
+        .identity
+        .check(&report)
+        .map_err(|error| reject(shared, name, &error))?;
     let timing = ReportTiming {
         now: clock::now(),
         age: clock::time_since(report.born_ms),
@@ -67,26 +64,37 @@
     name: &str,
     body: Data<'_>,
 ) -> Result<Json<serde_json::Value>, Status> {
-    let bytes = read_report_body(body).await?;
-    let change = shared
-        .backend()
-        .record_deregistration(name, decode_deregistration(&bytes));
+    let bytes = read_report_body(shared, name, body).await?;
+    let born_ms = decode_deregistration(&bytes).map_err(|error| reject(shared, name, &error))?;
+    let change = shared.backend().record_deregistration(name, born_ms);
     if change != BackendChange::Outdated {
         shared.record_backend_change(change, "farewell", name);
     }
     Ok(Json(serde_json::json!({})))
 }
 
+// Counts and logs a report or deregistration that names no backend server which can run here.
+fn reject(shared: &PassthroughShared, name: &str, cause: &dyn Display) -> Status {
+    shared.counters.add(Counter::BodiesBad);
+    log::info!(target: "host", backend = name, cause:% = cause; "report refused");
+    Status::BadRequest
+}
+
 // Reads a body of at most [`MAX_REPORT_BYTES`].
-async fn read_report_body(body: Data<'_>) -> Result<Vec<u8>, Status> {
+async fn read_report_body(
+    shared: &PassthroughShared,
+    name: &str,
+    body: Data<'_>,
+) -> Result<Vec<u8>, Status> {
     let bytes = body
         .open(MAX_REPORT_BYTES.bytes())
         .into_bytes()
         .await
-        .map_err(|_| Status::BadRequest)?;
+        .map_err(|error| reject(shared, name, &error))?;
     if bytes.is_complete() {
         Ok(bytes.into_inner())
     } else {
+        reject(shared, name, &"too large");
         Err(Status::PayloadTooLarge)
     }
 }
--- a/crates/daemon/src/passthrough_side.rs
+++ b/crates/daemon/src/passthrough_side.rs
@@ -9,7 +9,9 @@
 use compact_str::ToCompactString;
 use crossbeam_channel::{Receiver, RecvTimeoutError};
 
-use chestnutlb_core::{BackendChange, BackendTracker, HostState, SideHistory, TimePoint};
+use chestnutlb_core::{
+    BackendChange, BackendIdentity, BackendTracker, HostState, SideHistory, TimePoint,
+};
 use chestnutlb_wire::status::SideStatus;
 
 use crate::metrics::CounterSet;
@@ -40,6 +42,8 @@
     pub counters: Arc<CounterSet>,
     /// Settings of the process.
     pub settings: Arc<SideSettings>,
+    /// What its settings say of the backend server.
+    pub identity: BackendIdentity,
     report_period: Option<Duration>,
     /// Whether the process has received a stop signal.
     pub stopping: AtomicBool,
@@ -58,9 +62,15 @@
         report_period: Option<Duration>,
         counters: Arc<CounterSet>,
     ) -> Self {
+        let identity = BackendIdentity {
+            service: settings.service.service.clone(),
+            datacenter: settings.datacenter.clone(),
+            address: settings.backend,
+        };
         Self {
             counters,
             settings,
+            identity,
             report_period,
             stopping: AtomicBool::new(false),
             flows: AtomicU64::new(0),
--- a/crates/standin/tests/passthrough.rs
+++ b/crates/standin/tests/passthrough.rs
@@ -15,6 +15,7 @@
 use chestnutlb_wire::packet::{WireLookupQuery, mark_returned, write_data, write_lookup_query};
 use chestnutlb_wire::peer::{PeerMessage, scan_message};
 use chestnutlb_wire::{PacketFrame, PacketHeader, WireHop, scan_frame, scan_segment};
+use serde_json::{Value, json};
 
 const SERVICE: &str = "dalbit/catalogue";
 const REPORT_PERIOD: Duration = Duration::from_millis(200);
@@ -120,14 +121,26 @@
         self.wait_until_started();
     }
 
+    // Returns the report of a backend server of the epoch that began at `born`.
+    fn report_body(&self, state: &str, sequence: u64, born: u64) -> Value {
+        json!({
+            "service": "catalogue", "address": local_address(&self.backend).to_string(),
+            "zone": "dc-1", "version": "v1", "slots": 3, "state": state, "cold_left_ms": 0,
+            "seq": sequence, "born": born,
+        })
+    }
+
+    // Sends a report of the backend server called `name` and returns the status of the reply.
+    fn send_report(&self, name: &str, body: &Value) -> u16 {
+        let path = format!("/v1/backend/{name}");
+        let (status, _) = send_request(self.status, "PUT", &path, &body.to_string()).unwrap();
+        status
+    }
+
     // Reports a state of the backend server to the side process.
     fn report(&self, state: &str, sequence: u64) {
-        let body = format!(
-            r#"{{"service": "catalogue", "address": "a", "zone": "dc-1", "slots": 3,
-            "state": "{state}", "cold_left_ms": 0, "seq": {sequence}, "born": 100}}"#
-        );
-        let (status, _) = send_request(self.status, "PUT", "/v1/backend/b-1", &body).unwrap();
-        assert_eq!(status, 200);
+        let body = self.report_body(state, sequence, 100);
+        assert_eq!(self.send_report("b-1", &body), 200);
     }
 
     // Sends a caller's packet as an entry VM does, with `next_host` as the second hop.
@@ -295,6 +308,42 @@
     assert_eq!(receive(&setup.backend), kept.data);
 }
 
+// Guards against new flows at a backend server that drains: the report of another program took
+// its place, and its own reports were acknowledged without effect.
+#[test]
+fn reports_that_can_not_be_of_the_backend_do_not_hide_that_it_drains() {
+    let setup = TestSetup::start("passthrough-other-reports");
+    setup.report("ready", 1);
+    let other = setup.report_body("ready", 1, 200);
+    let odd_values = [
+        ("service", json!("patterns")),
+        ("address", json!("nowhere")),
+        ("address", json!("10.1.0.9:8080")),
+        ("zone", json!("dc-9")),
+        ("version", Value::Null),
+        ("version", json!(7)),
+        ("slots", json!(0)),
+        ("state", json!("resting")),
+        ("cold_left_ms", json!(u64::MAX)),
+        ("seq", json!(1.5)),
+        ("born", json!("200")),
+    ];
+    let mut statuses = Vec::new();
+    for (index, (field, value)) in odd_values.iter().enumerate() {
+        let mut body = other.clone();
+        body[*field] = value.clone();
+        statuses.push(setup.send_report(&format!("other-{index}"), &body));
+    }
+    let mut incomplete = other.clone();
+    incomplete.as_object_mut().unwrap().remove("version");
+    statuses.push(setup.send_report("incomplete", &incomplete));
+    setup.report("draining", 2);
+    let packets = build_handshake(4010);
+    setup.send_packet(&packets.syn);
+    assert_eq!(receive_forwarded(&setup.next_host), packets.syn);
+    assert!(statuses.iter().all(|status| *status == 400), "{statuses:?}");
+}
+
 #[test]
 fn metrics_route_serves_counters_and_quantiles() {
     let setup = TestSetup::start("passthrough-metrics");
