A backend server's report is acknowledged only if it has an effect

Cause: the reply to a report did not depend on its effect, and what is current was decided by the report alone, never by who goes on reporting.

Ruled out: rejecting starts in the future, since the time of day may be set back on a machine; honouring the draining of any sender, since a late report of an earlier backend server at the address would empty its successor.

Change: an outdated report or deregistration is answered with 409, logged and counted (reports.outdated), unless the state that it tells is in force. A sender that goes on with rising sequence numbers for two report periods without a report of the current one in between is the backend server that runs: it becomes current, and the side process, which can't know what became of its flows meanwhile, does not count as having seen all of them.

Tests: draining_is_acknowledged_only_once_it_has_an_effect (process) failed before: the first draining was acknowledged and the next SYN went to the backend server. In virtual time: the replacement, for a later epoch and for a high number; and that late reports, alone, together or repeated, replace no backend server that goes on reporting.

--- a/crates/core/src/backend.rs
+++ b/crates/core/src/backend.rs
@@ -2,10 +2,14 @@
 //!
 //! A report may arrive late, after its sender was replaced at the same address. The start
 //! time of the backend server tells its epochs apart, and a sequence number orders the
-//! reports of one epoch; an older report changes nothing.
+//! reports of one epoch; an older report changes nothing and is not acknowledged. A sender that
+//! goes on with older reports while the current one is silent is the one that runs: the clock
+//! was set back before its start, or the current report was not of a backend server.
 
 use std::time::Duration;
 
+use compact_str::CompactString;
+
 use crate::backend_report::{BackendReport, BackendState};
 use crate::chart::HostState;
 use crate::units::TimePoint;
@@ -27,6 +31,13 @@
 /// its backend server has left, or while that one lives and reports.
 const ABSENT_AT_STOP_TENTHS: u32 = 20;
 
+/// Time without a current report, in tenths of the report period, in which a sender of older
+/// reports proves that it is the backend server: two reports are missing.
+const REPLACED_AFTER_TENTHS: u32 = 20;
+
+/// Report period of a backend server of which it is not known.
+const DEFAULT_REPORT_PERIOD: Duration = Duration::from_secs(2);
+
 /// Times at the arrival of a report.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ReportTiming {
@@ -37,6 +48,8 @@
     pub age: Option<Duration>,
     /// Time since the start of this process.
     pub uptime: Duration,
+    /// Interval between two reports of the backend server; `None` if it is not known.
+    pub report_period: Option<Duration>,
 }
 
 impl ReportTiming {
@@ -66,11 +79,40 @@
     NewLife,
     /// The state changed, including the first report, a deregistration and a return after it.
     Changed,
-    /// It is older than the current report, or about a backend server that is not the current
-    /// one or has already deregistered.
+    /// It is older than the current report or about a backend server that is not the current
+    /// one, and must not be acknowledged: it has no effect.
     Outdated,
 }
 
+// Older reports than the current one, all of one sender, since the last current report.
+#[derive(Debug, Clone)]
+struct OlderReports {
+    name: CompactString,
+    born_ms: u64,
+    // Sequence number of the last one.
+    sequence: u64,
+    // Arrival of the first one.
+    since: TimePoint,
+}
+
+impl OlderReports {
+    fn first(report: &BackendReport, now: TimePoint) -> Self {
+        Self {
+            name: report.name.clone(),
+            born_ms: report.born_ms,
+            sequence: report.sequence,
+            since: now,
+        }
+    }
+
+    // Returns whether a report continues these.
+    fn is_continued_by(&self, report: &BackendReport) -> bool {
+        self.name == report.name
+            && self.born_ms == report.born_ms
+            && self.sequence < report.sequence
+    }
+}
+
 /// Tracks the backend server of a side process by its newest report.
 #[derive(Debug, Clone, Default)]
 pub struct BackendTracker {
@@ -81,6 +123,7 @@
     first_sequence: u64,
     // Whether it started with this process or later, by its age at the first report.
     started_with_process: bool,
+    older_reports: Option<OlderReports>,
     gone: bool,
 }
 
@@ -172,15 +215,27 @@
 
     /// Records a report.
     pub fn record_report(&mut self, report: BackendReport, timing: ReportTiming) -> BackendChange {
+        let is_older = self
+            .current
+            .as_ref()
+            .is_some_and(|current| is_outdated(current, &report));
+        if is_older && !self.replaces_current(&report, timing) {
+            return self.older_report_change(&report);
+        }
         let change = match &self.current {
             None => BackendChange::Changed,
-            Some(current) if is_outdated(current, &report) => return BackendChange::Outdated,
             Some(current) if is_new_epoch(current, &report) => BackendChange::NewLife,
             Some(current) if current.state != report.state || self.gone => BackendChange::Changed,
             Some(_) => BackendChange::Same,
         };
         self.gone = false;
-        if self.first_born_ms.is_none() {
+        self.older_reports = None;
+        if is_older {
+            // Nothing is known of its flows since the start of this process.
+            self.first_born_ms = Some(report.born_ms);
+            self.first_sequence = u64::MAX;
+            self.started_with_process = false;
+        } else if self.first_born_ms.is_none() {
             self.first_born_ms = Some(report.born_ms);
             self.first_sequence = report.sequence;
             self.started_with_process = timing.started_with_process();
@@ -190,6 +245,35 @@
         change
     }
 
+    // Records an older report than the current one. Returns whether its sender is the backend
+    // server: it goes on reporting, and no current report has arrived for two periods.
+    fn replaces_current(&mut self, report: &BackendReport, timing: ReportTiming) -> bool {
+        match &mut self.older_reports {
+            Some(older) if older.is_continued_by(report) => {
+                older.sequence = report.sequence;
+                let period = timing.report_period.unwrap_or(DEFAULT_REPORT_PERIOD);
+                timing.now.since(older.since) >= period * REPLACED_AFTER_TENTHS / 10
+            }
+            other => {
+                *other = Some(OlderReports::first(report, timing.now));
+                false
+            }
+        }
+    }
+
+    // Returns the effect of an older report: none, or the one that it had when a later report of
+    // the same epoch and state arrived.
+    fn older_report_change(&self, report: &BackendReport) -> BackendChange {
+        let is_in_force = self.current.as_ref().is_some_and(|current| {
+            !self.gone && !is_new_epoch(current, report) && current.state == report.state
+        });
+        if is_in_force {
+            BackendChange::Same
+        } else {
+            BackendChange::Outdated
+        }
+    }
+
     /// Records the deregistration of the backend server with this name. A deregistration
     /// of an earlier epoch changes nothing.
     pub fn record_deregistration(&mut self, name: &str, born_ms: Option<u64>) -> BackendChange {
@@ -198,11 +282,13 @@
         let is_current = self.current.as_ref().is_none_or(|report| {
             report.name == name && born_ms.is_none_or(|born| born >= report.born_ms)
         });
-        if !is_current || self.gone {
-            return BackendChange::Outdated;
+        if !is_current {
+            BackendChange::Outdated
+        } else if std::mem::replace(&mut self.gone, true) {
+            BackendChange::Same
+        } else {
+            BackendChange::Changed
         }
-        self.gone = true;
-        BackendChange::Changed
     }
 }
 
--- a/crates/core/tests/backends.rs
+++ b/crates/core/tests/backends.rs
@@ -12,6 +12,7 @@
     now: TimePoint(1_000),
     age: Some(Duration::from_secs(100)),
     uptime: Duration::from_secs(1),
+    report_period: Some(Duration::from_millis(1_200)),
 };
 
 fn report(born_ms: u64, sequence: u64, state: BackendState) -> BackendReport {
@@ -55,6 +56,80 @@
     assert!(!backend.accepts_flows());
 }
 
+#[test]
+fn overtaken_report_of_the_state_in_force_is_acknowledged() {
+    let mut backend = BackendTracker::default();
+    backend.record_report(report(100, 2, BackendState::Leaving), OLD_BACKEND);
+    let overtaken = backend.record_report(report(100, 1, BackendState::Leaving), OLD_BACKEND);
+    assert_eq!(overtaken, BackendChange::Same);
+}
+
+#[test]
+fn repeated_deregistration_is_acknowledged_and_one_of_another_backend_is_not() {
+    let mut backend = BackendTracker::default();
+    backend.record_report(report(100, 2, BackendState::Leaving), OLD_BACKEND);
+    let deregister = |backend: &mut BackendTracker, name| backend.record_deregistration(name, None);
+    assert_eq!(
+        deregister(&mut backend, "catalogue-2"),
+        BackendChange::Outdated
+    );
+    for expected in [BackendChange::Changed, BackendChange::Same] {
+        assert_eq!(deregister(&mut backend, "catalogue-1"), expected);
+    }
+}
+
+fn arrives_at(now_ms: u64) -> ReportTiming {
+    ReportTiming {
+        now: TimePoint(now_ms),
+        ..OLD_BACKEND
+    }
+}
+
+// Guards against a backend server that drains and gets flows until it ends: its reports were
+// outdated for as long as it lived, by one report of a later epoch or with a high number.
+#[test]
+fn backend_that_goes_on_reporting_replaces_one_that_is_silent() {
+    let later_epoch = report(200, 1, BackendState::Ready);
+    let high_number = report(100, u64::MAX, BackendState::Ready);
+    for other in [later_epoch, high_number] {
+        let mut backend = BackendTracker::default();
+        backend.record_report(report(100, 7, BackendState::Ready), arrives_at(0));
+        backend.record_report(other, arrives_at(1_000));
+        let mut changes = Vec::new();
+        for (sequence, now_ms) in [(8, 1_200), (9, 2_400), (10, 3_600)] {
+            let draining = report(100, sequence, BackendState::Leaving);
+            changes.push(backend.record_report(draining, arrives_at(now_ms)));
+        }
+        assert_eq!(changes[..2], [BackendChange::Outdated; 2]);
+        assert_ne!(changes[2], BackendChange::Outdated);
+        assert!(!backend.accepts_flows());
+        assert!(
+            !backend.is_observed_from_start(),
+            "what happened to its flows meanwhile is not known"
+        );
+    }
+}
+
+#[test]
+fn late_reports_replace_no_backend_that_goes_on_reporting() {
+    let mut backend = BackendTracker::default();
+    backend.record_report(report(200, 1, BackendState::Ready), arrives_at(0));
+    for round in 1..20 {
+        let late = report(100, round, BackendState::Leaving);
+        let late = backend.record_report(late, arrives_at(1_200 * round - 100));
+        assert_eq!(late, BackendChange::Outdated);
+        let current = report(200, 1 + round, BackendState::Ready);
+        backend.record_report(current, arrives_at(1_200 * round));
+    }
+    // Late reports that arrive together prove nothing either, nor does one that is repeated.
+    for sequence in [20, 21, 22, 22, 22] {
+        let late = report(100, sequence, BackendState::Leaving);
+        let late = backend.record_report(late, arrives_at(100_000 + sequence));
+        assert_eq!(late, BackendChange::Outdated);
+    }
+    assert!(backend.accepts_flows());
+}
+
 #[test]
 fn deregistration_without_report_is_recorded() {
     let mut backend = BackendTracker::default();
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -89,6 +89,9 @@
     PlatformFailed = "platform.failed",
     /// Malformed or oversized HTTP bodies.
     BodiesBad = "http.bad-body",
+    /// Reports and deregistrations of a backend server that were older than the current report,
+    /// and not acknowledged.
+    ReportsOutdated = "reports.outdated",
     /// Items dropped because their ring was full.
     RingFull = "ring.full",
     /// Log lines left out because their flow is not in the sample.
--- a/crates/daemon/src/passthrough_http.rs
+++ b/crates/daemon/src/passthrough_http.rs
@@ -52,10 +52,11 @@
         now: clock::now(),
         age: clock::time_since(report.born_ms),
         uptime: clock::uptime(),
+        report_period: shared.report_period,
     };
     let change = shared.backend().record_report(report, timing);
     shared.record_backend_change(change, "report", name);
-    Ok(Json(serde_json::json!({})))
+    acknowledge(change)
 }
 
 #[delete("/v1/backend/<name>", data = "<body>")]
@@ -67,10 +68,19 @@
     let bytes = read_report_body(shared, name, body).await?;
     let born_ms = decode_deregistration(&bytes).map_err(|error| reject(shared, name, &error))?;
     let change = shared.backend().record_deregistration(name, born_ms);
-    if change != BackendChange::Outdated {
-        shared.record_backend_change(change, "farewell", name);
+    shared.record_backend_change(change, "farewell", name);
+    acknowledge(change)
+}
+
+// Acknowledges what has an effect, or had it before. A backend server whose report has none must
+// not rely on it: it would leave while flows still come.
+fn acknowledge(change: BackendChange) -> Result<Json<serde_json::Value>, Status> {
+    match change {
+        BackendChange::Outdated => Err(Status::Conflict),
+        BackendChange::Same | BackendChange::NewLife | BackendChange::Changed => {
+            Ok(Json(serde_json::json!({})))
+        }
     }
-    Ok(Json(serde_json::json!({})))
 }
 
 // Counts and logs a report or deregistration that names no backend server which can run here.
--- a/crates/daemon/src/passthrough_side.rs
+++ b/crates/daemon/src/passthrough_side.rs
@@ -14,7 +14,7 @@
 };
 use chestnutlb_wire::status::SideStatus;
 
-use crate::metrics::CounterSet;
+use crate::metrics::{Counter, CounterSet};
 use crate::packet_format::PacketFormat;
 use crate::passthrough_control::PassthroughControl;
 use crate::passthrough_http::server;
@@ -44,7 +44,8 @@
     pub settings: Arc<SideSettings>,
     /// What its settings say of the backend server.
     pub identity: BackendIdentity,
-    report_period: Option<Duration>,
+    /// Interval between two reports of the backend server; `None` if it is not known.
+    pub report_period: Option<Duration>,
     /// Whether the process has received a stop signal.
     pub stopping: AtomicBool,
     /// Number of flows in the flow table.
@@ -85,14 +86,16 @@
         self.backend.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Logs a change by a report or deregistration of the backend server, and counts a
-    /// new backend epoch.
+    /// Logs a change by a report or deregistration of the backend server, or that it was
+    /// outdated, and counts both that and a new backend epoch.
     pub fn record_backend_change(&self, change: BackendChange, cause: &str, name: &str) {
-        if change == BackendChange::NewLife {
-            self.backend_epochs.fetch_add(1, Ordering::Relaxed);
-        }
-        if change == BackendChange::Same {
-            return;
+        match change {
+            BackendChange::NewLife => {
+                self.backend_epochs.fetch_add(1, Ordering::Relaxed);
+            }
+            BackendChange::Outdated => self.counters.add(Counter::ReportsOutdated),
+            BackendChange::Changed => {}
+            BackendChange::Same => return,
         }
         let backend = self.backend();
         let current = backend.current();
--- a/crates/standin/tests/passthrough.rs
+++ b/crates/standin/tests/passthrough.rs
@@ -344,6 +344,32 @@
     assert!(statuses.iter().all(|status| *status == 400), "{statuses:?}");
 }
 
+// Guards against new flows at a backend server that drains: its reports were acknowledged without
+// effect after a complete report of a later epoch, which no backend server sends again.
+#[test]
+fn draining_is_acknowledged_only_once_it_has_an_effect() {
+    let period = Some(REPORT_PERIOD);
+    let setup = TestSetup::start_with_report_period("passthrough-later-epoch", period);
+    setup.report("ready", 1);
+    let later = setup.report_body("ready", 1, 200);
+    assert_eq!(setup.send_report("other", &later), 200);
+    let start = Instant::now();
+    let mut replies = Vec::new();
+    for sequence in 2.. {
+        let draining = setup.report_body("draining", sequence, 100);
+        replies.push(setup.send_report("b-1", &draining));
+        if replies.ends_with(&[200]) || start.elapsed() >= TEST_TIMEOUT {
+            break;
+        }
+        std::thread::sleep(REPORT_PERIOD);
+    }
+    assert_eq!(replies.last(), Some(&200));
+    let packets = build_handshake(4011);
+    setup.send_packet(&packets.syn);
+    assert_eq!(receive_forwarded(&setup.next_host), packets.syn);
+    assert_eq!(replies.first(), Some(&409));
+}
+
 #[test]
 fn metrics_route_serves_counters_and_quantiles() {
     let setup = TestSetup::start("passthrough-metrics");
