An object of another program no longer makes a list of the store unreadable

Cause: an answer was decoded at once, so that an item which can't be decoded made the whole answer an error.

Ruled out: the depth limit of the library (without it a deeper object ends the process by its stack), and decoding items as values in a first pass (the limit holds for the answer as a whole, and each list would be held twice).

Change: the body of an answer is kept as text, and each object, its content and each entry of a list are decoded from their part of it: in lists, events, single objects and the answers of conflicts alike, for the project's own object API too. Bytes that are no UTF-8 spoil the parts that contain them. An object whose content can't be read is still listed, with null as content, so that it does not count as deleted. The parts left out are counted (http.bad-body) and logged once an update. The text and the decoded content are the only copies. Bodies of more than 16 MiB are refused. An own object whose name is not that of a data centre is no document.

--- a/crates/daemon/src/entry_store.rs
+++ b/crates/daemon/src/entry_store.rs
@@ -205,7 +205,12 @@
         events.push(event);
     };
     let list = match update {
-        FeedUpdate::Versions { list, has_all } => {
+        FeedUpdate::Versions {
+            list,
+            has_all,
+            unreadable,
+        } => {
+            report_unreadable(unreadable, counters);
             let list = document_versions(&list);
             if has_all {
                 all_listed(list.iter().map(|(id, _)| id.clone()).collect(), None);
@@ -216,8 +221,10 @@
             objects,
             has_all,
             first_era,
+            unreadable,
             ..
         } => {
+            report_unreadable(unreadable, counters);
             if has_all {
                 let listed = objects.iter().map(|object| object.id.clone());
                 all_listed(listed.collect(), first_era);
@@ -231,6 +238,14 @@
     events.push(ControlEvent::VersionsListed { list, stale });
 }
 
+// Counts and logs the objects of an update that were left out.
+fn report_unreadable(objects: usize, counters: &CounterSet) {
+    if objects > 0 {
+        counters.add_many(Counter::BodiesBad, objects as u64);
+        log::warn!(target: "platform", objects = objects; "unreadable objects left out");
+    }
+}
+
 // Parses an object of a feed and sends its document to the control thread.
 fn load_object(object: FeedObject, events: &EventRing, counters: &CounterSet) {
     let id = object.id.clone();
--- a/crates/store/src/calls.rs
+++ b/crates/store/src/calls.rs
@@ -36,6 +36,8 @@
         list: ObjectList,
         /// Whether these are all objects of the store.
         has_all: bool,
+        /// Number of entries that can't be read and were left out.
+        unreadable: usize,
     },
     /// The objects themselves.
     Objects {
@@ -48,6 +50,9 @@
         /// Era in which the first roster was written, if these are all objects and the store
         /// has recorded it.
         first_era: Option<StoreEra>,
+        /// Number of objects that can't be read, such as those of other programs, and were left
+        /// out.
+        unreadable: usize,
     },
 }
 
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -3,19 +3,19 @@
 //! a `Result`: a write whose response was lost is neither a success nor a
 //! failure.
 
-use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use compact_str::CompactString;
 use quick_error::quick_error;
+use serde::Deserialize;
+use serde_json::value::RawValue;
 
-use serde::de::DeserializeOwned;
-
-use chestnutlb_core::{DocumentId, ObjectVersion, StoreEra, StoreRevision};
+use chestnutlb_core::{DocumentId, ObjectVersion};
 use chestnutlb_wire::object::ERA_HEADER;
+use chestnutlb_wire::object::ObjectListEntry;
 use chestnutlb_wire::{ObjectList, ObjectReply, WriteReply};
 
+use crate::answer::{EraReader, StoreAnswer};
 use crate::calls::{FeedIndex, FeedUpdate, StoreCalls};
 
 /// Timeout of a call other than a watch.
@@ -63,93 +63,22 @@
     Unknown(StoreError),
 }
 
-/// An answer of a store with the era that it names.
+// An object list whose entries are decoded one by one.
 #[derive(Debug)]
-pub struct StoreAnswer {
-    /// The era, zero if the answer names none.
-    pub era: StoreEra,
-    response: ureq::Response,
+#[derive(Deserialize)]
+struct ListBody<'a> {
+    revision: u64,
+    #[serde(borrow)]
+    objects: Vec<&'a RawValue>,
 }
 
-impl StoreAnswer {
-    /// Returns the status.
-    pub fn status(&self) -> u16 {
-        self.response.status()
-    }
-
-    /// Returns the version that a revision in this answer stands for.
-    pub fn version(era: StoreEra, revision: u64) -> Result<ObjectVersion, StoreError> {
-        ObjectVersion::new(era, StoreRevision(revision)).map_err(format_error)
-    }
-
-    /// Decodes the body of a successful answer; any other status is an error.
-    pub fn read<T: DeserializeOwned>(self) -> Result<T, StoreError> {
-        match self.status() {
-            200..300 => self.read_body(),
-            status => Err(StoreError::Status(status)),
-        }
-    }
-
-    /// Decodes the body, whatever the status.
-    pub fn read_body<T: DeserializeOwned>(self) -> Result<T, StoreError> {
-        self.response.into_json().map_err(format_error)
-    }
-}
-
-/// Reads the era of each answer and remembers the latest. Clones share it.
-#[derive(Debug, Clone)]
-pub struct EraReader {
-    header: &'static str,
-    latest: Arc<AtomicU64>,
-}
-
-impl EraReader {
-    /// Creates a reader of the header with this name.
-    pub fn new(header: &'static str) -> Self {
-        Self {
-            header,
-            latest: Arc::default(),
-        }
-    }
-
-    /// Returns the latest era that an answer named.
-    pub fn latest(&self) -> StoreEra {
-        StoreEra(self.latest.load(Ordering::SeqCst))
-    }
-
-    /// Returns whether a later era than that of the version is known. An object that does not
-    /// exist is the same in all eras.
-    pub fn is_outdated(&self, version: ObjectVersion) -> bool {
-        !version.is_absent() && version.era() < self.latest()
-    }
-
-    /// Stands for the version of an object that has not been read in the latest era.
-    pub fn unread_version(&self) -> ObjectVersion {
-        StoreAnswer::version(self.latest(), 0).unwrap_or_default()
-    }
-
-    /// Reads the era of an answer, whatever its status.
-    pub fn read(
-        &self,
-        result: Result<ureq::Response, ureq::Error>,
-    ) -> Result<StoreAnswer, StoreError> {
-        let response = match result {
-            Ok(response) | Err(ureq::Error::Status(_, response)) => response,
-            Err(error) => return Err(error.into()),
-        };
-        let era = match response.header(self.header) {
-            Some(text) => text.trim().parse().map_err(format_error)?,
-            None => StoreEra(0),
-        };
-        // Rejects an era that does not fit before it is compared with others.
-        StoreAnswer::version(era, 0)?;
-        self.latest.fetch_max(era.0, Ordering::SeqCst);
-        Ok(StoreAnswer { era, response })
-    }
-}
-
-fn format_error(error: impl std::fmt::Display) -> StoreError {
-    StoreError::Format(error.to_string())
+// An object reply whose content is decoded separately.
+#[derive(Debug)]
+#[derive(Deserialize)]
+struct ReplyBody<'a> {
+    version: u64,
+    #[serde(borrow)]
+    value: Option<&'a RawValue>,
 }
 
 /// A client of the object API.
@@ -179,6 +108,10 @@
 
     /// Lists all objects with their versions.
     pub fn list(&self) -> Result<ObjectList, StoreError> {
+        self.read_list().map(|(list, _)| list)
+    }
+
+    fn read_list(&self) -> Result<(ObjectList, usize), StoreError> {
         let call = self.agent.get(&format!("{}/v1/objects", self.base));
         let answer = self.eras.read(call.timeout(CALL_TIMEOUT).call())?;
         read_object_list(answer)
@@ -190,7 +123,7 @@
         &self,
         after: ObjectVersion,
         wait: Duration,
-    ) -> Result<Option<ObjectList>, StoreError> {
+    ) -> Result<Option<(ObjectList, usize)>, StoreError> {
         if after.era() < self.eras.latest() {
             return Ok(None);
         }
@@ -212,10 +145,11 @@
         answer: StoreAnswer,
     ) -> Result<WriteOutcome, StoreError> {
         let (era, status) = (answer.era, answer.status());
-        let reply: WriteReply = match status {
+        let body = match status {
             409 => answer.read_body()?,
             _ => answer.read()?,
         };
+        let reply: WriteReply = body.decode()?;
         let version = StoreAnswer::version(era, reply.version)?;
         if status == 409 {
             return Ok(WriteOutcome::Conflict(version, None));
@@ -248,11 +182,15 @@
             Some(after) => self.watch(after, wait)?,
         };
         let has_all = changes.is_none();
-        let list = match changes {
+        let (list, unreadable) = match changes {
             Some(changes) => changes,
-            None => self.list()?,
+            None => self.read_list()?,
         };
-        Ok(FeedUpdate::Versions { list, has_all })
+        Ok(FeedUpdate::Versions {
+            list,
+            has_all,
+            unreadable,
+        })
     }
 
     fn read(&self, id: &DocumentId) -> Result<Option<ObjectReply>, StoreError> {
@@ -262,9 +200,12 @@
             return Ok(None);
         }
         let era = answer.era;
-        let mut reply: ObjectReply = answer.read()?;
-        reply.version = StoreAnswer::version(era, reply.version)?.0;
-        Ok(Some(reply))
+        let body = answer.read()?;
+        let reply: ReplyBody = body.decode()?;
+        Ok(Some(ObjectReply {
+            version: StoreAnswer::version(era, reply.version)?.0,
+            value: body.content(reply.value),
+        }))
     }
 
     fn write(
@@ -288,15 +229,20 @@
     }
 }
 
-// Reads a list, with the era in all its versions.
-fn read_object_list(answer: StoreAnswer) -> Result<ObjectList, StoreError> {
+// Reads a list, with the era in all its versions, and the number of entries that can't be read.
+fn read_object_list(answer: StoreAnswer) -> Result<(ObjectList, usize), StoreError> {
     let era = answer.era;
-    let mut list: ObjectList = answer.read()?;
-    list.revision = StoreAnswer::version(era, list.revision)?.0;
-    for object in &mut list.objects {
+    let body = answer.read()?;
+    let list: ListBody = body.decode()?;
+    let (mut objects, unreadable): (Vec<ObjectListEntry>, usize) = body.parts(&list.objects);
+    for object in &mut objects {
         object.version = StoreAnswer::version(era, object.version)?.0;
     }
-    Ok(list)
+    let list = ObjectList {
+        revision: StoreAnswer::version(era, list.revision)?.0,
+        objects,
+    };
+    Ok((list, unreadable))
 }
 
 impl From<ureq::Error> for StoreError {
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -13,12 +13,14 @@
 //! # Ok::<(), chestnutlb_store::StoreError>(())
 //! ```
 
+pub mod answer;
 pub mod calls;
 pub mod client;
 pub mod commit;
 pub mod objects;
 
+pub use answer::{AnswerBody, EraReader, StoreAnswer};
 pub use calls::{FeedIndex, FeedObject, FeedPosition, FeedStep, FeedUpdate, StoreCalls};
-pub use client::{EraReader, StoreAnswer, StoreClient, StoreError, WriteOutcome};
+pub use client::{StoreClient, StoreError, WriteOutcome};
 pub use commit::{CommitOutcome, CommitPlan, CurrentManifest};
 pub use objects::{EditOutcome, LoadedDocument};
--- a/crates/store/tests/eras.rs
+++ b/crates/store/tests/eras.rs
@@ -131,7 +131,7 @@
             .fetch_updates(FeedIndex(0), after, WAIT)
             .unwrap()
         {
-            FeedUpdate::Versions { list, has_all } => {
+            FeedUpdate::Versions { list, has_all, .. } => {
                 let versions = list.objects.iter().map(|o| ObjectVersion(o.version));
                 (ObjectVersion(list.revision), versions.collect(), has_all)
             }
--- a/crates/store/tests/http/mod.rs
+++ b/crates/store/tests/http/mod.rs
@@ -43,12 +43,17 @@
 }
 
 /// Writes an answer. `headers` are whole lines, each with its line end.
-pub fn write_answer(mut stream: &TcpStream, status: u16, headers: &str, reply: &Value) {
-    let reply = reply.to_string();
-    // The client may have closed the connection.
-    let _ = write!(
-        stream,
-        "HTTP/1.1 {status} x\r\n{headers}Content-Length: {}\r\nConnection: close\r\n\r\n{reply}",
-        reply.len()
+pub fn write_answer(stream: &TcpStream, status: u16, headers: &str, reply: &Value) {
+    write_body(stream, status, headers, reply.to_string().as_bytes());
+}
+
+/// Writes an answer with a body of any bytes.
+pub fn write_body(mut stream: &TcpStream, status: u16, headers: &str, body: &[u8]) {
+    let head = format!(
+        "HTTP/1.1 {status} x\r\n{headers}Content-Length: {}\r\nConnection: close\r\n\r\n",
+        body.len()
     );
+    // The client may have closed the connection.
+    let _ = stream.write_all(head.as_bytes());
+    let _ = stream.write_all(body);
 }
