A record that can't be read no longer makes a roster unreadable

The roster was not used any more by any entry VM, and no edit of it succeeded.

Cause: "a single invalid item makes the whole object invalid, since an incomplete roster is worse than an outdated one". That holds for the record in question, not for the others: an outdated roster lacks every host that joins. Edits decoded the list in the same way and failed for good. A record nested deeply or with a number too large made the content as a whole unreadable, which after a start of all entry VMs leaves them without hosts.

Ruled out: dropping such records alone. The verdict on flows without an owner depends on rosters that name every possible owner; a leaving host that the roster lacks counts as departed, and an entry VM that has just started would not know the host at all. Dropping them by the next edit: the roster would look complete while it lacks a living host.

Change: rosters and members are decoded record by record, and content that can't be read level by level down to the fields of a record. Where the last readable record is held it stays in force, and is written again within a second; so is a whole roster that can't be read. While a roster has such a record it does not count as naming every owner. Edits keep the records that stand for no known host; they are removed once no flow of a silent host could live.

--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -28,6 +28,7 @@
 use crate::roster::HostRecord;
 use crate::timer::{TimerKind, TimerService};
 use crate::units::TimePoint;
+use crate::unreadable_items::DamagedDocument;
 use crate::view::RoutingView;
 use crate::view_builder::ViewBuilder;
 
@@ -104,6 +105,8 @@
     // Maximum age of passthrough flows, if silent hosts stay listed for it.
     pub(crate) flow_age: Option<Duration>,
     pub(crate) documents: DocumentStore,
+    // Documents that the platform has with items that can't be read.
+    pub(crate) damaged: BTreeMap<DocumentId, DamagedDocument>,
     pub(crate) timers: TimerService,
     pub(crate) tracker: HostTracker,
     pub(crate) entry_monitor: EntryMonitor,
@@ -152,6 +155,7 @@
             seeds,
             flow_age: None,
             documents: DocumentStore::default(),
+            damaged: BTreeMap::new(),
             timers,
             tracker: HostTracker::default(),
             entry_monitor: EntryMonitor::default(),
@@ -341,8 +345,18 @@
             }
             ControlEvent::Loaded { id, version, items } => {
                 self.end_job(&id);
+                self.damaged.remove(&id);
                 self.replace_document(id, version, items, now, &mut actions);
             }
+            ControlEvent::LoadedPartly {
+                id,
+                version,
+                items,
+                unreadable,
+            } => {
+                self.end_job(&id);
+                self.on_loaded_partly(id, version, items, &unreadable, now, &mut actions);
+            }
             ControlEvent::AllListed {
                 version,
                 listed,
--- a/crates/core/src/control_documents.rs
+++ b/crates/core/src/control_documents.rs
@@ -15,6 +15,7 @@
 use crate::members::EntryRecord;
 use crate::roster::HostRecord;
 use crate::units::TimePoint;
+use crate::unreadable_items::{DamagedDocument, UnreadableItems};
 use crate::view::RosterCoverage;
 
 impl EntryControl {
@@ -48,7 +49,7 @@
 
     // The rosters name every possible owner of a passthrough flow as long as the store was never
     // restored: a silent host stays listed until no flow of it can live, and a host in no roster
-    // gets no flows in a large fleet.
+    // gets no flows in a large fleet. Records that can't be read may be those of owners.
     pub(crate) fn on_first_era(
         &mut self,
         first_era: Option<StoreEra>,
@@ -64,7 +65,7 @@
             actions.push(ControlAction::RecordFirstEra(era));
         }
         self.view_builder.set_roster_coverage(
-            if first_era == Some(era) && self.flow_age.is_some() {
+            if first_era == Some(era) && self.flow_age.is_some() && !self.has_damaged_roster() {
                 RosterCoverage::AllOwners
             } else {
                 RosterCoverage::Unknown
@@ -94,6 +95,42 @@
         }
     }
 
+    fn has_damaged_roster(&self) -> bool {
+        self.damaged
+            .keys()
+            .any(|id| id.kind == DocumentKind::Roster)
+    }
+
+    // Replaces a document by a version with items that can't be read. The items held here that
+    // they may stand for stay in force.
+    pub(crate) fn on_loaded_partly(
+        &mut self,
+        id: DocumentId,
+        version: ObjectVersion,
+        mut items: Vec<DocumentItem>,
+        unreadable: &UnreadableItems,
+        now: TimePoint,
+        actions: &mut Vec<ControlAction>,
+    ) {
+        if version < self.documents.version(&id) {
+            return;
+        }
+        let held = self.documents.get(&id);
+        let held = held.map_or_else(Vec::new, |held| unreadable.held_items(held, &items));
+        let since = self.damaged.get(&id).map_or(now, |damaged| damaged.since);
+        let damaged = DamagedDocument {
+            since,
+            held: held.iter().map(DocumentItem::key).collect(),
+        };
+        self.damaged.insert(id.clone(), damaged);
+        if id.kind == DocumentKind::Roster {
+            self.view_builder
+                .set_roster_coverage(RosterCoverage::Unknown);
+        }
+        items.extend(held);
+        self.replace_document(id, version, items, now, actions);
+    }
+
     pub(crate) fn replace_document(
         &mut self,
         id: DocumentId,
--- a/crates/core/src/control_duties.rs
+++ b/crates/core/src/control_duties.rs
@@ -10,12 +10,13 @@
 use crate::document::{DocumentId, DocumentItem, DocumentKind, DocumentStore};
 use crate::events::{ControlAction, MemberEdit};
 use crate::host_tracker::{GONE_AFTER, LAST_FLOW_DELAY, RosterEdit, SUSPECT_AFTER};
-use crate::ids::DatacenterName;
+use crate::ids::{DatacenterName, ObjectVersion};
 use crate::manifest::ServiceKind;
 use crate::members::{EntryRecord, RANK_DELAY};
 use crate::roster::HostRecord;
 use crate::timer::TimerKind;
 use crate::units::TimePoint;
+use crate::unreadable_items::DamagedDocument;
 
 impl EntryControl {
     pub(crate) fn on_tick(
@@ -138,6 +139,33 @@
         if std::mem::take(&mut self.roster_scan_due) {
             self.track_roster_hosts(now);
         }
+        self.repair_damaged_documents(now, actions);
+    }
+
+    // Writes the items again that are held in place of those that can't be read. Items that stand
+    // for none are removed once no flow of a host that they might stand for can live.
+    fn repair_damaged_documents(&mut self, now: TimePoint, actions: &mut Vec<ControlAction>) {
+        let kept_for = self.flow_age.unwrap_or(GONE_AFTER) + LAST_FLOW_DELAY;
+        let repairs: Vec<(DocumentId, Vec<DocumentItem>)> = self
+            .damaged
+            .iter()
+            .map(|(id, damaged)| (id, damaged, self.held_items(id, damaged)))
+            .filter(|(_, damaged, held)| !held.is_empty() || now.since(damaged.since) >= kept_for)
+            .map(|(id, _, held)| (id.clone(), held))
+            .collect();
+        for (id, held) in repairs {
+            if self.claim_document(&id, now) {
+                let base = self.documents.version(&id);
+                actions.push(repair_action(id, base, held));
+            }
+        }
+    }
+
+    fn held_items(&self, id: &DocumentId, damaged: &DamagedDocument) -> Vec<DocumentItem> {
+        let document = self.documents.get(id);
+        let held = damaged.held.iter();
+        held.filter_map(|key| document?.item(key).cloned())
+            .collect()
     }
 
     // Starts to track the roster hosts for which this entry VM is a tracker, including
@@ -166,6 +194,29 @@
     }
 }
 
+// Returns the write that repairs a document: of the items held, or without the items that can't
+// be read if none is.
+fn repair_action(id: DocumentId, base: ObjectVersion, held: Vec<DocumentItem>) -> ControlAction {
+    let mut roster_edits = Vec::new();
+    let mut member_edits = Vec::new();
+    for item in held {
+        match item {
+            DocumentItem::Host(record) => {
+                roster_edits.push(RosterEdit::Put(HostRecord::clone(&record)));
+            }
+            DocumentItem::Entry(record) => member_edits.push(MemberEdit::Put(record)),
+            DocumentItem::Grant(..) | DocumentItem::Service(_) => {}
+        }
+    }
+    if !roster_edits.is_empty() {
+        ControlAction::WriteRoster(id, base, roster_edits)
+    } else if !member_edits.is_empty() {
+        ControlAction::WriteMembers(id, base, member_edits)
+    } else {
+        ControlAction::RemoveUnreadable(id, base)
+    }
+}
+
 // The host of a service that no manifest has may own flows too.
 fn may_own_passthrough_flows(documents: &DocumentStore, record: &HostRecord) -> bool {
     let service = documents.service(&record.service);
--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -9,6 +9,7 @@
 use crate::members::EntryRecord;
 use crate::roster::HostRecord;
 use crate::timer::TimerKind;
+use crate::unreadable_items::UnreadableItems;
 
 /// A change to the members document of a data centre.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -89,6 +90,18 @@
         /// Its items.
         items: Vec<DocumentItem>,
     },
+    /// The platform answered a read of a roster or members document, of which a part can't be
+    /// read.
+    LoadedPartly {
+        /// The document.
+        id: DocumentId,
+        /// Its version.
+        version: ObjectVersion,
+        /// Its other items.
+        items: Vec<DocumentItem>,
+        /// The items that can't be read.
+        unreadable: UnreadableItems,
+    },
     /// The platform listed all rosters and members documents that it has.
     AllListed {
         /// Version of the store at the time of the list.
@@ -132,6 +145,8 @@
     /// Write edits to a members document. The version is that of the document that they are
     /// based on.
     WriteMembers(DocumentId, ObjectVersion, Vec<MemberEdit>),
+    /// Write a document of this version without the items that can't be read.
+    RemoveUnreadable(DocumentId, ObjectVersion),
     /// Record the era of the store in which the first roster is written.
     RecordFirstEra(StoreEra),
     /// Start or stop watching the platform.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -50,6 +50,7 @@
 pub mod slots;
 pub mod timer;
 pub mod units;
+pub mod unreadable_items;
 pub mod view;
 pub mod view_builder;
 
@@ -88,4 +89,5 @@
 pub use slots::{SlotEvent, SlotOffer, SlotPolicy, SlotRefusal, SlotScheduler};
 pub use timer::{TimerKind, TimerService};
 pub use units::{ByteCount, HostWeight, PercentShare, TimePoint};
+pub use unreadable_items::UnreadableItems;
 pub use view::RoutingView;
--- a/crates/daemon/src/entry_control.rs
+++ b/crates/daemon/src/entry_control.rs
@@ -44,6 +44,8 @@
     WriteRoster(DocumentId, ObjectVersion, Vec<RosterEdit>),
     /// Edits the members document of a data centre.
     WriteMembers(DocumentId, ObjectVersion, Vec<MemberEdit>),
+    /// Removes the items of a document that can't be read.
+    RemoveUnreadable(DocumentId, ObjectVersion),
     /// Records the era in which the first roster is written.
     RecordFirstEra(StoreEra),
 }
@@ -208,6 +210,14 @@
                     counters,
                 );
             }
+            ControlAction::RemoveUnreadable(id, base) => {
+                log::warn!(target: "platform", document:% = id; "unreadable items removed");
+                try_push(
+                    &self.rings.store,
+                    StoreJob::RemoveUnreadable(id, base),
+                    counters,
+                );
+            }
             ControlAction::RecordFirstEra(era) => {
                 try_push(&self.rings.store, StoreJob::RecordFirstEra(era), counters);
             }
--- a/crates/daemon/src/entry_store.rs
+++ b/crates/daemon/src/entry_store.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
 
+use compact_str::CompactString;
 use crossbeam_channel::Receiver;
 
 use chestnutlb_core::{ControlEvent, DocumentId, DocumentPatch, ObjectVersion, StoreEra};
@@ -21,6 +22,7 @@
 use crate::entry_http::EntryShared;
 use crate::event_ring::EventRing;
 use crate::http::read_body;
+use crate::logs::LoggedVersion;
 use crate::metrics::{Counter, CounterSet};
 
 /// Delay after a failed call to the platform or a stale reply.
@@ -48,6 +50,9 @@
 /// Interval at which a thread whose watch is disabled checks whether it was enabled.
 const DISABLED_POLL_PERIOD: Duration = Duration::from_millis(100);
 
+/// Maximum number of names of unreadable items in one log line.
+const MAX_LOGGED_NAMES: usize = 8;
+
 /// Timeout of a pull.
 const PULL_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -63,6 +68,9 @@
         let (id, loaded) = match job {
             StoreJob::Load(id) => {
                 let loaded = objects::load(client, &id).map_err(|error| error.to_string());
+                if let Ok(Some(loaded)) = &loaded {
+                    report_unreadable_items(&id, loaded, counters);
+                }
                 (id, loaded)
             }
             StoreJob::WriteRoster(id, base, edits) => {
@@ -73,15 +81,17 @@
                 let outcome = objects::edit_members(client, &id, base, &edits);
                 (id, edit_result(outcome))
             }
+            StoreJob::RemoveUnreadable(id, base) => {
+                let outcome = objects::remove_unreadable(client, &id, base);
+                (id, edit_result(outcome))
+            }
             StoreJob::RecordFirstEra(era) => {
                 record_first_era(client, era, counters);
                 continue;
             }
         };
         let event = match loaded {
-            Ok(Some(LoadedDocument { version, items })) => {
-                ControlEvent::Loaded { id, version, items }
-            }
+            Ok(Some(loaded)) => loaded_event(id, loaded),
             Ok(None) => ControlEvent::WriteFinished(id),
             Err(cause) => {
                 counters.add(Counter::PlatformFailed);
@@ -94,6 +104,46 @@
     }
 }
 
+fn loaded_event(id: DocumentId, loaded: LoadedDocument) -> ControlEvent {
+    let LoadedDocument {
+        version,
+        items,
+        unreadable,
+    } = loaded;
+    if unreadable.is_empty() {
+        ControlEvent::Loaded { id, version, items }
+    } else {
+        ControlEvent::LoadedPartly {
+            id,
+            version,
+            items,
+            unreadable,
+        }
+    }
+}
+
+// Counts and logs the items of a document that were left out.
+fn report_unreadable_items(id: &DocumentId, loaded: &LoadedDocument, counters: &CounterSet) {
+    let unreadable = &loaded.unreadable;
+    if unreadable.is_empty() {
+        return;
+    }
+    counters.add_many(Counter::BodiesBad, unreadable.count() as u64);
+    let names: Vec<&str> = unreadable
+        .keys
+        .iter()
+        .take(MAX_LOGGED_NAMES)
+        .map(CompactString::as_str)
+        .collect();
+    log::warn!(
+        target: "platform",
+        document:% = id, version = LoggedVersion::from(loaded.version),
+        readable = loaded.items.len(), unreadable = unreadable.count(),
+        names = names.join(" ").as_str(), whole = unreadable.is_whole;
+        "unreadable items left out"
+    );
+}
+
 type JobResult = Result<Option<LoadedDocument>, String>;
 
 // A failed call is not repeated: the next list without a roster causes another one.
@@ -250,8 +300,9 @@
 fn load_object(object: FeedObject, events: &EventRing, counters: &CounterSet) {
     let id = object.id.clone();
     match objects::parse_feed_object(object) {
-        Ok(LoadedDocument { version, items }) => {
-            events.push(ControlEvent::Loaded { id, version, items });
+        Ok(loaded) => {
+            report_unreadable_items(&id, &loaded, counters);
+            events.push(loaded_event(id, loaded));
         }
         Err(error) => {
             counters.add(Counter::BodiesBad);
--- a/crates/store/src/answer.rs
+++ b/crates/store/src/answer.rs
@@ -1,5 +1,6 @@
 //! Answers of a store: the era that each names, and bodies that are decoded in parts.
 
+use std::collections::BTreeMap;
 use std::io::Read;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -16,6 +17,10 @@
 /// no larger.
 const MAX_BODY_BYTES: u64 = 16 << 20;
 
+/// Levels at which a part of an object that can't be read leaves the rest in use: the fields of
+/// the object, the records of a list and the fields of a record.
+const CONTENT_LEVELS: usize = 3;
+
 fn format_error(error: impl std::fmt::Display) -> StoreError {
     StoreError::Format(error.to_string())
 }
@@ -113,11 +118,34 @@
         (decoded, unreadable)
     }
 
-    /// Decodes the content of an object. Null stands for content that can't be read: whoever
-    /// uses the object has to learn that it exists.
+    /// Decodes the content of an object. Null stands for what can't be read in it, down to a
+    /// field of a record in a list: whoever uses the object has to learn that it exists.
     pub fn content(&self, part: Option<&RawValue>) -> Value {
-        part.and_then(|part| self.part(part).ok())
-            .unwrap_or_default()
+        part.map_or(Value::Null, |part| {
+            self.readable_value(part, CONTENT_LEVELS)
+        })
+    }
+
+    fn readable_value(&self, part: &RawValue, levels: usize) -> Value {
+        if let Ok(value) = self.part(part) {
+            return value;
+        }
+        if levels == 0 {
+            return Value::Null;
+        }
+        let readable = |part| self.readable_value(part, levels - 1);
+        if let Ok(fields) = self.envelope::<BTreeMap<String, &RawValue>>(part) {
+            let fields = fields.into_iter();
+            Value::Object(
+                fields
+                    .map(|(name, field)| (name, readable(field)))
+                    .collect(),
+            )
+        } else if let Ok(items) = self.envelope::<Vec<&RawValue>>(part) {
+            Value::Array(items.into_iter().map(readable).collect())
+        } else {
+            Value::Null
+        }
     }
 }
 
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod client;
 pub mod commit;
 pub mod objects;
+mod stored_list;
 
 pub use answer::{AnswerBody, EraReader, StoreAnswer};
 pub use calls::{FeedIndex, FeedObject, FeedPosition, FeedStep, FeedUpdate, StoreCalls};
--- a/crates/store/src/objects.rs
+++ b/crates/store/src/objects.rs
@@ -1,19 +1,22 @@
 //! Conversion of the platform's objects into documents, and edits of rosters and
 //! members.
 
+use std::sync::Arc;
+
 use compact_str::CompactString;
 use serde::de::DeserializeOwned;
+use serde_json::Value;
 
 use chestnutlb_core::{
     DocumentId, DocumentItem, DocumentKind, FirmManifest, MemberEdit, ObjectVersion, RosterEdit,
+    UnreadableItems,
 };
 use chestnutlb_wire::manifest::shared_services;
-use chestnutlb_wire::{
-    ManifestObject, ObjectReply, WireEntry, WireGrants, WireHost, WireItem, WireMembers, WireRoster,
-};
+use chestnutlb_wire::{ManifestObject, ObjectReply, WireGrants, WireItem};
 
 use crate::calls::{FeedObject, StoreCalls};
 use crate::client::{StoreError, WriteOutcome};
+use crate::stored_list::StoredList;
 
 /// Number of conflicts after which an edit ends with [`EditOutcome::Conflict`].
 const MAX_CONFLICTS: usize = 5;
@@ -26,37 +29,38 @@
     serde_json::from_value(value).map_err(format_error)
 }
 
-/// Parses an object into the items of a document.
-///
-/// A single invalid item makes the whole object invalid, since an incomplete
-/// roster is worse than an outdated one.
-pub fn parse_items(
-    kind: DocumentKind,
-    value: serde_json::Value,
-) -> Result<Vec<DocumentItem>, StoreError> {
-    let wire: Vec<WireItem> = match kind {
+// Parses an object into a document of this version.
+//
+// A manifest and grants, which operators commit, are valid as a whole. Rosters and members may
+// contain items of other programs, which are left out.
+fn parse_document(
+    id: &DocumentId,
+    version: ObjectVersion,
+    value: Value,
+) -> Result<LoadedDocument, StoreError> {
+    let items = match id.kind {
         DocumentKind::Manifest => {
             let object: ManifestObject = parse_value(value)?;
             let manifest = FirmManifest::try_from(&object.manifest).map_err(format_error)?;
             let services = shared_services(manifest);
-            return Ok(services.into_iter().map(DocumentItem::Service).collect());
+            services.into_iter().map(DocumentItem::Service).collect()
         }
         DocumentKind::Grants => {
             let object: WireGrants = parse_value(value)?;
-            object.grants.into_iter().map(WireItem::Grant).collect()
-        }
-        DocumentKind::Roster => {
-            let object: WireRoster = parse_value(value)?;
-            object.hosts.into_iter().map(WireItem::Host).collect()
+            let grants = object.grants.into_iter().map(WireItem::Grant);
+            grants
+                .map(|grant| DocumentItem::try_from(&grant).map_err(format_error))
+                .collect::<Result<_, _>>()?
         }
-        DocumentKind::Members => {
-            let object: WireMembers = parse_value(value)?;
-            object.entries.into_iter().map(WireItem::Entry).collect()
+        DocumentKind::Roster | DocumentKind::Members => {
+            return Ok(StoredList::new(id, Some(value)).into_document(version));
         }
     };
-    wire.iter()
-        .map(|item| DocumentItem::try_from(item).map_err(format_error))
-        .collect()
+    Ok(LoadedDocument {
+        version,
+        items,
+        unreadable: UnreadableItems::default(),
+    })
 }
 
 /// A document that was read or written.
@@ -66,14 +70,13 @@
     pub version: ObjectVersion,
     /// Items of the document.
     pub items: Vec<DocumentItem>,
+    /// Items that can't be read, only in rosters and members.
+    pub unreadable: UnreadableItems,
 }
 
 /// Parses an object of a feed into a document.
 pub fn parse_feed_object(object: FeedObject) -> Result<LoadedDocument, StoreError> {
-    Ok(LoadedDocument {
-        version: object.version,
-        items: parse_items(object.id.kind, object.value?)?,
-    })
+    parse_document(&object.id, object.version, object.value?)
 }
 
 /// Reads a document; returns `None` if it does not exist.
@@ -84,10 +87,7 @@
     let Some(reply) = client.read(id)? else {
         return Ok(None);
     };
-    Ok(Some(LoadedDocument {
-        version: ObjectVersion(reply.version),
-        items: parse_items(id.kind, reply.value)?,
-    }))
+    parse_document(id, ObjectVersion(reply.version), reply.value).map(Some)
 }
 
 /// The outcome of an edit of a roster or of members.
@@ -116,34 +116,19 @@
     let is_base =
         |version: ObjectVersion| version == base || (version.is_absent() && base.is_absent());
     edit(client, id, base, |version, value| {
-        let mut roster: WireRoster = value.map_or(Ok(WireRoster::default()), parse_value)?;
+        let mut roster = StoredList::new(id, value);
         for edit in edits {
+            let record = DocumentItem::Host(Arc::new(edit.record().clone()));
             match edit {
-                RosterEdit::Put(record) if is_base(version) => {
-                    put_host(&mut roster.hosts, record.into());
-                }
+                RosterEdit::Put(_) if is_base(version) => roster.put_incarnation(record),
                 RosterEdit::Put(_) => {}
-                RosterEdit::Remove(record) => roster.hosts.retain(|host| {
-                    host.name != record.name.as_str() || host.incarnation > record.incarnation.0
-                }),
+                RosterEdit::Remove(_) => roster.remove(&record),
             }
         }
-        roster
-            .hosts
-            .sort_by(|host, other| host.name.cmp(&other.name));
-        serde_json::to_value(roster).map_err(format_error)
+        roster.into_value()
     })
 }
 
-// Inserts or replaces a host; an earlier incarnation never replaces a later one.
-fn put_host(hosts: &mut Vec<WireHost>, host: WireHost) {
-    match hosts.iter_mut().find(|listed| listed.name == host.name) {
-        Some(listed) if listed.incarnation > host.incarnation => {}
-        Some(listed) => *listed = host,
-        None => hosts.push(host),
-    }
-}
-
 /// Applies edits to the entry VMs of a data centre, which were derived from the version `base`.
 pub fn edit_members(
     client: &dyn StoreCalls,
@@ -152,26 +137,32 @@
     edits: &[MemberEdit],
 ) -> EditOutcome {
     edit(client, id, base, |_, value| {
-        let mut members: WireMembers = value.map_or(Ok(WireMembers::default()), parse_value)?;
+        let mut members = StoredList::new(id, value);
         for edit in edits {
             match edit {
-                MemberEdit::Put(record) => {
-                    let entry = WireEntry::from(record);
-                    members.entries.retain(|listed| listed.name != entry.name);
-                    members.entries.push(entry);
-                }
+                MemberEdit::Put(record) => members.put(DocumentItem::Entry(record.clone())),
                 MemberEdit::Remove(record) => {
-                    let entry = WireEntry::from(record);
-                    members.entries.retain(|listed| {
-                        listed.name != entry.name || listed.incarnation > entry.incarnation
-                    });
+                    members.remove(&DocumentItem::Entry(record.clone()));
                 }
             }
         }
-        members
-            .entries
-            .sort_by(|entry, other| entry.name.cmp(&other.name));
-        serde_json::to_value(members).map_err(format_error)
+        members.into_value()
+    })
+}
+
+/// Removes the records that can't be read from a roster or members document, if it still has the
+/// version `base`.
+pub fn remove_unreadable(
+    client: &dyn StoreCalls,
+    id: &DocumentId,
+    base: ObjectVersion,
+) -> EditOutcome {
+    edit(client, id, base, |version, value| {
+        let mut stored = StoredList::new(id, value);
+        if version == base {
+            stored.remove_unreadable();
+        }
+        stored.into_value()
     })
 }
 
@@ -215,8 +206,8 @@
         };
         match written {
             WriteOutcome::Written(version) => {
-                return match parse_items(id.kind, next) {
-                    Ok(items) => EditOutcome::Done(LoadedDocument { version, items }),
+                return match parse_document(id, version, next) {
+                    Ok(loaded) => EditOutcome::Done(loaded),
                     Err(error) => EditOutcome::Unknown(error),
                 };
             }
--- a/crates/wire/src/records.rs
+++ b/crates/wire/src/records.rs
@@ -1,6 +1,7 @@
 //! Wire types of hosts, entry VMs, documents and document patches.
 
 use std::fmt;
+use std::net::SocketAddrV4;
 use std::sync::Arc;
 
 use compact_str::{CompactString, ToCompactString};
@@ -16,7 +17,17 @@
 use crate::manifest::{DocumentError, WireGrant, WireService, parse_text};
 
 const NAME_FORMAT: &str = "1 to 63 of a-z, 0-9 and '-'";
-const ADDRESS_FORMAT: &str = "an IPv4 address and port";
+const ADDRESS_FORMAT: &str = "an IPv4 address and port, neither of them zero";
+
+// Parses an address at which a process can be reached.
+fn parse_address(path: &str, text: &str) -> Result<SocketAddrV4, DocumentError> {
+    let address: SocketAddrV4 = parse_text(path, text, ADDRESS_FORMAT)?;
+    if address.port() == 0 || address.ip().is_unspecified() {
+        let (found, allowed) = (text.to_owned(), ADDRESS_FORMAT.to_owned());
+        return Err(DocumentError::Value(path.to_owned(), found, allowed));
+    }
+    Ok(address)
+}
 
 /// Record of a host.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -61,8 +72,8 @@
             name: parse_text("name", &wire.name, NAME_FORMAT)?,
             service: parse_text("service", &wire.service, "firm/service")?,
             datacenter: parse_text("datacenter", &wire.datacenter, NAME_FORMAT)?,
-            packets: parse_text("packets", &wire.packets, ADDRESS_FORMAT)?,
-            relays: parse_text("relays", &wire.relays, ADDRESS_FORMAT)?,
+            packets: parse_address("packets", &wire.packets)?,
+            relays: parse_address("relays", &wire.relays)?,
             incarnation: Incarnation(wire.incarnation),
             weight,
             state: parse_text("state", &wire.state, "a state of a host")?,
@@ -111,8 +122,8 @@
         Ok(Self {
             name: parse_text("name", &wire.name, NAME_FORMAT)?,
             datacenter: parse_text("datacenter", &wire.datacenter, NAME_FORMAT)?,
-            peers: parse_text("peers", &wire.peers, ADDRESS_FORMAT)?,
-            status: parse_text("status", &wire.status, ADDRESS_FORMAT)?,
+            peers: parse_address("peers", &wire.peers)?,
+            status: parse_address("status", &wire.status)?,
             incarnation: Incarnation(wire.incarnation),
         })
     }
