A record without a name that stays in a roster stands for no host removed later

An outdated answer ended the repair of a damaged roster.

Ruled out: no such rule for records without a name. A host whose record is damaged in its name, too, would count as departed if it was leaving.

Change: only records without a name that the version before did not have can stand for missing hosts; a version that is read again, or an older one, changes nothing. The log line of a report names the current backend server, whose sequence number and start it has.

Tests: item_without_a_name_that_was_there_before_stands_for_no_host_that_is_removed_later and outdated_answer_does_not_end_the_repair failed before; version_that_is_read_again_changes_nothing held.

--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -345,7 +345,9 @@
             }
             ControlEvent::Loaded { id, version, items } => {
                 self.end_job(&id);
-                self.damaged.remove(&id);
+                if version >= self.documents.version(&id) {
+                    self.damaged.remove(&id);
+                }
                 self.replace_document(id, version, items, now, &mut actions);
             }
             ControlEvent::LoadedPartly {
--- a/crates/core/src/control_documents.rs
+++ b/crates/core/src/control_documents.rs
@@ -112,15 +112,19 @@
         now: TimePoint,
         actions: &mut Vec<ControlAction>,
     ) {
-        if version < self.documents.version(&id) {
+        let before = self.damaged.get(&id);
+        let held_version = self.documents.version(&id);
+        if version < held_version || (version == held_version && before.is_some()) {
             return;
         }
-        let held = self.documents.get(&id);
-        let held = held.map_or_else(Vec::new, |held| unreadable.held_items(held, &items));
-        let since = self.damaged.get(&id).map_or(now, |damaged| damaged.since);
+        let unnamed_before = before.map_or(0, |before| before.unnamed);
+        let held = self.documents.get(&id).map_or_else(Vec::new, |held| {
+            unreadable.held_items(held, &items, unnamed_before)
+        });
         let damaged = DamagedDocument {
-            since,
+            since: before.map_or(now, |before| before.since),
             held: held.iter().map(DocumentItem::key).collect(),
+            unnamed: unreadable.unnamed,
         };
         self.damaged.insert(id.clone(), damaged);
         if id.kind == DocumentKind::Roster {
--- a/crates/core/src/unreadable_items.rs
+++ b/crates/core/src/unreadable_items.rs
@@ -44,19 +44,21 @@
     }
 
     /// Returns the items of an earlier version that these may stand for, if the others are
-    /// `readable`. Items without a key stand for none if more items are missing than there are:
-    /// those were removed.
+    /// `readable`. That version had `unnamed_before` items without a key, which stand for none of
+    /// its other items. Nor do new ones if more items are missing than there are: those were
+    /// removed.
     pub fn held_items(
         &self,
         held: &VersionedDocument,
         readable: &[DocumentItem],
+        unnamed_before: usize,
     ) -> Vec<DocumentItem> {
         let readable: BTreeSet<_> = readable.iter().map(DocumentItem::key).collect();
         let missing = held.items().filter(|item| !readable.contains(&item.key()));
         let (mut stood_for, others): (Vec<_>, Vec<_>) = missing
             .cloned()
             .partition(|item| self.is_whole || self.keys.contains(&item.key()));
-        if others.len() <= self.unnamed {
+        if others.len() <= self.unnamed.saturating_sub(unnamed_before) {
             stood_for.extend(others);
         }
         stood_for
@@ -70,4 +72,6 @@
     pub since: TimePoint,
     /// Keys of the items that are held in place of those that can't be read.
     pub held: Vec<CompactString>,
+    /// Number of items without a key.
+    pub unnamed: usize,
 }
--- a/crates/core/tests/damaged_documents.rs
+++ b/crates/core/tests/damaged_documents.rs
@@ -170,6 +170,44 @@
     assert_eq!(run.listed(), ["host-1"]);
 }
 
+// Guards against a host that has left and is used again: a record without a name that stays in
+// the roster stood for each host that was removed.
+#[test]
+fn item_without_a_name_that_was_there_before_stands_for_no_host_that_is_removed_later() {
+    let mut run = EntryRun::start();
+    run.load_partly(DocumentKind::Roster, hosts(&[1, 2, 3]), unreadable(&[], 1));
+    run.load_partly(DocumentKind::Roster, hosts(&[1, 2]), unreadable(&[], 1));
+    assert_eq!(run.listed(), ["host-1", "host-2"]);
+    assert!(run.writes_within(REPAIR_PERIOD).is_empty());
+}
+
+// The list is read again while the record is still damaged.
+#[test]
+fn version_that_is_read_again_changes_nothing() {
+    let mut run = EntryRun::start();
+    for _ in 0..2 {
+        run.version = 2;
+        run.load_partly(DocumentKind::Roster, hosts(&[1, 2]), unreadable(&[], 1));
+    }
+    assert_eq!(run.listed(), ["host-1", "host-2", "host-3"]);
+    let writes = run.writes_within(REPAIR_PERIOD);
+    assert_eq!(writes, ["roster/honam-1 3: put host-3 serving"]);
+}
+
+#[test]
+fn outdated_answer_does_not_end_the_repair() {
+    let mut run = EntryRun::start();
+    run.load_partly(
+        DocumentKind::Roster,
+        hosts(&[1, 3]),
+        unreadable(&["host-2"], 0),
+    );
+    run.version = 1;
+    run.load(DocumentKind::Roster, hosts(&[1, 2, 3]));
+    let writes = run.writes_within(REPAIR_PERIOD);
+    assert_eq!(writes, ["roster/honam-1 3: put host-2 leaving"]);
+}
+
 #[test]
 fn member_with_a_damaged_record_stays_in_force_and_is_written_again() {
     let mut run = EntryRun::start();
--- a/crates/daemon/src/passthrough_side.rs
+++ b/crates/daemon/src/passthrough_side.rs
@@ -102,6 +102,7 @@
         log::info!(
             target: "host",
             backend = name, cause = cause, news:? = change, takes = backend.accepts_flows(),
+            current = current.map(|report| report.name.as_str()),
             sequence = current.map(|report| report.sequence),
             born_ms = current.map(|report| report.born_ms),
             known_from_start = backend.is_observed_from_start();
