A manifest of the object API is read as a whole or not at all

Found by reading the change before it was landed: since content is decoded level by level, a field of a manifest that can't be read was null, which counts as "not given" for a limit with a default. The documents that operators commit are valid as a whole; rosters and members are not affected.

Test: manifest_is_read_as_a_whole_or_not_at_all failed before.

--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -10,7 +10,7 @@
 use serde::Deserialize;
 use serde_json::value::RawValue;
 
-use chestnutlb_core::{DocumentId, ObjectVersion};
+use chestnutlb_core::{DocumentId, DocumentKind, ObjectVersion};
 use chestnutlb_wire::object::ERA_HEADER;
 use chestnutlb_wire::object::ObjectListEntry;
 use chestnutlb_wire::{ObjectList, ObjectReply, WriteReply};
@@ -204,7 +204,11 @@
         let reply: ReplyBody = body.decode()?;
         Ok(Some(ObjectReply {
             version: StoreAnswer::version(era, reply.version)?.0,
-            value: body.content(reply.value),
+            value: match (id.kind, reply.value) {
+                // Valid as a whole.
+                (DocumentKind::Manifest | DocumentKind::Grants, Some(value)) => body.part(value)?,
+                (_, value) => body.content(value),
+            },
         }))
     }
 
--- a/crates/store/tests/odd_entries.rs
+++ b/crates/store/tests/odd_entries.rs
@@ -60,3 +60,11 @@
     let read = value(b"{\"version\": 5, \"value\": {\"hosts\": [1e999, 7, {\"a\": 1e999}]}}");
     assert_eq!(read, json!({"hosts": [null, 7, {"a": null}]}));
 }
+
+// Guards against a manifest in which a limit that can't be read counts as one that is not given.
+#[test]
+fn manifest_is_read_as_a_whole_or_not_at_all() {
+    let client = start_store(b"{\"version\": 5, \"value\": {\"manifest\": {\"queue\": 1e999}}}");
+    let manifest = DocumentId::new(DocumentKind::Manifest, "dalbit");
+    assert!(client.read(&manifest).is_err());
+}
