Client: commands return a result or an error, and one place prints it

Clean-up: the commands each matched on their result to print it and to choose the exit code, and two of them collected the versions of hosts in the same way. CommandError carries outcome and text, finish() prints either, and highest_versions() serves status and wait.

--- a/crates/client/src/entry_commands.rs
+++ b/crates/client/src/entry_commands.rs
@@ -10,9 +10,9 @@
 
 use chestnutlb_core::{FirmName, ObjectVersion};
 use chestnutlb_wire::records::VersionField;
-use chestnutlb_wire::status::{EntryStatus, FlowExplanation, HopExplanation};
+use chestnutlb_wire::status::{EntryStatus, FlowExplanation, HopExplanation, HostStatus};
 
-use crate::output::{CommandOutcome, print_error, print_result};
+use crate::output::{CommandError, CommandOutcome, finish, print_result};
 
 /// Timeout of one HTTP request to an entry VM.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(2);
@@ -99,6 +99,18 @@
     }
 }
 
+// Returns the highest manifest version that is reported for each host.
+fn highest_versions<'a>(
+    hosts: impl Iterator<Item = &'a HostStatus>,
+) -> BTreeMap<String, ObjectVersion> {
+    let mut versions: BTreeMap<String, ObjectVersion> = BTreeMap::new();
+    for host in hosts {
+        let version = versions.entry(host.name.to_string()).or_default();
+        *version = ObjectVersion(host.manifest).max(*version);
+    }
+    versions
+}
+
 /// Status of one entry VM.
 #[derive(Debug)]
 #[derive(Serialize)]
@@ -169,44 +181,44 @@
 impl StatusOptions {
     /// Prints the state of all entry VMs and hosts.
     pub fn run(&self) -> CommandOutcome {
-        let entry_statuses = match query_entries(self.entry) {
-            Ok(entry_statuses) => entry_statuses,
-            Err(text) => {
-                print_error(self.json, &text);
-                return CommandOutcome::Unknown;
-            }
-        };
-        let mut hosts: BTreeMap<String, u64> = BTreeMap::new();
-        let mut entries = Vec::new();
-        for (name, status) in entry_statuses {
-            let mut row = EntryRow {
-                name,
-                datacenter: String::new(),
-                answers: status.is_some(),
-                age_ms: None,
-                versions: BTreeMap::new(),
-            };
-            if let Some(status) = status {
-                row.datacenter = status.datacenter.to_string();
-                row.age_ms = status.age_ms;
-                for document in &status.documents {
-                    let document_path = format!("{}/{}", document.kind, document.name);
-                    let version = ObjectVersion(document.version);
-                    row.versions.insert(document_path, version.into());
-                }
-                for host in &status.hosts {
-                    let version = hosts.entry(host.name.to_string()).or_insert(host.manifest);
-                    *version = (*version).max(host.manifest);
-                }
-            }
-            entries.push(row);
-        }
+        let result = query_entries(self.entry).map(SystemStatus::from);
+        finish(self.json, result.map_err(CommandError::unknown))
+    }
+}
+
+impl From<Vec<(String, Option<EntryStatus>)>> for SystemStatus {
+    fn from(entry_statuses: Vec<(String, Option<EntryStatus>)>) -> Self {
+        let statuses = entry_statuses
+            .iter()
+            .filter_map(|(_, status)| status.as_ref());
+        let hosts = highest_versions(statuses.flat_map(|status| &status.hosts));
         let hosts = hosts
             .into_iter()
-            .map(|(host, version)| (host, ObjectVersion(version).into()))
-            .collect();
-        print_result(self.json, &SystemStatus { entries, hosts });
-        CommandOutcome::Done
+            .map(|(host, version)| (host, version.into()));
+        Self {
+            hosts: hosts.collect(),
+            entries: entry_statuses.into_iter().map(EntryRow::from).collect(),
+        }
+    }
+}
+
+impl From<(String, Option<EntryStatus>)> for EntryRow {
+    fn from((name, status): (String, Option<EntryStatus>)) -> Self {
+        let versions = |status: &EntryStatus| {
+            let documents = status.documents.iter().map(|document| {
+                let document_path = format!("{}/{}", document.kind, document.name);
+                (document_path, ObjectVersion(document.version).into())
+            });
+            documents.collect()
+        };
+        let status = status.as_ref();
+        Self {
+            name,
+            datacenter: status.map_or_else(String::new, |status| status.datacenter.to_string()),
+            answers: status.is_some(),
+            age_ms: status.and_then(|status| status.age_ms),
+            versions: status.map_or_else(BTreeMap::new, versions),
+        }
     }
 }
 
@@ -277,21 +289,15 @@
         restored: bool,
         waited: Duration,
     ) -> CommandOutcome {
-        match behind {
-            Ok(behind) => {
-                let result = WaitResult {
-                    in_force: false,
-                    after_ms: waited.as_millis() as u64,
-                    behind,
-                    restored,
-                };
-                print_result(self.json, &result);
-                CommandOutcome::NotMet
-            }
-            Err(text) => {
-                print_error(self.json, &text);
-                CommandOutcome::Unknown
-            }
+        let result = behind.map(|behind| WaitResult {
+            in_force: false,
+            after_ms: waited.as_millis() as u64,
+            behind,
+            restored,
+        });
+        match finish(self.json, result.map_err(CommandError::unknown)) {
+            CommandOutcome::Done => CommandOutcome::NotMet,
+            failed => failed,
         }
     }
 
@@ -320,7 +326,6 @@
     // entry VMs whose status can't be read.
     fn find_behind(&self, entry_statuses: &[(String, Option<EntryStatus>)]) -> Vec<String> {
         let mut behind = Vec::new();
-        let mut hosts: BTreeMap<String, u64> = BTreeMap::new();
         for (name, status) in entry_statuses {
             let Some(status) = status else {
                 behind.push(name.clone());
@@ -330,19 +335,17 @@
             if !version.is_some_and(|version| self.is_met_by(version)) {
                 behind.push(name.clone());
             }
-            let service_prefix = format!("{}/", self.firm);
-            for host in status
-                .hosts
-                .iter()
-                .filter(|host| host.service.starts_with(&service_prefix))
-            {
-                let version = hosts.entry(host.name.to_string()).or_insert(host.manifest);
-                *version = (*version).max(host.manifest);
-            }
         }
-        let outdated = hosts
+        let service_prefix = format!("{}/", self.firm);
+        let statuses = entry_statuses
+            .iter()
+            .filter_map(|(_, status)| status.as_ref());
+        let hosts = statuses
+            .flat_map(|status| &status.hosts)
+            .filter(|host| host.service.starts_with(&service_prefix));
+        let outdated = highest_versions(hosts)
             .into_iter()
-            .filter(|(_, version)| !self.is_met_by(ObjectVersion(*version)));
+            .filter(|(_, version)| !self.is_met_by(*version));
         behind.extend(outdated.map(|(name, _)| name));
         behind
     }
@@ -396,15 +399,7 @@
             "/v1/explain?caller={}&service={}",
             self.caller, self.service
         );
-        match query::<FlowExplanation>(self.entry, &path) {
-            Ok(explanation) => {
-                print_result(self.json, &ExplainResult(explanation));
-                CommandOutcome::Done
-            }
-            Err(text) => {
-                print_error(self.json, &text);
-                CommandOutcome::Unknown
-            }
-        }
+        let result = query::<FlowExplanation>(self.entry, &path).map(ExplainResult);
+        finish(self.json, result.map_err(CommandError::unknown))
     }
 }
--- a/crates/client/src/manifests.rs
+++ b/crates/client/src/manifests.rs
@@ -1,7 +1,7 @@
 //! Commands that validate, plan and commit manifests.
 
 use std::fmt;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 
 use argh::FromArgs;
 use rand::Rng;
@@ -12,7 +12,7 @@
 use chestnutlb_wire::records::VersionField;
 use chestnutlb_wire::{DocumentError, WireManifest, parse_json};
 
-use crate::output::{CommandOutcome, print_error, print_result};
+use crate::output::{CommandError, CommandOutcome, finish};
 
 /// check a manifest without contacting the platform
 #[derive(Debug)]
@@ -120,57 +120,36 @@
     }
 }
 
-fn read_manifest(path: &PathBuf) -> Result<(WireManifest, FirmManifest), String> {
-    let text =
-        std::fs::read_to_string(path).map_err(|error| format!("{}: {error}", path.display()))?;
+fn read_manifest(path: &Path) -> Result<(WireManifest, FirmManifest), CommandError> {
+    let refused =
+        |error: &dyn fmt::Display| CommandError::refused(format!("{}: {error}", path.display()));
+    let text = std::fs::read_to_string(path).map_err(|error| refused(&error))?;
     let parsed = parse_json::<WireManifest>(&text).and_then(|wire| {
         let manifest = FirmManifest::try_from(&wire)?;
         Ok((wire, manifest))
     });
-    parsed.map_err(|error: DocumentError| format!("{}: {error}", path.display()))
+    parsed.map_err(|error: DocumentError| refused(&error))
 }
 
 impl ValidateOptions {
     /// Checks the manifest file and prints the firm and its number of services.
     pub fn run(&self) -> CommandOutcome {
-        match read_manifest(&self.manifest) {
-            Ok((_, manifest)) => {
-                let result = ValidationResult {
-                    firm: manifest.firm.to_string(),
-                    services: manifest.services.len(),
-                };
-                print_result(self.json, &result);
-                CommandOutcome::Done
-            }
-            Err(text) => {
-                print_error(self.json, &text);
-                CommandOutcome::Refused
-            }
-        }
+        let result = read_manifest(&self.manifest).map(|(_, manifest)| ValidationResult {
+            firm: manifest.firm.to_string(),
+            services: manifest.services.len(),
+        });
+        finish(self.json, result)
     }
 }
 
 impl PlanOptions {
     /// Checks the manifest against the platform's grants and prints the changes.
     pub fn run(&self) -> CommandOutcome {
-        let (wire, manifest) = match read_manifest(&self.manifest) {
-            Ok(manifests) => manifests,
-            Err(text) => {
-                print_error(self.json, &text);
-                return CommandOutcome::Refused;
-            }
-        };
-        let client = StoreClient::new(&self.platform);
-        match plan(&client, &wire, &manifest) {
-            Ok(result) => {
-                print_result(self.json, &result);
-                CommandOutcome::Done
-            }
-            Err((outcome, text)) => {
-                print_error(self.json, &text);
-                outcome
-            }
-        }
+        let result = read_manifest(&self.manifest).and_then(|(wire, manifest)| {
+            let client = StoreClient::new(&self.platform);
+            plan(&client, &wire, &manifest)
+        });
+        finish(self.json, result)
     }
 }
 
@@ -178,18 +157,15 @@
     client: &StoreClient,
     wire: &WireManifest,
     manifest: &FirmManifest,
-) -> Result<PlanResult, (CommandOutcome, String)> {
-    let outcome_unknown = |error: &dyn fmt::Display| (CommandOutcome::Unknown, error.to_string());
-    let refused = |error: &dyn fmt::Display| (CommandOutcome::Refused, error.to_string());
+) -> Result<PlanResult, CommandError> {
     let grants = objects::load_grants(client)
-        .map_err(|error| outcome_unknown(&error))?
-        .ok_or_else(|| refused(&NO_GRANTS))?;
+        .map_err(CommandError::unknown)?
+        .ok_or_else(|| CommandError::refused(NO_GRANTS))?;
     grants
         .check_manifest(manifest)
-        .map_err(|error| refused(&error))?;
-    let current: CurrentManifest =
-        commit::current(client, wire).map_err(|error| outcome_unknown(&error))?;
-    let plan = commit::plan(&current, manifest).map_err(|error| refused(&error))?;
+        .map_err(CommandError::refused)?;
+    let current: CurrentManifest = commit::current(client, wire).map_err(CommandError::unknown)?;
+    let plan = commit::plan(&current, manifest).map_err(CommandError::refused)?;
     Ok(PlanResult {
         base: plan.base.into(),
         changes: plan.changes.iter().map(ToString::to_string).collect(),
@@ -216,45 +192,38 @@
 impl CommitOptions {
     /// Commits the manifest and prints the new version and the id of the commit.
     pub fn run(&self) -> CommandOutcome {
-        let (wire, _) = match read_manifest(&self.manifest) {
-            Ok(manifests) => manifests,
-            Err(text) => {
-                print_error(self.json, &text);
-                return CommandOutcome::Refused;
-            }
-        };
+        let result = read_manifest(&self.manifest).and_then(|(wire, _)| self.commit(&wire));
+        finish(self.json, result)
+    }
+
+    fn commit(&self, wire: &WireManifest) -> Result<CommitResult, CommandError> {
         let client = StoreClient::new(&self.platform);
         let base = match self.base {
             Some(base) => base,
-            None => match commit::current(&client, &wire) {
-                Ok(current) => current.version,
-                Err(error) => {
-                    print_error(self.json, &error.to_string());
-                    return CommandOutcome::Unknown;
-                }
-            },
+            None => {
+                commit::current(&client, wire)
+                    .map_err(CommandError::unknown)?
+                    .version
+            }
         };
         let id = match &self.id {
             Some(id) => id.clone(),
             None => format!("{:016x}", rand::rng().random::<u64>()),
         };
-        let (outcome, text) = match commit::commit(&client, &wire, base, &id) {
+        Err(match commit::commit(&client, wire, base, &id) {
             CommitOutcome::Committed(version) => {
                 let version = version.into();
-                print_result(self.json, &CommitResult { version, id });
-                return CommandOutcome::Done;
-            }
-            CommitOutcome::Conflict { expected, found } => {
-                (CommandOutcome::NotMet, conflict_text(expected, found))
+                return Ok(CommitResult { version, id });
             }
-            CommitOutcome::Refused(error) => (CommandOutcome::Refused, error.to_string()),
-            CommitOutcome::NoGrants => (CommandOutcome::Refused, NO_GRANTS.to_owned()),
-            CommitOutcome::Unknown(error) => (
-                CommandOutcome::Unknown,
-                format!("outcome unknown: {error}; repeat the commit with --base {base} --id {id}"),
-            ),
-        };
-        print_error(self.json, &text);
-        outcome
+            CommitOutcome::Conflict { expected, found } => CommandError {
+                outcome: CommandOutcome::NotMet,
+                text: conflict_text(expected, found),
+            },
+            CommitOutcome::Refused(error) => CommandError::refused(error),
+            CommitOutcome::NoGrants => CommandError::refused(NO_GRANTS),
+            CommitOutcome::Unknown(error) => CommandError::unknown(format!(
+                "outcome unknown: {error}; repeat the commit with --base {base} --id {id}"
+            )),
+        })
     }
 }
--- a/crates/client/src/output.rs
+++ b/crates/client/src/output.rs
@@ -31,6 +31,50 @@
     }
 }
 
+/// A failed command: its outcome and the text for the operator.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CommandError {
+    /// The outcome, any but [`CommandOutcome::Done`].
+    pub outcome: CommandOutcome,
+    /// The text for the operator.
+    pub text: String,
+}
+
+impl CommandError {
+    /// The input was refused.
+    pub fn refused(cause: impl fmt::Display) -> Self {
+        Self {
+            outcome: CommandOutcome::Refused,
+            text: cause.to_string(),
+        }
+    }
+
+    /// The outcome is unknown.
+    pub fn unknown(cause: impl fmt::Display) -> Self {
+        Self {
+            outcome: CommandOutcome::Unknown,
+            text: cause.to_string(),
+        }
+    }
+}
+
+/// Prints the result or the error of a command and returns its outcome.
+pub fn finish<T: Serialize + fmt::Display>(
+    json: bool,
+    result: Result<T, CommandError>,
+) -> CommandOutcome {
+    match result {
+        Ok(result) => {
+            print_result(json, &result);
+            CommandOutcome::Done
+        }
+        Err(error) => {
+            print_error(json, &error.text);
+            error.outcome
+        }
+    }
+}
+
 /// Prints a result to standard output, as text or as JSON.
 pub fn print_result<T: Serialize + fmt::Display>(json: bool, result: &T) {
     if json {
