Soak: other programs change rosters and members

A step of the fault soak writes a record that can't be read into a roster, damages the record of a host or of an entry VM, or replaces a roster by an empty object. The steps are drawn from a stream of their own, so all others of a seed stay the same. The fleet of the stand-ins reads rosters and members record by record, as it has to among such records.

--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -15,9 +15,9 @@
 
 use chestnutlb_core::{DocumentId, DocumentKind, ObjectVersion};
 use chestnutlb_store::{StoreCalls, StoreClient, WriteOutcome, objects};
+use chestnutlb_wire::WireHost;
 use chestnutlb_wire::records::WireEntry;
 use chestnutlb_wire::status::{EntryStatus, FlowExplanation, SideStatus};
-use chestnutlb_wire::{WireHost, WireMembers, WireRoster};
 
 use crate::fabric::{FabricEntry, FabricFaults, FabricPlan};
 use crate::free_ports::{free_address, lock_ports};
@@ -576,25 +576,24 @@
 
     /// Returns all hosts in the platform's rosters.
     pub fn roster_hosts(&self) -> Vec<WireHost> {
-        let rosters = self.read_all::<WireRoster>(DocumentKind::Roster);
-        rosters.flat_map(|roster| roster.hosts).collect()
+        self.read_records(DocumentKind::Roster, "hosts")
     }
 
     // Returns all entry VMs in the platform's members, by name.
     fn stored_members(&self) -> Vec<WireEntry> {
-        let members = self.read_all::<WireMembers>(DocumentKind::Members);
-        let entries = members.flat_map(|members| members.entries);
-        sort_by_name(entries.collect())
+        sort_by_name(self.read_records(DocumentKind::Members, "entries"))
     }
 
-    // Reads all objects of a kind; skips those that can't be read.
-    fn read_all<T: DeserializeOwned>(&self, kind: DocumentKind) -> impl Iterator<Item = T> {
+    // Returns the records in a list of all objects of a kind; skips those that can't be read.
+    fn read_records<T: DeserializeOwned>(&self, kind: DocumentKind, list: &str) -> Vec<T> {
         let client = self.client();
-        self.document_versions()
-            .into_iter()
-            .filter(move |(id, _)| id.kind == kind)
-            .filter_map(move |(id, _)| client.read(&id).ok().flatten())
-            .filter_map(|reply| serde_json::from_value(reply.value).ok())
+        let versions = self.document_versions().into_iter();
+        versions
+            .filter(|(id, _)| id.kind == kind)
+            .filter_map(|(id, _)| client.read(&id).ok().flatten())
+            .flat_map(|reply| reply.value[list].as_array().cloned().unwrap_or_default())
+            .filter_map(|record| serde_json::from_value(record).ok())
+            .collect()
     }
 
     /// Returns the id and version of each document on the platform; the list is empty if
--- a/crates/standin/src/soak.rs
+++ b/crates/standin/src/soak.rs
@@ -15,8 +15,9 @@
 use signal_hook::consts::{SIGCONT, SIGHUP, SIGKILL, SIGSTOP, SIGTERM};
 
 use chestnutlb_core::placement::CHAIN_HOPS;
-use chestnutlb_core::{DocumentId, DocumentKind};
-use chestnutlb_store::StoreCalls;
+use chestnutlb_core::{DocumentId, DocumentKind, ObjectVersion};
+use chestnutlb_store::{StoreCalls, WriteOutcome};
+use serde_json::{Value, json};
 
 use crate::caller::{CallerLoop, CallerResult, CallerTask, TaskKind};
 use crate::fabric::FabricFaults;
@@ -24,7 +25,7 @@
 use crate::platform::{PlatformSwitch, RestorePoint};
 use crate::proxy::LinkFault;
 use crate::soak_check::{FaultSpan, SoakEvidence, check_soak};
-use crate::soak_plan::{PlannedStep, SoakShape, SoakStep, SoakTarget, draw_plan};
+use crate::soak_plan::{OddChange, PlannedStep, SoakShape, SoakStep, SoakTarget, draw_plan};
 use crate::tryout::order_request;
 
 /// Interval at which due recoveries and ended processes are checked.
@@ -195,6 +196,40 @@
         .map_or(0, |flows| flows.saturating_sub(FLOW_LIMIT))
 }
 
+fn apply_odd_change(change: OddChange, value: &mut Value) {
+    let records = |value: &mut Value, list: &str| {
+        let records = value.get_mut(list).and_then(Value::as_array_mut);
+        records.map(std::mem::take).unwrap_or_default()
+    };
+    match change {
+        OddChange::NamedRecord => {
+            let mut hosts = records(value, "hosts");
+            hosts.push(json!({"name": "nobody", "packets": "10.1.0.9:70000"}));
+            *value = json!({"hosts": hosts});
+        }
+        OddChange::UnnamedRecord => {
+            let mut hosts = records(value, "hosts");
+            hosts.push(json!(7));
+            *value = json!({"hosts": hosts});
+        }
+        OddChange::DamagedHost => {
+            let mut hosts = records(value, "hosts");
+            if let Some(host) = hosts.first_mut().and_then(Value::as_object_mut) {
+                host.insert("packets".to_owned(), json!("10.1.0.9:70000"));
+            }
+            *value = json!({"hosts": hosts});
+        }
+        OddChange::DamagedMember => {
+            let mut entries = records(value, "entries");
+            if let Some(entry) = entries.first_mut().and_then(Value::as_object_mut) {
+                entry.insert("peers".to_owned(), json!("10.2.0.9:70000"));
+            }
+            *value = json!({"entries": entries});
+        }
+        OddChange::EmptyObject => *value = json!({}),
+    }
+}
+
 fn address(text: &str) -> Result<SocketAddrV4, FleetError> {
     text.parse()
         .map_err(|_| FleetError::Failed(format!("invalid address {text}")))
@@ -499,10 +534,36 @@
                 self.pending_recoveries
                     .push((until, Recovery::Restore(age)));
             }
+            SoakStep::Odd(change, datacenter) => {
+                if let Err(error) = self.change_object(change, datacenter) {
+                    self.report
+                        .steps
+                        .push(format!("           not changed: {error}"));
+                }
+            }
         }
         Ok(())
     }
 
+    // Changes a roster or members object once, as another program does. The platform may be
+    // down, or the object may change in between.
+    fn change_object(&self, change: OddChange, datacenter: usize) -> Result<(), FleetError> {
+        let kind = match change {
+            OddChange::DamagedMember => DocumentKind::Members,
+            _ => DocumentKind::Roster,
+        };
+        let id = DocumentId::new(kind, &format!("dc-{datacenter}"));
+        let failed = |text: &dyn fmt::Display| FleetError::Failed(text.to_string());
+        let client = self.fleet.client();
+        let object = client.read(&id).map_err(|error| failed(&error))?;
+        let mut object = object.ok_or_else(|| failed(&"not stored"))?;
+        apply_odd_change(change, &mut object.value);
+        match client.write(&id, ObjectVersion(object.version), &object.value) {
+            WriteOutcome::Written(_) => Ok(()),
+            outcome => Err(failed(&format!("{outcome:?}"))),
+        }
+    }
+
     fn restore(&mut self, age: Duration) -> Result<(), FleetError> {
         let point = RestorePoint::AgeMs(age.as_millis() as u64);
         let reply = self.fleet.restore(point)?;
--- a/crates/standin/src/soak_plan.rs
+++ b/crates/standin/src/soak_plan.rs
@@ -36,6 +36,13 @@
 /// Longest time for which the platform is down before a restore, in milliseconds.
 const AWAY_LIMIT_MS: u64 = 1_500;
 
+/// Combined with the seed for the records of other programs, as [`RESTORE_STREAM`] is.
+const RECORD_STREAM: u64 = 0x7265_636f_7264_7300;
+
+/// Approximate mean time between two records of other programs; the time is drawn from 100 ms
+/// to twice this value.
+const RECORD_GAP: Duration = Duration::from_secs(2);
+
 /// Size of the fleet and duration of the fault phase.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct SoakShape {
@@ -68,6 +75,21 @@
     }
 }
 
+/// A change of the platform's objects by another program.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum OddChange {
+    /// A roster gets a record with a name and a port out of range.
+    NamedRecord,
+    /// A roster gets a record without a name.
+    UnnamedRecord,
+    /// The record of the first host of a roster gets a port out of range.
+    DamagedHost,
+    /// The record of the first entry VM of a members document gets a port out of range.
+    DamagedMember,
+    /// A roster is replaced by an empty object.
+    EmptyObject,
+}
+
 /// One step of a plan.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum SoakStep {
@@ -93,6 +115,8 @@
     /// Restores the platform from a copy of the first age, after it was down for the second
     /// time.
     Restore(Duration, Duration),
+    /// Another program changes the roster or members of the data centre with this number.
+    Odd(OddChange, usize),
 }
 
 impl SoakStep {
@@ -104,9 +128,12 @@
             | Self::Platform(_, time)
             | Self::Fabric(_, _, time)
             | Self::Restore(_, time) => *time,
-            Self::Kill(_) | Self::KillEntries | Self::Stop(_) | Self::Reload(_) | Self::Commit => {
-                Duration::ZERO
-            }
+            Self::Kill(_)
+            | Self::KillEntries
+            | Self::Stop(_)
+            | Self::Reload(_)
+            | Self::Commit
+            | Self::Odd(..) => Duration::ZERO,
         }
     }
 }
@@ -131,6 +158,9 @@
                 "platform: down before a restore of {} ms ago",
                 age.as_millis()
             ),
+            Self::Odd(change, datacenter) => {
+                write!(f, "another program in dc-{datacenter}: {change:?}")
+            }
         }
     }
 }
@@ -171,6 +201,7 @@
         series_start += random_millis(&mut random, 100, 2 * SERIES_GAP.as_millis() as u64);
     }
     steps.extend(draw_restores(seed, shape));
+    steps.extend(draw_odd_changes(seed, shape));
     steps.retain(|planned| planned.start + planned.step.duration() < shape.fault_time);
     steps.sort_by_key(|planned| planned.start);
     steps
@@ -193,6 +224,26 @@
     restores
 }
 
+fn draw_odd_changes(seed: u64, shape: SoakShape) -> Vec<PlannedStep> {
+    let mut random = StdRng::seed_from_u64(seed ^ RECORD_STREAM);
+    let gap_limit = 2 * RECORD_GAP.as_millis() as u64;
+    let mut changes = Vec::new();
+    let mut start = random_millis(&mut random, 100, gap_limit);
+    while start < shape.fault_time {
+        let change = match random.random_range(0..5) {
+            0 => OddChange::NamedRecord,
+            1 => OddChange::UnnamedRecord,
+            2 => OddChange::DamagedHost,
+            3 => OddChange::DamagedMember,
+            _ => OddChange::EmptyObject,
+        };
+        let step = SoakStep::Odd(change, random.random_range(1..=2));
+        changes.push(PlannedStep { start, step });
+        start += random_millis(&mut random, 100, gap_limit);
+    }
+    changes
+}
+
 fn random_millis(random: &mut StdRng, from: u64, to: u64) -> Duration {
     Duration::from_millis(random.random_range(from..to))
 }
--- a/crates/standin/tests/soak.rs
+++ b/crates/standin/tests/soak.rs
@@ -65,15 +65,17 @@
     insta::assert_snapshot!(lines.join("\n"));
 }
 
-// Kept seeds must keep their other steps, so restores have random numbers of their own.
+// Kept seeds must keep their other steps, so restores and changes by other programs have random
+// numbers of their own.
 #[test]
 fn restores_leave_other_steps_of_a_seed_unchanged() {
     let plan = draw_plan(7, SHAPE);
-    let is_restore = |planned: &&PlannedStep| matches!(planned.step, SoakStep::Restore(..));
-    assert!(plan.iter().any(|planned| is_restore(&planned)));
+    let is_restore = |planned: &PlannedStep| matches!(planned.step, SoakStep::Restore(..));
+    let is_odd = |planned: &PlannedStep| matches!(planned.step, SoakStep::Odd(..));
+    assert!(plan.iter().any(is_restore) && plan.iter().any(is_odd));
     let others: Vec<_> = plan
         .iter()
-        .filter(|planned| !is_restore(planned))
+        .filter(|planned| !is_restore(planned) && !is_odd(planned))
         .map(ToString::to_string)
         .collect();
     insta::assert_snapshot!(others.join("\n"));
