--- a/crates/client/src/entry_commands.rs
+++ b/crates/client/src/entry_commands.rs
@@ -1,6 +1,6 @@
 //! Commands that query running entry VMs: status, wait and explain.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 use std::net::SocketAddrV4;
 use std::time::{Duration, Instant};
@@ -130,6 +130,9 @@
 #[derive(Serialize)]
 struct SystemStatus {
     entries: Vec<EntryRow>,
+    /// Data centres that are drained according to an entry VM.
+    #[serde(skip_serializing_if = "BTreeSet::is_empty")]
+    drained: BTreeSet<String>,
     /// Highest manifest version that an entry VM reports for each host.
     hosts: BTreeMap<String, VersionField>,
 }
@@ -152,6 +155,10 @@
                 write!(f, " {document}@{version}")?;
             }
         }
+        if !self.drained.is_empty() {
+            let names: Vec<&str> = self.drained.iter().map(String::as_str).collect();
+            write!(f, "\ndrained: {}", names.join(", "))?;
+        }
         write!(f, "\n{:<16} manifest in force", "host")?;
         self.hosts
             .iter()
@@ -191,12 +198,15 @@
         let statuses = entry_statuses
             .iter()
             .filter_map(|(_, status)| status.as_ref());
+        let drained = statuses.clone().flat_map(|status| &status.drained);
+        let drained = drained.map(ToString::to_string).collect();
         let hosts = highest_versions(statuses.flat_map(|status| &status.hosts));
         let hosts = hosts
             .into_iter()
             .map(|(host, version)| (host, version.into()));
         Self {
             hosts: hosts.collect(),
+            drained,
             entries: entry_statuses.into_iter().map(EntryRow::from).collect(),
         }
     }
@@ -374,9 +384,17 @@
         let flow = &self.0;
         write!(
             f,
-            "service {}, bucket {}, roster {}\nhosts that a SYN visits, in order:",
+            "service {}, bucket {}, roster {}",
             flow.service, flow.bucket, flow.generation
         )?;
+        if !flow.drained.is_empty() {
+            let names = flow.drained.join(", ");
+            write!(
+                f,
+                "\ndrained, so that their hosts get no new flows: {names}"
+            )?;
+        }
+        write!(f, "\nhosts that a SYN visits, in order:")?;
         write_hops(f, &flow.opening)?;
         write!(
             f,
--- a/crates/client/src/main.rs
+++ b/crates/client/src/main.rs
@@ -4,11 +4,13 @@
 
 use argh::{EarlyExit, FromArgs};
 
+mod drains;
 mod entry_commands;
 mod flow_trace;
 mod manifests;
 mod output;
 
+use drains::{DrainOptions, UndrainOptions};
 use entry_commands::{ExplainOptions, StatusOptions, WaitOptions};
 use flow_trace::TraceOptions;
 use manifests::{CommitOptions, PlanOptions, ValidateOptions};
@@ -29,6 +31,8 @@
     Validate(ValidateOptions),
     Plan(PlanOptions),
     Commit(CommitOptions),
+    Drain(DrainOptions),
+    Undrain(UndrainOptions),
     Status(StatusOptions),
     Wait(WaitOptions),
     Explain(ExplainOptions),
@@ -46,6 +50,8 @@
         ClientCommand::Validate(options) => options.run(),
         ClientCommand::Plan(options) => options.run(),
         ClientCommand::Commit(options) => options.run(),
+        ClientCommand::Drain(options) => options.run(),
+        ClientCommand::Undrain(options) => options.run(),
         ClientCommand::Status(options) => options.run(),
         ClientCommand::Wait(options) => options.run(),
         ClientCommand::Explain(options) => options.run(),
--- a/crates/core/benches/common/mod.rs
+++ b/crates/core/benches/common/mod.rs
@@ -30,6 +30,7 @@
             flows: 2000,
             head: ByteCount(16 << 10),
             body: ByteCount(1 << 20),
+            cold: None,
         },
         timing: ServiceTiming {
             drain_grace: Duration::ZERO,
--- a/crates/core/benches/decision.rs
+++ b/crates/core/benches/decision.rs
@@ -3,13 +3,12 @@
 
 mod common;
 
-use std::collections::BTreeSet;
 use std::hint::black_box;
 use std::sync::Arc;
 
 use criterion::Criterion;
 
-use chestnutlb_core::view::ServiceView;
+use chestnutlb_core::view::{PlacementLimits, ServiceView};
 use chestnutlb_core::{
     EntryRouter, FlowKey, HostRecord, HostState, HostWeight, Incarnation, ObjectVersion,
     RoutingView, ServiceKind, ServiceSpec, TcpSegment, TimePoint,
@@ -44,7 +43,12 @@
             .map(|number| host(number, &spec))
             .collect();
         let version = ObjectVersion(1);
-        view.put(ServiceView::build(spec, version, &hosts, &BTreeSet::new()));
+        view.put(ServiceView::build(
+            spec,
+            version,
+            &hosts,
+            &PlacementLimits::default(),
+        ));
     }
     Arc::new(view)
 }
--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -22,15 +22,17 @@
 use crate::document::{DocumentId, DocumentItem, DocumentKind, DocumentStore};
 use crate::events::{ControlAction, ControlEvent, Heartbeat, MemberEdit, RegistrationReply};
 use crate::host_tracker::{HostRevision, HostTracker};
-use crate::ids::{EntryName, HostName, ObjectVersion, ServiceId};
+use crate::ids::{DatacenterName, EntryName, HostName, ObjectVersion, ServiceId};
 use crate::member_rings::MemberRings;
 use crate::members::{EntryMonitor, EntryRecord, TRACKERS_PER_HOST};
+use crate::opening_rules::OpeningRules;
 use crate::roster::HostRecord;
 use crate::timer::{TimerKind, TimerService};
 use crate::units::TimePoint;
 use crate::unreadable_items::DamagedDocument;
 use crate::view::RoutingView;
 use crate::view_builder::ViewBuilder;
+use crate::watch_stand_in::WatchStandIn;
 
 /// Number of random peers that each change is gossiped to immediately.
 pub const GOSSIP_FANOUT: usize = 4;
@@ -134,6 +136,7 @@
     pub(crate) last_in_sync: TimePoint,
     // Time for which the event that is handled has waited.
     pub(crate) event_lag: Duration,
+    pub(crate) stand_in: WatchStandIn,
     // `None` until the first `Watch` action: the daemon watches from its start.
     pub(crate) watching: Option<bool>,
     pub(crate) stopping: bool,
@@ -173,6 +176,7 @@
             view_confirmed_at: None,
             last_in_sync: now,
             event_lag: Duration::ZERO,
+            stand_in: WatchStandIn::new(now),
             watching: None,
             stopping: false,
             random: StdRng::seed_from_u64(seed),
@@ -187,6 +191,14 @@
         self
     }
 
+    /// Sets the time within which a change of the operators' documents has to be in force.
+    /// Without it, only the watchers of the data centres read the platform.
+    pub fn with_change_deadline(mut self, deadline: Duration) -> Self {
+        self.stand_in
+            .set_change_deadline(deadline, &mut self.random);
+        self
+    }
+
     /// Returns the documents held by this entry VM.
     pub fn documents(&self) -> &DocumentStore {
         &self.documents
@@ -315,11 +327,11 @@
                 manifest,
                 from,
             } => {
-                let known_service = self
+                let known_host = self
                     .tracker
                     .record_keep_alive(&name, incarnation, revision, now)
-                    .map(|record| record.service.clone());
-                let reply = self.on_keep_alive(name, known_service, manifest, now);
+                    .map(|record| (record.service.clone(), record.datacenter.clone()));
+                let reply = self.on_keep_alive(name, known_host, manifest, now);
                 actions.push(ControlAction::ReplyToHost(from, reply));
             }
             ControlEvent::HeartbeatReceived(heartbeat) => {
@@ -360,12 +372,18 @@
                 self.on_loaded_partly(id, version, items, &unreadable, now, &mut actions);
             }
             ControlEvent::AllListed {
+                scope,
                 version,
                 listed,
                 first_era,
             } => {
-                self.on_first_era(first_era, version.era(), &listed, &mut actions);
-                self.on_all_listed(version, &listed, now, &mut actions);
+                if scope.has_fleet() {
+                    self.on_first_era(first_era, version.era(), &listed, &mut actions);
+                    self.on_all_listed(version, &listed, now, &mut actions);
+                }
+                if scope.has_drains() {
+                    self.on_drains_listed(version, &listed, now, &mut actions);
+                }
             }
             ControlEvent::VersionsListed { list, stale } => {
                 self.on_listed(list, stale, now, &mut actions);
@@ -373,6 +391,7 @@
             ControlEvent::WriteFinished(id) => {
                 self.end_job(&id);
             }
+            ControlEvent::StoreAnswered => self.stand_in.record_answer(now),
             ControlEvent::Tick(kind) => self.on_tick(kind, now, &mut actions),
             ControlEvent::SeedsChanged(seeds) => self.seeds = seeds,
             ControlEvent::Stop => {
@@ -412,6 +431,7 @@
             self.progress.insert(record.name.clone(), progress);
         }
         let service = record.service.clone();
+        let opening = self.opening_rules(&record.service, &record.datacenter);
         self.tracker
             .record_registration(record, revision, rank, now);
         self.update_registered(now);
@@ -421,7 +441,7 @@
         self.publish_due |= built;
         RegistrationReply {
             targets: registration_targets,
-            resend: false,
+            opening,
             ..self.reply_for_service(&service, now)
         }
     }
@@ -429,7 +449,7 @@
     fn on_keep_alive(
         &mut self,
         name: HostName,
-        known_service: Option<ServiceId>,
+        known_host: Option<(ServiceId, DatacenterName)>,
         manifest: ObjectVersion,
         now: TimePoint,
     ) -> RegistrationReply {
@@ -437,7 +457,7 @@
             .progress
             .get(&name)
             .map(|progress| progress.registered_at);
-        if let Some(service) = known_service {
+        if let Some((service, datacenter)) = known_host {
             let has_current_targets = registered_at.is_some_and(|at| at >= self.members_changed_at);
             let progress = HostProgress {
                 service: service.clone(),
@@ -447,7 +467,10 @@
             };
             self.progress.insert(name, progress);
             if has_current_targets {
-                return self.reply_for_service(&service, now);
+                return RegistrationReply {
+                    opening: self.opening_rules(&service, &datacenter),
+                    ..self.reply_for_service(&service, now)
+                };
             }
         }
         RegistrationReply {
@@ -455,6 +478,7 @@
             slice_hash: 0,
             fresh: false,
             resend: true,
+            opening: OpeningRules::default(),
         }
     }
 
@@ -469,6 +493,15 @@
                 .confirmation_age(now)
                 .is_some_and(|age| age < FRESH_AGE),
             resend: false,
+            opening: OpeningRules::default(),
+        }
+    }
+
+    fn opening_rules(&self, service: &ServiceId, datacenter: &DatacenterName) -> OpeningRules {
+        let spec = self.documents.service(service);
+        OpeningRules {
+            drain: self.documents.drain_notice(datacenter),
+            cold: spec.and_then(|(spec, _)| spec.limits.cold),
         }
     }
 
--- a/crates/core/src/control_documents.rs
+++ b/crates/core/src/control_documents.rs
@@ -95,6 +95,28 @@
         }
     }
 
+    // Ends the drains that a list of all of them lacks. The list contains every change up to its
+    // version, so a drain that began later is not ended by it.
+    pub(crate) fn on_drains_listed(
+        &mut self,
+        version: ObjectVersion,
+        listed: &[DocumentId],
+        now: TimePoint,
+        actions: &mut Vec<ControlAction>,
+    ) {
+        let held = self.documents.iter();
+        let ended: Vec<DocumentId> = held
+            .filter(|(id, document)| {
+                let is_drained = document.items().next().is_some();
+                id.kind == DocumentKind::Drain && is_drained && !listed.contains(id)
+            })
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in ended {
+            self.replace_document(id, version, Vec::new(), now, actions);
+        }
+    }
+
     fn has_damaged_roster(&self) -> bool {
         self.damaged
             .keys()
@@ -180,7 +202,7 @@
                 self.track_roster(&id, changes, now, actions);
                 self.roster_scan_due = true;
             }
-            DocumentKind::Grants | DocumentKind::Manifest => {}
+            DocumentKind::Grants | DocumentKind::Manifest | DocumentKind::Drain => {}
         }
         if id.kind != DocumentKind::Members {
             self.view_builder
--- a/crates/core/src/control_duties.rs
+++ b/crates/core/src/control_duties.rs
@@ -97,7 +97,15 @@
         }
         self.progress
             .retain(|_, progress| now.since(progress.last_seen) < SUSPECT_AFTER * 5);
-        let watching = !self.stopping && self.rings.is_watcher();
+        let stands_in = self.stand_in.is_watching(now);
+        let watching = !self.stopping && (self.rings.is_watcher() || stands_in);
+        if !self.stopping && !watching {
+            let is_due = self.stand_in.is_probe_due(self.confirmed_at, now);
+            if is_due {
+                self.stand_in.record_probe(&mut self.random, now);
+                actions.push(ControlAction::ProbeStore);
+            }
+        }
         if self.watching != Some(watching) {
             self.watching = Some(watching);
             actions.push(ControlAction::Watch(watching));
@@ -205,7 +213,7 @@
                 roster_edits.push(RosterEdit::Put(HostRecord::clone(&record)));
             }
             DocumentItem::Entry(record) => member_edits.push(MemberEdit::Put(record)),
-            DocumentItem::Grant(..) | DocumentItem::Service(_) => {}
+            DocumentItem::Grant(..) | DocumentItem::Service(_) | DocumentItem::Drain(_) => {}
         }
     }
     if !roster_edits.is_empty() {
--- a/crates/core/src/document.rs
+++ b/crates/core/src/document.rs
@@ -12,7 +12,7 @@
 
 use compact_str::CompactString;
 
-use crate::ids::{FirmName, ObjectVersion, ServiceId};
+use crate::ids::{DatacenterName, FirmName, ObjectVersion, ServiceId};
 use crate::manifest::{AddressBlock, ServiceSpec};
 use crate::members::EntryRecord;
 use crate::roster::HostRecord;
@@ -34,11 +34,24 @@
     Roster,
     /// The entry VMs of a data centre.
     Members,
+    /// Whether operators have drained a data centre.
+    Drain,
 }
 
 impl DocumentKind {
     /// All kinds.
-    pub const ALL: [DocumentKind; 4] = [Self::Grants, Self::Manifest, Self::Roster, Self::Members];
+    pub const ALL: [DocumentKind; 5] = [
+        Self::Grants,
+        Self::Manifest,
+        Self::Roster,
+        Self::Members,
+        Self::Drain,
+    ];
+
+    /// Returns whether operators write documents of this kind.
+    pub fn is_of_operators(self) -> bool {
+        matches!(self, Self::Grants | Self::Manifest | Self::Drain)
+    }
 
     /// Returns the name of the kind in the platform's object names.
     pub fn as_str(self) -> &'static str {
@@ -47,6 +60,7 @@
             Self::Manifest => "manifest",
             Self::Roster => "roster",
             Self::Members => "members",
+            Self::Drain => "drain",
         }
     }
 }
@@ -87,6 +101,8 @@
     Host(Arc<HostRecord>),
     /// An entry VM.
     Entry(EntryRecord),
+    /// A drained data centre: its hosts get no new flows.
+    Drain(DatacenterName),
 }
 
 impl DocumentItem {
@@ -97,6 +113,7 @@
             Self::Service(spec) => spec.id.service.clone().into(),
             Self::Host(record) => record.name.clone().into(),
             Self::Entry(record) => record.name.clone().into(),
+            Self::Drain(datacenter) => datacenter.clone().into(),
         }
     }
 }
@@ -302,6 +319,15 @@
     }
 }
 
+/// Whether a data centre is drained, as of a version of its document.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct DrainNotice {
+    /// Version of the document.
+    pub version: ObjectVersion,
+    /// Whether the hosts of the data centre get no new flows.
+    pub drained: bool,
+}
+
 /// All documents of a node. Clones share each document until it is modified.
 #[derive(Debug, Clone, Default)]
 pub struct DocumentStore {
@@ -391,6 +417,25 @@
         summary
     }
 
+    /// Returns the drained data centres.
+    pub fn drained_datacenters(&self) -> impl Iterator<Item = &DatacenterName> {
+        self.items(DocumentKind::Drain)
+            .filter_map(|item| match item {
+                DocumentItem::Drain(datacenter) => Some(datacenter),
+                _ => None,
+            })
+    }
+
+    /// Returns what is known of the drain of a data centre, or `None` if operators never
+    /// drained it.
+    pub fn drain_notice(&self, datacenter: &DatacenterName) -> Option<DrainNotice> {
+        let document = self.get(&DocumentId::new(DocumentKind::Drain, datacenter.as_str()))?;
+        Some(DrainNotice {
+            version: document.version,
+            drained: document.items().next().is_some(),
+        })
+    }
+
     /// Returns a service from the manifest of its firm, with the manifest version.
     pub fn service(&self, id: &ServiceId) -> Option<(Arc<ServiceSpec>, ObjectVersion)> {
         let manifest = DocumentId::new(DocumentKind::Manifest, id.firm.as_str());
--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -53,6 +53,8 @@
     NoService,
     /// The service has no host that could accept the packet.
     NoHost,
+    /// All hosts of the service that would accept the flow are in drained data centres.
+    Drained,
 }
 
 impl RouteDrop {
@@ -61,6 +63,7 @@
         match self {
             Self::NoService => "no-service",
             Self::NoHost => "no-host",
+            Self::Drained => "drained",
         }
     }
 }
@@ -278,7 +281,7 @@
 }
 
 fn plan_syn(service: &ServiceView, flow: FlowHash, plan: &mut HopPlan) {
-    let chain = service.chain(flow.bucket());
+    let chain = service.opening_chain(flow.bucket());
     for host in chain.as_slice() {
         if service.host(*host).accepts_flows() {
             plan.push(*host);
--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -7,6 +7,7 @@
 use crate::host_tracker::{HostRevision, RosterEdit};
 use crate::ids::{HostName, Incarnation, ObjectVersion, StoreEra};
 use crate::members::EntryRecord;
+use crate::opening_rules::OpeningRules;
 use crate::roster::HostRecord;
 use crate::timer::TimerKind;
 use crate::unreadable_items::UnreadableItems;
@@ -45,6 +46,31 @@
     pub fresh: bool,
     /// Whether the host has to send a full registration.
     pub resend: bool,
+    /// What operators demand of the flows that it opens.
+    pub opening: OpeningRules,
+}
+
+/// The documents that a list of the platform contains in full.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ListScope {
+    /// All rosters and members documents.
+    Fleet,
+    /// All documents of drained data centres.
+    Drains,
+    /// Both.
+    All,
+}
+
+impl ListScope {
+    /// Returns whether the list contains all rosters and members documents.
+    pub fn has_fleet(self) -> bool {
+        matches!(self, Self::Fleet | Self::All)
+    }
+
+    /// Returns whether the list contains the documents of all drained data centres.
+    pub fn has_drains(self) -> bool {
+        matches!(self, Self::Drains | Self::All)
+    }
 }
 
 /// An event for the control plane of an entry VM.
@@ -102,8 +128,10 @@
         /// The items that can't be read.
         unreadable: UnreadableItems,
     },
-    /// The platform listed all rosters and members documents that it has.
+    /// The platform listed all documents of some kinds that it has.
     AllListed {
+        /// These kinds.
+        scope: ListScope,
         /// Version of the store at the time of the list.
         version: ObjectVersion,
         /// The listed documents.
@@ -120,6 +148,8 @@
     },
     /// A write has succeeded or failed.
     WriteFinished(DocumentId),
+    /// The platform answered a [`ControlAction::ProbeStore`].
+    StoreAnswered,
     /// A timer is due.
     Tick(TimerKind),
     /// The addresses of the seed entry VMs have changed.
@@ -151,6 +181,8 @@
     RecordFirstEra(StoreEra),
     /// Start or stop watching the platform.
     Watch(bool),
+    /// Read the operators' documents once, to find out whether the platform can be reached.
+    ProbeStore,
     /// Route by the new [`EntryControl::view`](crate::EntryControl::view).
     Publish,
     /// Report that the record of this host was dropped: the roster no longer lists the
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod manifest;
 mod member_rings;
 pub mod members;
+pub mod opening_rules;
 pub mod owner_lookup;
 pub mod ownership;
 pub mod passthrough;
@@ -53,6 +54,7 @@
 pub mod unreadable_items;
 pub mod view;
 pub mod view_builder;
+pub mod watch_stand_in;
 
 pub use admission::HostAdmission;
 pub use backend::{BackendChange, BackendTracker, ReportTiming, SideHistory};
@@ -62,10 +64,14 @@
     FlowEvent, FlowState, HostEvent, HostState, RequestEvent, RequestState, check_charts,
 };
 pub use control::EntryControl;
-pub use document::{DocumentId, DocumentItem, DocumentKind, DocumentPatch, DocumentStore};
+pub use document::{
+    DocumentId, DocumentItem, DocumentKind, DocumentPatch, DocumentStore, DrainNotice,
+};
 pub use early_packets::EarlyPackets;
 pub use entry::{EntryRouter, HopPlan, PlanSource, RouteDecision, RouteDrop};
-pub use events::{ControlAction, ControlEvent, Heartbeat, MemberEdit, RegistrationReply};
+pub use events::{
+    ControlAction, ControlEvent, Heartbeat, ListScope, MemberEdit, RegistrationReply,
+};
 pub use flow::{BucketIndex, FlowHash, FlowKey, TcpSegment};
 pub use host_tracker::{HostRevision, HostTracker, RosterEdit};
 pub use ids::{
@@ -77,6 +83,7 @@
     AddressBlock, FirmManifest, ManifestChange, RequestClass, RouteRule, ServiceKind, ServiceSpec,
 };
 pub use members::{EntryMonitor, EntryRecord};
+pub use opening_rules::{ColdLimit, OpeningGate, OpeningRules};
 pub use owner_lookup::{CompletedLookup, LookupQuery, LookupResult, OwnerLookups, OwnershipReply};
 pub use ownership::{AdmissionGate, FlowTable, PacketArrival, PacketDrop, PacketVerdict};
 pub use passthrough::{BackendInfo, PassthroughFlows, ReplyTiming};
--- a/crates/core/src/manifest.rs
+++ b/crates/core/src/manifest.rs
@@ -9,6 +9,7 @@
 use quick_error::quick_error;
 
 use crate::ids::{DatacenterName, FirmName, ServiceId};
+use crate::opening_rules::ColdLimit;
 use crate::units::{ByteCount, PercentShare};
 
 quick_error! {
@@ -137,6 +138,8 @@
     pub head: ByteCount,
     /// Maximum size of a request body.
     pub body: ByteCount,
+    /// Maximum number of new flows per second while it is cold; `None` for no limit.
+    pub cold: Option<ColdLimit>,
 }
 
 /// Time limits of a service.
--- /dev/null
+++ b/crates/core/src/opening_rules.rs
@@ -0,0 +1,198 @@
+//! What operators demand of the flows that a host opens: none while its data centre is drained,
+//! and only some per second while its backend server is cold.
+//!
+//! Entry VMs learn of both from documents and pass them on in their replies to registrations.
+//! The side process enforces them, since every new flow of its backend server passes it: no
+//! process has to know what the others send. This is the answer to a data centre whose hosts all
+//! come back cold, and to an entry VM that was cut off when a drain began.
+
+use std::collections::VecDeque;
+use std::num::NonZeroU32;
+use std::time::Duration;
+
+use crate::document::DrainNotice;
+use crate::ids::ObjectVersion;
+use crate::units::TimePoint;
+
+/// Time in which a cold host opens at most the number of flows that its service allows. It
+/// slides: any span of this length counts.
+pub const COLD_WINDOW: Duration = Duration::from_secs(1);
+
+/// Time after which a limit of cold hosts ends that no entry VM names any more: several
+/// keep-alives. An entry VM with an older manifest may still name it.
+pub const COLD_LIMIT_MEMORY: Duration = Duration::from_secs(2);
+
+/// Maximum number of new flows per second of a cold host.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ColdLimit(pub NonZeroU32);
+
+/// What an entry VM tells a host of the flows that it may open.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct OpeningRules {
+    /// Whether its data centre is drained; `None` if operators never drained it.
+    pub drain: Option<DrainNotice>,
+    /// Limit of cold hosts of its service, if the manifest has one.
+    pub cold: Option<ColdLimit>,
+}
+
+impl OpeningRules {
+    /// Returns whether nothing is demanded.
+    pub fn is_empty(&self) -> bool {
+        *self == Self::default()
+    }
+}
+
+/// The limit of a cold host, as far as it is known.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum KnownColdLimit {
+    /// There is none.
+    #[default]
+    Unlimited,
+    /// There may be one, and no entry VM has answered yet.
+    Unknown,
+    /// New flows per second.
+    Limited(ColdLimit),
+}
+
+/// Effect of a reply on the rules in force.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RulesChange {
+    /// Nothing changed.
+    Same,
+    /// The data centre is drained now.
+    Drained,
+    /// The data centre is not drained any more.
+    Undrained,
+    /// The limit of cold hosts has changed.
+    ColdLimit,
+}
+
+/// The rules in force at one host, from the replies of its entry VMs.
+#[derive(Debug, Clone)]
+pub struct OpeningGate {
+    drain: DrainNotice,
+    undrained_at: Option<TimePoint>,
+    cold: KnownColdLimit,
+    cold_named_at: TimePoint,
+}
+
+impl OpeningGate {
+    /// Returns the gate of a process that has just started. `may_be_limited` states whether
+    /// manifests may limit cold hosts: a cold host then opens nothing before it knows the limit.
+    pub fn new(may_be_limited: bool) -> Self {
+        Self {
+            drain: DrainNotice {
+                version: ObjectVersion(0),
+                drained: false,
+            },
+            undrained_at: None,
+            cold: if may_be_limited {
+                KnownColdLimit::Unknown
+            } else {
+                KnownColdLimit::Unlimited
+            },
+            cold_named_at: TimePoint::default(),
+        }
+    }
+
+    /// Returns whether the data centre is drained.
+    pub fn is_drained(&self) -> bool {
+        self.drain.drained
+    }
+
+    /// Returns the version of the document that the drain is known from.
+    pub fn drain_version(&self) -> ObjectVersion {
+        self.drain.version
+    }
+
+    /// Returns the limit of the host while it is cold.
+    pub fn cold_limit(&self) -> KnownColdLimit {
+        self.cold
+    }
+
+    /// Returns whether a limited host has to be taken for cold, since its backend server last
+    /// reported before the end of a drain: it may have turned cold meanwhile.
+    pub fn may_have_turned_cold(&self, last_report: Option<TimePoint>) -> bool {
+        self.cold != KnownColdLimit::Unlimited
+            && self
+                .undrained_at
+                .is_some_and(|undrained_at| last_report.is_none_or(|report| report < undrained_at))
+    }
+
+    /// Records the rules in a reply of an entry VM that knows the service. Of several, the newest
+    /// version of a drain holds.
+    pub fn record_rules(&mut self, rules: &OpeningRules, now: TimePoint) -> RulesChange {
+        let cold_change = self.record_cold_limit(rules.cold, now);
+        match rules.drain {
+            Some(notice) if notice.version > self.drain.version => {
+                let before = std::mem::replace(&mut self.drain, notice);
+                match (before.drained, notice.drained) {
+                    (false, true) => RulesChange::Drained,
+                    (true, false) => {
+                        self.undrained_at = Some(now);
+                        RulesChange::Undrained
+                    }
+                    _ => cold_change,
+                }
+            }
+            _ => cold_change,
+        }
+    }
+
+    fn record_cold_limit(&mut self, named: Option<ColdLimit>, now: TimePoint) -> RulesChange {
+        let cold = match (named, self.cold) {
+            (Some(limit), _) => {
+                self.cold_named_at = now;
+                KnownColdLimit::Limited(limit)
+            }
+            (None, KnownColdLimit::Limited(_))
+                if now.since(self.cold_named_at) < COLD_LIMIT_MEMORY =>
+            {
+                self.cold
+            }
+            (None, _) => KnownColdLimit::Unlimited,
+        };
+        if std::mem::replace(&mut self.cold, cold) == cold {
+            RulesChange::Same
+        } else {
+            RulesChange::ColdLimit
+        }
+    }
+}
+
+/// The flows that a host has opened within [`COLD_WINDOW`], if its service limits cold hosts.
+#[derive(Debug, Clone, Default)]
+pub struct ColdOpenings {
+    opened_at: VecDeque<TimePoint>,
+}
+
+impl ColdOpenings {
+    /// Returns whether a cold host may open another flow.
+    pub fn admits(&self, limit: KnownColdLimit, now: TimePoint) -> bool {
+        match limit {
+            KnownColdLimit::Unlimited => true,
+            KnownColdLimit::Unknown => false,
+            KnownColdLimit::Limited(ColdLimit(limit)) => {
+                let recent = self.opened_at.iter().rev();
+                let recent = recent.take_while(|opened_at| now.since(**opened_at) < COLD_WINDOW);
+                recent.count() < limit.get() as usize
+            }
+        }
+    }
+
+    /// Records that the host opens a flow.
+    pub fn record_opened(&mut self, limit: KnownColdLimit, now: TimePoint) {
+        if limit == KnownColdLimit::Unlimited {
+            self.opened_at.clear();
+            return;
+        }
+        while self
+            .opened_at
+            .front()
+            .is_some_and(|opened_at| now.since(*opened_at) >= COLD_WINDOW)
+        {
+            self.opened_at.pop_front();
+        }
+        self.opened_at.push_back(now);
+    }
+}
--- a/crates/core/src/passthrough.rs
+++ b/crates/core/src/passthrough.rs
@@ -18,6 +18,7 @@
 
 use crate::flow::{FlowKey, TcpSegment};
 use crate::load::HostLoad;
+use crate::opening_rules::{COLD_WINDOW, ColdOpenings, KnownColdLimit};
 use crate::owner_lookup::OwnershipReply;
 use crate::passthrough_verdict::{
     FlowKnowledge, PassthroughArrival, PassthroughVerdict, ReplyVerdict, judge_data, judge_reset,
@@ -129,6 +130,8 @@
     pub flow_limit: usize,
     /// Whether it is slow because it has just started.
     pub cold: bool,
+    /// Limit of its new flows while it is cold.
+    pub cold_limit: KnownColdLimit,
     /// Whether it started after the side process, which has then seen all of its flows.
     pub observed_from_start: bool,
 }
@@ -155,6 +158,7 @@
     service_ms: f64,
     responses: ResponseMonitor,
     timing: ReplyTiming,
+    cold_openings: ColdOpenings,
 }
 
 impl PassthroughFlows {
@@ -172,6 +176,7 @@
             service_ms: 0.0,
             responses: ResponseMonitor::default(),
             timing: ReplyTiming::default(),
+            cold_openings: ColdOpenings::default(),
         }
     }
 
@@ -208,7 +213,7 @@
             flows: self.flows.len().min(usize::from(u16::MAX)) as u16,
             service_us: (self.service_ms * 1000.0) as u32,
             failing_percent: self.responses.failing_percent(),
-            takes: backend.accepts_flows,
+            takes: backend.accepts_flows && self.admits_while_cold(backend, now),
             cold: backend.cold,
         }
     }
@@ -322,6 +327,7 @@
             .slots
             .saturating_mul(1 + queue_factor(segment, arrival));
         let accepts = backend.accepts_flows
+            && self.admits_while_cold(backend, now)
             && self.at_work < work_limit
             && self.flows.len() < backend.flow_limit;
         match (accepts, arrival.more_hops) {
@@ -332,6 +338,17 @@
         }
     }
 
+    /// Returns whether the limit of cold hosts admits another flow. A process that has just
+    /// started does not know what an earlier one delivered within the window.
+    pub fn admits_while_cold(&self, backend: &BackendInfo, now: TimePoint) -> bool {
+        let limit = backend.cold_limit;
+        if !backend.cold || limit == KnownColdLimit::Unlimited {
+            return true;
+        }
+        let knows_window = backend.observed_from_start || now.since(self.started_at) >= COLD_WINDOW;
+        knows_window && self.cold_openings.admits(limit, now)
+    }
+
     // Removes a closed flow if the segment is the SYN or SYN-ACK of a later flow with the same
     // key: the caller uses its port again.
     fn remove_if_reopened(&mut self, segment: &TcpSegment) {
@@ -354,6 +371,7 @@
         if segment.is_syn {
             if !self.flows.contains_key(&segment.key) {
                 self.backend_replies.pop(&segment.key);
+                self.cold_openings.record_opened(backend.cold_limit, now);
                 let flow = PassthroughFlow {
                     first_request_pending: true,
                     syn_sequence: Some(segment.sequence),
--- a/crates/core/src/passthrough_routes.rs
+++ b/crates/core/src/passthrough_routes.rs
@@ -272,7 +272,7 @@
         let syns = cached.map_or(0, |cached| cached.syns);
         let earlier_syns = syns.max(segment.syn_copies.min(u8::MAX.into()) as u8);
         let mut ranked: Vec<(f64, SocketAddrV4)> =
-            candidates(service, key.hash(), &self.local_datacenter)
+            opening_candidates(service, key.hash(), &self.local_datacenter)
                 .filter(|host| host.accepts_flows())
                 .filter(|host| !self.loads.refuses(host.record.packets, now))
                 .map(|host| (self.cost(host, now), host.record.packets))
@@ -303,7 +303,15 @@
         if earlier_syns > 0 || hops.is_empty() {
             self.append_stand_ins(service, key.hash(), &mut hops, now);
         }
-        let first = *hops.first().ok_or(RouteDrop::NoHost)?;
+        let Some(&first) = hops.first() else {
+            // A refusal of an address that was just added would look as if it had no service.
+            let is_refusable = self.is_past_grace_period(key.service, now);
+            return Err(if is_refusable && service.is_wholly_drained() {
+                RouteDrop::Drained
+            } else {
+                RouteDrop::NoHost
+            });
+        };
         if preferred != Some(first) {
             self.loads.record_placement(first, now);
         }
@@ -332,7 +340,7 @@
         hops: &mut Vec<SocketAddrV4>,
         now: TimePoint,
     ) {
-        let chain = service.chain(flow.bucket().opposite());
+        let chain = service.opening_chain(flow.bucket().opposite());
         for index in chain.as_slice() {
             let host = service.host(*index);
             let address = host.record.packets;
@@ -427,8 +435,9 @@
     }
 }
 
-// Returns the hosts that may own or open a flow: the candidates of its bucket, near ones
-// first, then the hosts that hold flows of the bucket.
+// Returns the hosts that may own a flow: the candidates of its bucket, near ones first, those
+// that open flows in place of hosts of drained data centres, then the hosts that hold flows of
+// the bucket.
 fn candidates<'a>(
     service: &'a ServiceView,
     flow: FlowHash,
@@ -436,11 +445,24 @@
 ) -> impl Iterator<Item = &'a ViewHost> + use<'a> {
     let bucket = flow.bucket();
     let chain = service.chain_near(bucket, local_datacenter);
-    let indexes: Vec<_> = chain
-        .as_slice()
-        .iter()
-        .chain(service.holders(bucket))
-        .copied()
-        .collect();
+    let mut indexes: Vec<_> = chain.as_slice().to_vec();
+    if service.has_drained_hosts() {
+        let opening_chain = service.opening_chain_near(bucket, local_datacenter);
+        indexes.extend(opening_chain.as_slice());
+    }
+    indexes.extend(service.holders(bucket));
+    indexes.into_iter().map(|index| service.host(index))
+}
+
+// Returns the hosts that may open a flow, near ones first.
+fn opening_candidates<'a>(
+    service: &'a ServiceView,
+    flow: FlowHash,
+    local_datacenter: &DatacenterName,
+) -> impl Iterator<Item = &'a ViewHost> + use<'a> {
+    let bucket = flow.bucket();
+    let chain = service.opening_chain_near(bucket, local_datacenter);
+    let mut indexes: Vec<_> = chain.as_slice().to_vec();
+    indexes.extend(service.holders(bucket));
     indexes.into_iter().map(|index| service.host(index))
 }
--- a/crates/core/src/view.rs
+++ b/crates/core/src/view.rs
@@ -22,15 +22,43 @@
     pub record: Arc<HostRecord>,
     /// The state of the host; `Suspect` if this entry VM suspects it.
     pub state: HostState,
+    /// Whether operators have drained its data centre.
+    pub drained: bool,
 }
 
 impl ViewHost {
     /// Returns whether the host accepts new flows.
     pub fn accepts_flows(&self) -> bool {
-        matches!(self.state, HostState::Warming | HostState::Serving)
+        !self.drained && matches!(self.state, HostState::Warming | HostState::Serving)
+    }
+
+    /// Returns the record for the other hosts of the service. Hosts of a drained data centre are
+    /// shown as leaving, since they accept no new flows either.
+    pub fn shared_record(&self) -> HostRecord {
+        HostRecord {
+            state: self.shared_state(),
+            ..HostRecord::clone(&self.record)
+        }
+    }
+
+    fn shared_state(&self) -> HostState {
+        if self.drained && self.record.accepts_flows() {
+            HostState::Leaving
+        } else {
+            self.record.state
+        }
     }
 }
 
+/// What the view of a service is built from, besides its specification and its hosts.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct PlacementLimits {
+    /// Hosts that this entry VM suspects.
+    pub suspects: BTreeSet<HostName>,
+    /// Data centres that operators have drained.
+    pub drained: BTreeSet<DatacenterName>,
+}
+
 /// A service and the hosts that may hold its flows.
 #[derive(Debug)]
 pub struct ServiceView {
@@ -45,6 +73,8 @@
     ranking: HostRanking,
     // Rankings of the hosts of each data centre, if a chain does not contain all hosts.
     near_rankings: BTreeMap<DatacenterName, HostRanking>,
+    // Ranking of the hosts that are not drained, if any is and a chain does not contain all hosts.
+    undrained_ranking: Option<HostRanking>,
     // Hosts that hold flows of a bucket without being candidates for it.
     holders: HashMap<BucketIndex, Vec<HostIndex>>,
 }
@@ -55,16 +85,17 @@
         spec: Arc<ServiceSpec>,
         version: ObjectVersion,
         records: &[Arc<HostRecord>],
-        suspects: &BTreeSet<HostName>,
+        limits: &PlacementLimits,
     ) -> Self {
         let flow_hosts = records.iter().filter(|record| record.holds_flows());
         let mut hosts: Vec<ViewHost> = flow_hosts
             .map(|record| ViewHost {
-                state: if suspects.contains(&record.name) {
+                state: if limits.suspects.contains(&record.name) {
                     HostState::Suspect
                 } else {
                     record.state
                 },
+                drained: limits.drained.contains(&record.datacenter),
                 record: Arc::clone(record),
             })
             .collect();
@@ -83,6 +114,7 @@
             }
         }
         let near_rankings = rank_by_datacenter(&hosts, &ranked);
+        let undrained_ranking = rank_undrained(&hosts, &ranked);
         Self {
             tag: spec.id.tag(),
             slice_hash: slice_hash(version, &hosts),
@@ -90,6 +122,7 @@
             hosts,
             ranking: HostRanking::new(ranked),
             near_rankings,
+            undrained_ranking,
             holders,
         }
     }
@@ -114,6 +147,54 @@
         }
     }
 
+    /// Returns the candidate hosts of a bucket for new flows. They differ from those of
+    /// [`Self::chain`] only if a data centre is drained.
+    pub fn opening_chain(&self, bucket: BucketIndex) -> HostChain {
+        let ranking = self.undrained_ranking.as_ref().unwrap_or(&self.ranking);
+        ranking.chain(bucket)
+    }
+
+    /// Returns the candidate hosts of a bucket for new flows of callers of a data centre: those
+    /// of [`Self::chain_near`], without hosts of drained data centres.
+    pub fn opening_chain_near(
+        &self,
+        bucket: BucketIndex,
+        datacenter: &DatacenterName,
+    ) -> HostChain {
+        let Some(undrained) = &self.undrained_ranking else {
+            return self.chain_near(bucket, datacenter);
+        };
+        let chain = undrained.chain(bucket);
+        let near = self.near_rankings.get(datacenter);
+        match near.map(|ranking| ranking.chain(bucket)) {
+            Some(near) if !self.is_drained(&near) => near.followed_by(NEAR_HOPS, &chain),
+            _ => chain,
+        }
+    }
+
+    // Returns whether the hosts of a chain, all of one data centre, are drained.
+    fn is_drained(&self, chain: &HostChain) -> bool {
+        let first = chain.as_slice().first();
+        first.is_some_and(|host| self.host(*host).drained)
+    }
+
+    /// Returns whether the candidates of a bucket for new flows differ from the others, since a
+    /// data centre is drained.
+    pub fn has_drained_hosts(&self) -> bool {
+        self.undrained_ranking.is_some()
+    }
+
+    /// Returns whether the service has hosts that would accept new flows, and all of them are
+    /// drained.
+    pub fn is_wholly_drained(&self) -> bool {
+        let mut accepting = self
+            .hosts
+            .iter()
+            .filter(|host| matches!(host.state, HostState::Warming | HostState::Serving))
+            .peekable();
+        accepting.peek().is_some() && accepting.all(|host| host.drained)
+    }
+
     /// Returns the hosts that hold flows of a bucket without being candidates for it.
     pub fn holders(&self, bucket: BucketIndex) -> &[HostIndex] {
         self.holders.get(&bucket).map_or(&[], Vec::as_slice)
@@ -160,6 +241,18 @@
         .collect()
 }
 
+// Returns the ranking of the hosts that are not drained, or `None` if none is drained or a chain
+// contains all hosts.
+fn rank_undrained(hosts: &[ViewHost], ranked: &[RankedHost]) -> Option<HostRanking> {
+    if hosts.len() <= CHAIN_HOPS || hosts.iter().all(|host| !host.drained) {
+        return None;
+    }
+    let undrained = hosts.iter().zip(ranked).filter(|(host, _)| !host.drained);
+    Some(HostRanking::new(
+        undrained.map(|(_, ranked)| *ranked).collect(),
+    ))
+}
+
 // Treats all suspects as serving if there are more than the eject limit: it is then
 // more likely that the trackers are at fault than that the hosts are.
 fn apply_eject_limit(spec: &ServiceSpec, hosts: &mut [ViewHost]) {
@@ -179,7 +272,7 @@
     hash.update(&version.0.to_le_bytes());
     for host in hosts {
         let record = &host.record;
-        let state = match record.state {
+        let state = match host.shared_state() {
             HostState::Suspect => HostState::Serving,
             state => state,
         };
@@ -251,6 +344,8 @@
     pub unlisted_leaving_hosts: BTreeSet<HostName>,
     /// Hosts that have announced their departure here.
     pub departed_hosts: BTreeMap<HostName, Incarnation>,
+    /// Data centres that operators have drained.
+    pub drained: BTreeSet<DatacenterName>,
     by_address: HashMap<SocketAddrV4, Arc<ServiceView>>,
     by_id: HashMap<ServiceId, Arc<ServiceView>>,
 }
--- a/crates/core/src/view_builder.rs
+++ b/crates/core/src/view_builder.rs
@@ -14,7 +14,7 @@
 use crate::manifest::ServiceKind;
 use crate::roster::HostRecord;
 use crate::units::TimePoint;
-use crate::view::{RegistrationReach, RosterCoverage, RoutingView, ServiceView};
+use crate::view::{PlacementLimits, RegistrationReach, RosterCoverage, RoutingView, ServiceView};
 
 /// Minimum interval between two views unless a change is urgent. Each costs CPU time in
 /// proportion to the hosts of the changed services, which small entry VMs need for packets.
@@ -52,6 +52,10 @@
         changes: &[ItemChange],
         documents: &DocumentStore,
     ) {
+        // A data centre that is not drained any more, as another entry VM has noticed before.
+        if id.kind == DocumentKind::Drain && changes.is_empty() {
+            return;
+        }
         let mut changed_services = Vec::new();
         for change in changes {
             for item in [&change.old, &change.new].into_iter().flatten() {
@@ -62,12 +66,12 @@
                     DocumentItem::Service(spec) => {
                         changed_services.push(spec.id.clone());
                     }
-                    DocumentItem::Grant(..) | DocumentItem::Entry(_) => {}
+                    DocumentItem::Grant(..) | DocumentItem::Entry(_) | DocumentItem::Drain(_) => {}
                 }
             }
             self.record_host_change(change);
         }
-        self.urgent |= matches!(id.kind, DocumentKind::Manifest | DocumentKind::Grants);
+        self.urgent |= id.kind.is_of_operators();
         match id.kind {
             // The manifest version is part of every service view of the firm.
             DocumentKind::Manifest => changed_services.extend(service_ids(documents, Some(id))),
@@ -75,6 +79,7 @@
                 self.grants = GrantIndex::build(documents.items(DocumentKind::Grants));
                 changed_services.extend(service_ids(documents, None));
             }
+            DocumentKind::Drain => changed_services.extend(service_ids(documents, None)),
             DocumentKind::Roster | DocumentKind::Members => {}
         }
         self.mark_changed(changed_services);
@@ -170,7 +175,10 @@
     fn refresh(&mut self, documents: &DocumentStore) {
         self.urgent = false;
         let changed_services = std::mem::take(&mut self.changed_services);
-        let suspects: BTreeSet<HostName> = self.suspects.keys().cloned().collect();
+        let limits = PlacementLimits {
+            suspects: self.suspects.keys().cloned().collect(),
+            drained: documents.drained_datacenters().cloned().collect(),
+        };
         let mut view = RoutingView::clone(&self.view);
         view.generation = documents.generation(DocumentKind::Roster);
         for id in &changed_services {
@@ -181,11 +189,12 @@
             match granted {
                 Some((spec, version)) => {
                     let hosts = self.service_hosts(id);
-                    view.put(ServiceView::build(spec, version, &hosts, &suspects));
+                    view.put(ServiceView::build(spec, version, &hosts, &limits));
                 }
                 None => view.remove(id),
             }
         }
+        view.drained = limits.drained;
         view.registration_reach = self.registration_reach;
         view.roster_coverage = self.roster_coverage;
         view.unlisted_hosts = self.unlisted_hosts();
--- a/crates/core/tests/backlog.rs
+++ b/crates/core/tests/backlog.rs
@@ -7,6 +7,7 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
+use chestnutlb_core::opening_rules::KnownColdLimit;
 use chestnutlb_core::{
     BackendInfo, PassthroughArrival, PassthroughFlows, PassthroughVerdict, TcpSegment, TimePoint,
 };
@@ -32,6 +33,7 @@
     slots: SLOTS as u16,
     flow_limit: 2_000,
     cold: true,
+    cold_limit: KnownColdLimit::Unlimited,
     observed_from_start: true,
 };
 
--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -2,13 +2,14 @@
 
 #![allow(dead_code)]
 
-use std::collections::BTreeSet;
+pub mod fleet;
+
 use std::num::NonZeroUsize;
 use std::sync::Arc;
 use std::time::Duration;
 
 use chestnutlb_core::manifest::{HostLimits, ServiceTiming};
-use chestnutlb_core::view::{RegistrationReach, ServiceView};
+use chestnutlb_core::view::{PlacementLimits, RegistrationReach, ServiceView};
 use chestnutlb_core::{
     ByteCount, EntryRecord, FlowKey, HostRecord, HostState, HostWeight, Incarnation, ObjectVersion,
     PassthroughRouter, PercentShare, RequestClass, RouteRule, RoutingView, ServiceKind,
@@ -99,6 +100,7 @@
             flows: 100,
             head: ByteCount(1024),
             body: ByteCount(1024),
+            cold: None,
         },
         timing: ServiceTiming {
             drain_grace: Duration::from_secs(1),
@@ -136,7 +138,7 @@
         Arc::new(spec),
         ObjectVersion(1),
         &records,
-        &BTreeSet::new(),
+        &PlacementLimits::default(),
     ));
 }
 
--- a/crates/core/tests/crowded_service.rs
+++ b/crates/core/tests/crowded_service.rs
@@ -7,6 +7,7 @@
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
+use chestnutlb_core::opening_rules::KnownColdLimit;
 use chestnutlb_core::{
     BackendInfo, PassthroughArrival, PassthroughFlows, PassthroughPlan, PassthroughRouter,
     PassthroughVerdict, RoutingView, TcpSegment, TimePoint,
@@ -26,6 +27,7 @@
     slots: SLOTS,
     flow_limit: 2_000,
     cold: false,
+    cold_limit: KnownColdLimit::Unlimited,
     observed_from_start: true,
 };
 
--- a/crates/core/tests/near_hosts.rs
+++ b/crates/core/tests/near_hosts.rs
@@ -3,12 +3,12 @@
 
 mod common;
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::HashMap;
 use std::net::SocketAddrV4;
 use std::num::NonZeroUsize;
 use std::sync::Arc;
 
-use chestnutlb_core::view::{RegistrationReach, ServiceView};
+use chestnutlb_core::view::{PlacementLimits, RegistrationReach, ServiceView};
 use chestnutlb_core::{
     DatacenterName, FlowKey, HostLoad, HostRecord, HostState, ObjectVersion, PassthroughRouter,
     RoutingView, ServiceKind, TcpSegment, TimePoint,
@@ -92,7 +92,7 @@
         Arc::new(spec),
         version,
         &records,
-        &BTreeSet::new(),
+        &PlacementLimits::default(),
     ));
     view
 }
--- a/crates/core/tests/owner_lookup.rs
+++ b/crates/core/tests/owner_lookup.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use chestnutlb_core::opening_rules::KnownColdLimit;
 use chestnutlb_core::owner_lookup::{
     LOOKUP_QUERIES_PER_SECOND, LOOKUP_TIMEOUT, MAX_FLOWS_PER_QUERY, MAX_LOOKUP_HOSTS,
     UNREACHABLE_AFTER,
@@ -427,6 +428,7 @@
         slots: 3,
         flow_limit: 100,
         cold: false,
+        cold_limit: KnownColdLimit::Unlimited,
         observed_from_start,
     }
 }
--- a/crates/core/tests/passthrough.rs
+++ b/crates/core/tests/passthrough.rs
@@ -5,6 +5,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use chestnutlb_core::opening_rules::KnownColdLimit;
 use chestnutlb_core::passthrough::{CLOSED_TIMEOUT, REQUEST_TIMEOUT};
 use chestnutlb_core::{
     BackendInfo, OwnershipReply, PassthroughArrival, PassthroughFlows, PassthroughVerdict,
@@ -21,6 +22,7 @@
         slots: 3,
         flow_limit: 100,
         cold: false,
+        cold_limit: KnownColdLimit::Unlimited,
         observed_from_start: true,
     }
 }
--- a/crates/core/tests/possible_owners.rs
+++ b/crates/core/tests/possible_owners.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use chestnutlb_core::control::MAX_LISTED_FLOW_AGE;
+use chestnutlb_core::events::ListScope;
 use chestnutlb_core::known_hosts::{
     MAX_VANISHED_HOSTS, NEW_HOST_DELAY, REGISTRATION_WAIT, RELISTING_WAIT, VANISHED_HOST_MEMORY,
 };
@@ -608,6 +609,7 @@
     let mut run = EntryRun::start();
     run.load_members(FULL_MESH_FLEET + 1);
     run.handle(ControlEvent::AllListed {
+        scope: ListScope::Fleet,
         version: ObjectVersion(run.version),
         listed: vec![DocumentId::new(DocumentKind::Roster, DATACENTER)],
         first_era,
@@ -640,6 +642,7 @@
     run.control = EntryControl::new(entry(1, DATACENTER), Vec::new(), 1, run.now)
         .with_flow_age(MAX_LISTED_FLOW_AGE + Duration::from_millis(1));
     run.handle(ControlEvent::AllListed {
+        scope: ListScope::Fleet,
         version: ObjectVersion(1),
         listed: Vec::new(),
         first_era: Some(StoreEra(0)),
@@ -679,6 +682,7 @@
         },
     });
     run.handle(ControlEvent::AllListed {
+        scope: ListScope::Fleet,
         version: ObjectVersion(run.version + 1),
         listed: vec![DocumentId::new(DocumentKind::Roster, DATACENTER)],
         first_era: Some(StoreEra(0)),
@@ -692,6 +696,7 @@
 #[test]
 fn first_era_is_recorded_only_before_there_is_a_roster() {
     let all_listed = |listed: Vec<DocumentId>, first_era| ControlEvent::AllListed {
+        scope: ListScope::Fleet,
         version: ObjectVersion::new(StoreEra(3), StoreRevision(9)).unwrap(),
         listed,
         first_era,
--- a/crates/core/tests/registration_targets.rs
+++ b/crates/core/tests/registration_targets.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use chestnutlb_core::members::{FULL_MESH_FLEET, MemberRing};
+use chestnutlb_core::opening_rules::OpeningRules;
 use chestnutlb_core::registration_targets::{
     FULL_REGISTRATION_PERIOD, MIN_FULL_REGISTRATION_INTERVAL, TARGET_LIMIT, TARGET_MEMORY,
 };
@@ -30,12 +31,14 @@
         slice_hash: 1,
         fresh: true,
         resend: false,
+        opening: OpeningRules::default(),
     }
 }
 
 fn request() -> RegistrationReply {
     RegistrationReply {
         resend: true,
+        opening: OpeningRules::default(),
         ..naming(&[])
     }
 }
--- a/crates/core/tests/restored_store.rs
+++ b/crates/core/tests/restored_store.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 
 use chestnutlb_core::control::{JOB_TIMEOUT, RESTORE_SETTLE_TIME};
+use chestnutlb_core::events::ListScope;
 use chestnutlb_core::members::{ENTRY_SILENCE, RANK_DELAY};
 use chestnutlb_core::{
     ControlAction, ControlEvent, DocumentId, DocumentItem, DocumentKind, EntryControl, HostRecord,
@@ -306,6 +307,7 @@
             self.handle(
                 index,
                 ControlEvent::AllListed {
+                    scope: ListScope::Fleet,
                     version,
                     listed,
                     first_era: None,
--- a/crates/core/tests/routing.rs
+++ b/crates/core/tests/routing.rs
@@ -2,11 +2,11 @@
 
 mod common;
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::HashMap;
 use std::sync::Arc;
 
 use chestnutlb_core::placement::{CHAIN_HOPS, HostChain, HostRanking, HostSeed, RankedHost, score};
-use chestnutlb_core::view::ServiceView;
+use chestnutlb_core::view::{PlacementLimits, ServiceView};
 use chestnutlb_core::{
     BucketIndex, EntryRouter, HostIndex, HostRecord, HostState, HostWeight, ObjectVersion,
     PlanSource, RouteDecision, RouteDrop, RoutingView, ServiceSpec, TimePoint,
@@ -25,7 +25,7 @@
         spec(),
         version,
         &hosts,
-        &BTreeSet::new(),
+        &PlacementLimits::default(),
     ));
     Arc::new(view)
 }
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -120,7 +120,8 @@
         own_record.incarnation.0,
         clock::now(),
     )
-    .with_flow_age(settings.flow_age);
+    .with_flow_age(settings.flow_age)
+    .with_change_deadline(settings.change_deadline);
     let ring = event_ring.clone();
     file.watch(move |settings| {
         // If the ring is full, the new seeds are dropped: the members already known
@@ -165,7 +166,8 @@
         Dialect::Own => clone_client(&StoreClient::new(&settings.platform)),
         Dialect::Platform => {
             let datacenters = settings.host_datacenters.clone();
-            clone_client(&PlatformStore::new(&settings.platform, datacenters))
+            let store = PlatformStore::new(&settings.platform, datacenters);
+            clone_client(&store.with_drains(settings.reads_drains))
         }
     }
 }
--- a/crates/daemon/src/entry_control.rs
+++ b/crates/daemon/src/entry_control.rs
@@ -9,9 +9,9 @@
 use crossbeam_channel::{Receiver, RecvTimeoutError, Sender};
 
 use chestnutlb_core::{
-    ControlAction, ControlEvent, DocumentId, EntryControl, HostRecord, HostRevision, HostState,
-    Incarnation, MemberEdit, ObjectVersion, RegistrationReply, RosterEdit, RoutingView, StoreEra,
-    TimePoint,
+    ControlAction, ControlEvent, DatacenterName, DocumentId, EntryControl, HostRecord,
+    HostRevision, HostState, Incarnation, MemberEdit, ObjectVersion, RegistrationReply, RosterEdit,
+    RoutingView, StoreEra, TimePoint,
 };
 use chestnutlb_wire::peer::{
     MAX_PEER_DATAGRAM_BYTES, PeerMessage, scan_message, write_message, write_registration_reply,
@@ -48,6 +48,8 @@
     RemoveUnreadable(DocumentId, ObjectVersion),
     /// Records the era in which the first roster is written.
     RecordFirstEra(StoreEra),
+    /// Reads all objects of the operators.
+    Probe,
 }
 
 /// A pull of documents from a peer.
@@ -221,10 +223,20 @@
             ControlAction::RecordFirstEra(era) => {
                 try_push(&self.rings.store, StoreJob::RecordFirstEra(era), counters);
             }
+            ControlAction::ProbeStore => {
+                log::info!(
+                    target: "platform",
+                    age_ms = self.confirmation_age_ms();
+                    "unconfirmed, reading"
+                );
+                counters.add(Counter::StoreProbes);
+                try_push(&self.rings.store, StoreJob::Probe, counters);
+            }
             ControlAction::Watch(enabled) => self.watching.store(enabled, Ordering::Relaxed),
             ControlAction::Publish => {
                 let view = Arc::clone(self.control.view());
                 log_host_changes(&view, &self.logged_view);
+                log_drains(&view, &self.logged_view);
                 self.logged_view = Arc::clone(&view);
                 self.shared.publish_view(&view, self.control.documents());
                 self.unsent_view = Some(view);
@@ -241,6 +253,12 @@
         }
     }
 
+    // Returns the time since the platform confirmed the documents, in milliseconds.
+    fn confirmation_age_ms(&self) -> Option<u64> {
+        let age = self.control.confirmation_age(clock::now())?;
+        Some(age.as_millis() as u64)
+    }
+
     // Sends the newest view. If the ring is full, keeps it for the next attempt: the
     // packet thread must not miss the newest view.
     fn send_view(&mut self) {
@@ -293,6 +311,14 @@
     }
 }
 
+// Logs which data centres are drained if that has changed.
+fn log_drains(view: &RoutingView, old: &RoutingView) {
+    if view.drained != old.drained {
+        let names: Vec<&str> = view.drained.iter().map(DatacenterName::as_str).collect();
+        log::info!(target: "placement", drained = names.join(" ").as_str(); "drains in view");
+    }
+}
+
 fn state_name(state: Option<HostState>) -> String {
     state.map_or_else(|| "none".to_owned(), |state| state.to_string())
 }
--- a/crates/daemon/src/entry_http.rs
+++ b/crates/daemon/src/entry_http.rs
@@ -148,6 +148,10 @@
                 .confirmed_at
                 .map(|confirmed_at| clock::now().since(confirmed_at).as_millis() as u64),
             documents: wire_versions(&documents.digest()),
+            drained: documents
+                .drained_datacenters()
+                .map(ToCompactString::to_compact_string)
+                .collect(),
             entries: entries
                 .filter_map(|item| match item {
                     DocumentItem::Entry(record) => Some(record.into()),
@@ -247,6 +251,11 @@
         service: service.id().to_compact_string(),
         bucket: key.hash().bucket().0,
         generation: view.generation.into(),
+        drained: view
+            .drained
+            .iter()
+            .map(ToCompactString::to_compact_string)
+            .collect(),
         opening,
         walk,
         complete,
@@ -283,8 +292,8 @@
         slice: service.map_or(0, |service| service.slice_hash),
         service: service.map(|service| service.spec.as_ref().into()),
         hosts: service.map_or_else(Vec::new, |service| {
-            let records = service.hosts().iter().map(|host| host.record.as_ref());
-            records.map(Into::into).collect()
+            let records = service.hosts().iter().map(ViewHost::shared_record);
+            records.map(|record| (&record).into()).collect()
         }),
     };
     Ok(write_message(&slice))
--- a/crates/daemon/src/entry_packets.rs
+++ b/crates/daemon/src/entry_packets.rs
@@ -426,7 +426,15 @@
         self.counters.add(match cause {
             RouteDrop::NoService => Counter::PacketsNoService,
             RouteDrop::NoHost => Counter::PacketsNoHost,
+            RouteDrop::Drained => Counter::PacketsDrained,
         });
+        // Nothing was opened, so the caller may try again at once, elsewhere.
+        if cause == RouteDrop::Drained {
+            let reset = self.format.write_reset(segment);
+            let target = self.format.caller_target(segment.key);
+            // A lost reset is not retransmitted: the caller's next SYN gets another one.
+            let _ = self.socket.send_to(&reset, target);
+        }
         if self.should_log(segment) {
             log::info!(target: "route", flow:% = segment.key, cause = cause.as_str(); "drop");
         }
--- a/crates/daemon/src/entry_store.rs
+++ b/crates/daemon/src/entry_store.rs
@@ -7,7 +7,9 @@
 use compact_str::CompactString;
 use crossbeam_channel::Receiver;
 
-use chestnutlb_core::{ControlEvent, DocumentId, DocumentPatch, ObjectVersion, StoreEra};
+use chestnutlb_core::{
+    ControlEvent, DocumentId, DocumentPatch, ListScope, ObjectVersion, StoreEra,
+};
 use chestnutlb_store::{
     EditOutcome, FeedIndex, FeedObject, FeedPosition, FeedStep, FeedUpdate, LoadedDocument,
     StoreCalls, objects,
@@ -44,9 +46,6 @@
 /// peers at once.
 const WATCH_DELAY: Duration = Duration::from_millis(500);
 
-/// The feed that holds the operators' objects.
-const OPERATORS_FEED: FeedIndex = FeedIndex(0);
-
 /// Interval at which a thread whose watch is disabled checks whether it was enabled.
 const DISABLED_POLL_PERIOD: Duration = Duration::from_millis(100);
 
@@ -89,6 +88,10 @@
                 record_first_era(client, era, counters);
                 continue;
             }
+            StoreJob::Probe => {
+                probe(client, events, counters);
+                continue;
+            }
         };
         let event = match loaded {
             Ok(Some(loaded)) => loaded_event(id, loaded),
@@ -157,6 +160,24 @@
     }
 }
 
+// Reads the feeds of the operators' objects, each as a whole. A failed read is not repeated: the
+// next probe causes another one.
+fn probe(client: &dyn StoreCalls, events: &EventRing, counters: &CounterSet) {
+    let feeds = (0..client.feeds()).map(FeedIndex);
+    for feed in feeds.filter(|feed| client.is_of_operators(*feed)) {
+        match client.fetch_updates(feed, None, Duration::ZERO) {
+            // The other feeds may have changed, so the documents are not confirmed.
+            Ok(update) => forward_update(update, true, events, counters),
+            Err(error) => {
+                counters.add(Counter::PlatformFailed);
+                log::warn!(target: "platform", feed = feed.0, cause:% = error; "probe failed");
+                return;
+            }
+        }
+    }
+    events.push(ControlEvent::StoreAnswered);
+}
+
 fn edit_result(outcome: EditOutcome) -> JobResult {
     match outcome {
         EditOutcome::Done(loaded) => Ok(Some(loaded)),
@@ -209,7 +230,7 @@
                 }
                 let is_stale = step == FeedStep::Stale;
                 forward_update(update, is_stale || !all_read, events, counters);
-                if feed != OPERATORS_FEED {
+                if !client.is_of_operators(feed) {
                     let watch_delay = if after.is_none() {
                         FIRST_WATCH_DELAY
                     } else {
@@ -246,8 +267,9 @@
 // confirm the documents.
 fn forward_update(update: FeedUpdate, stale: bool, events: &EventRing, counters: &CounterSet) {
     let version = update.version();
-    let all_listed = |listed: Vec<DocumentId>, first_era: Option<StoreEra>| {
+    let all_listed = |scope, listed: Vec<DocumentId>, first_era: Option<StoreEra>| {
         let event = ControlEvent::AllListed {
+            scope,
             version,
             listed,
             first_era,
@@ -263,21 +285,22 @@
             report_unreadable(unreadable, counters);
             let list = document_versions(&list);
             if has_all {
-                all_listed(list.iter().map(|(id, _)| id.clone()).collect(), None);
+                let listed = list.iter().map(|(id, _)| id.clone());
+                all_listed(ListScope::All, listed.collect(), None);
             }
             list
         }
         FeedUpdate::Objects {
             objects,
-            has_all,
+            scope,
             first_era,
             unreadable,
             ..
         } => {
             report_unreadable(unreadable, counters);
-            if has_all {
+            if let Some(scope) = scope {
                 let listed = objects.iter().map(|object| object.id.clone());
-                all_listed(listed.collect(), first_era);
+                all_listed(scope, listed.collect(), first_era);
             }
             for object in objects {
                 load_object(object, events, counters);
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -49,6 +49,8 @@
     PacketsNoService = "packets.no-service",
     /// Packets for a service without hosts.
     PacketsNoHost = "packets.no-host",
+    /// SYNs refused since all hosts of the service are in drained data centres.
+    PacketsDrained = "packets.drained",
     /// Packets kept until the configuration is read, each as often as it was tried.
     PacketsEarly = "packets.early",
     /// Packets that the socket failed to send.
@@ -87,6 +89,8 @@
     PlatformCalls = "platform.calls",
     /// Calls to the platform that failed.
     PlatformFailed = "platform.failed",
+    /// Reads of the operators' objects by an entry VM whose documents nobody confirmed.
+    StoreProbes = "platform.probes",
     /// Malformed or oversized HTTP bodies.
     BodiesBad = "http.bad-body",
     /// Reports and deregistrations of a backend server that were older than the current report,
@@ -113,6 +117,10 @@
     ResetsWithheld = "resets.withheld",
     /// Packets refused with a reset.
     PacketsReset = "packets.reset",
+    /// SYNs passed on since the data centre of the host is drained.
+    SynsDrained = "syns.drained",
+    /// SYNs passed on since the host is cold and has opened as many flows as it may.
+    SynsCold = "syns.cold",
     /// Flows opened.
     FlowsOpened = "flows.opened",
     /// Flows that ended, including those cut by this process.
--- a/crates/daemon/src/passthrough_control.rs
+++ b/crates/daemon/src/passthrough_control.rs
@@ -3,9 +3,13 @@
 
 use std::sync::Arc;
 
-use chestnutlb_core::{HostRecord, HostState, Incarnation, ObjectVersion, TimePoint};
+use chestnutlb_core::opening_rules::RulesChange;
+use chestnutlb_core::{
+    HostRecord, HostState, Incarnation, ObjectVersion, RegistrationReply, TimePoint,
+};
 
 use crate::clock;
+use crate::logs::LoggedVersion;
 use crate::passthrough_side::PassthroughShared;
 use crate::registration::{HostRegistration, REGISTRATION_PERIOD};
 
@@ -44,9 +48,30 @@
                 self.registration_due = now + REGISTRATION_PERIOD;
                 self.register(now);
             }
-            // Only the registration targets matter, which `receive` records; the rest of a
-            // reply concerns hosts of other service kinds.
-            self.registration.receive(now);
+            // `receive` records the registration targets. The hash in a reply concerns hosts of
+            // other service kinds.
+            if let Some(reply) = self.registration.receive(now) {
+                self.record_rules(&reply, now);
+            }
+        }
+    }
+
+    // Puts the rules of a reply in force. An entry VM that does not know the service yet does
+    // not know its rules either.
+    fn record_rules(&self, reply: &RegistrationReply, now: TimePoint) {
+        if reply.slice_hash == 0 && reply.opening.is_empty() {
+            return;
+        }
+        let mut gate = self.shared.opening();
+        let change = gate.record_rules(&reply.opening, now);
+        if change != RulesChange::Same {
+            log::info!(
+                target: "host",
+                change:? = change, drained = gate.is_drained(),
+                version = LoggedVersion::from(gate.drain_version()),
+                cold_limit:? = gate.cold_limit();
+                "opening rules"
+            );
         }
     }
 
--- a/crates/daemon/src/passthrough_packets.rs
+++ b/crates/daemon/src/passthrough_packets.rs
@@ -231,16 +231,19 @@
 
     fn backend_info(&self, now: TimePoint) -> BackendInfo {
         let is_absent = self.shared.is_backend_absent();
+        let opening = self.shared.opening().clone();
         let tracker = self.shared.backend();
         BackendInfo {
             accepts_flows: tracker.accepts_flows()
+                && !opening.is_drained()
                 && !is_absent
                 && !self.shared.stopping.load(Ordering::Relaxed),
             slots: tracker
                 .current()
                 .map_or(ASSUMED_SLOTS, |report| report.slots.max(1)),
             flow_limit: self.settings.flow_limit,
-            cold: tracker.is_cold(now),
+            cold: tracker.is_cold(now) || opening.may_have_turned_cold(tracker.last_seen()),
+            cold_limit: opening.cold_limit(),
             observed_from_start: tracker.is_observed_from_start() || is_absent,
         }
     }
@@ -337,6 +340,7 @@
                 PassthroughVerdict::NoNextHop
             }
         };
+        self.count_limited_syn(&segment, verdict, &backend_info, now);
         self.log_verdict(&segment, verdict, header, position);
         let packet = &datagram[envelope_len..];
         match verdict {
@@ -360,6 +364,28 @@
         Ok(())
     }
 
+    // Counts a SYN that is not opened here because of the operators' rules.
+    fn count_limited_syn(
+        &self,
+        segment: &TcpSegment,
+        verdict: PassthroughVerdict,
+        backend_info: &BackendInfo,
+        now: TimePoint,
+    ) {
+        let is_passed_on = !matches!(
+            verdict,
+            PassthroughVerdict::Deliver | PassthroughVerdict::Open
+        );
+        if !segment.is_syn || !is_passed_on {
+            return;
+        }
+        if self.shared.opening().is_drained() {
+            self.shared.counters.add(Counter::SynsDrained);
+        } else if !self.flows.admits_while_cold(backend_info, now) {
+            self.shared.counters.add(Counter::SynsCold);
+        }
+    }
+
     // Records that an entry VM sent a packet. Up to [`MAX_REPORTED_ENTRIES`] entry VMs
     // receive load reports.
     fn record_entry(&mut self, entry: SocketAddrV4, now: TimePoint) {
--- a/crates/daemon/src/passthrough_side.rs
+++ b/crates/daemon/src/passthrough_side.rs
@@ -10,7 +10,7 @@
 use crossbeam_channel::{Receiver, RecvTimeoutError};
 
 use chestnutlb_core::{
-    BackendChange, BackendIdentity, BackendTracker, HostState, SideHistory, TimePoint,
+    BackendChange, BackendIdentity, BackendTracker, HostState, OpeningGate, SideHistory, TimePoint,
 };
 use chestnutlb_wire::status::SideStatus;
 
@@ -53,6 +53,7 @@
     /// Number of requests in progress at the backend server.
     pub at_work: AtomicU64,
     backend: Mutex<BackendTracker>,
+    opening: Mutex<OpeningGate>,
     /// Number of new backend epochs recorded by this process.
     pub backend_epochs: AtomicU64,
 }
@@ -60,7 +61,7 @@
 impl PassthroughShared {
     fn new(
         settings: Arc<SideSettings>,
-        report_period: Option<Duration>,
+        passthrough: &PassthroughSettings,
         counters: Arc<CounterSet>,
     ) -> Self {
         let identity = BackendIdentity {
@@ -72,11 +73,12 @@
             counters,
             settings,
             identity,
-            report_period,
+            report_period: passthrough.report_period,
             stopping: AtomicBool::new(false),
             flows: AtomicU64::new(0),
             at_work: AtomicU64::new(0),
             backend: Mutex::default(),
+            opening: Mutex::new(OpeningGate::new(passthrough.may_limit_cold)),
             backend_epochs: AtomicU64::new(0),
         }
     }
@@ -86,6 +88,11 @@
         self.backend.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Locks and returns the rules of operators for new flows.
+    pub fn opening(&self) -> MutexGuard<'_, OpeningGate> {
+        self.opening.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Logs a change by a report or deregistration of the backend server, or that it was
     /// outdated, and counts both that and a new backend epoch.
     pub fn record_backend_change(&self, change: BackendChange, cause: &str, name: &str) {
@@ -172,7 +179,7 @@
     let settings = Arc::new(settings.clone());
     let shared = Arc::new(PassthroughShared::new(
         Arc::clone(&settings),
-        passthrough.report_period,
+        passthrough,
         counters,
     ));
     http::start(server(Arc::clone(&shared), settings.status))?;
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -14,6 +14,10 @@
 const NAME_FORMAT: &str = "1 to 63 of a-z, 0-9 and '-'";
 const ADDRESS_FORMAT: &str = "an IPv4 address and port";
 
+/// Allowed range of the change deadline, in milliseconds.
+const MIN_CHANGE_DEADLINE_MS: u64 = 1_500;
+const MAX_CHANGE_DEADLINE_MS: u64 = 3_600_000;
+
 /// Log settings.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -88,6 +92,10 @@
     seeds: Vec<CompactString>,
     #[serde(default)]
     seeds_port: Option<u16>,
+    #[serde(default)]
+    drains: bool,
+    #[serde(default = "default_change_deadline")]
+    change_deadline_ms: u64,
     #[serde(default = "default_hints")]
     hints: usize,
     #[serde(default = "default_flow_age")]
@@ -104,6 +112,11 @@
     100_000
 }
 
+/// Time within which a change is in force everywhere at the target size, in milliseconds.
+fn default_change_deadline() -> u64 {
+    5_000
+}
+
 fn default_stop_linger() -> u64 {
     2_000
 }
@@ -154,6 +167,8 @@
     report_period_ms: Option<u64>,
     #[serde(default = "default_flow_limit")]
     flow_limit: usize,
+    #[serde(default)]
+    cold_limits: bool,
 }
 
 /// Default maximum age of a flow, in milliseconds: feeds may stay open for a
@@ -197,6 +212,11 @@
     /// Data centres that may contain hosts, for a platform that does not list
     /// them.
     pub host_datacenters: Vec<CompactString>,
+    /// Whether operators drain data centres, on a platform that keeps this apart from the
+    /// configuration.
+    pub reads_drains: bool,
+    /// Time within which a change of the operators' documents has to be in force.
+    pub change_deadline: Duration,
     /// Peer addresses of other entry VMs, used to join them.
     pub seeds: Vec<SocketAddrV4>,
     /// Maximum number of flows whose owner is cached.
@@ -261,6 +281,9 @@
     pub report_period: Option<Duration>,
     /// Maximum number of flows that the backend server holds at once.
     pub flow_limit: usize,
+    /// Whether manifests may limit the new flows of a cold host. It then opens none before an
+    /// entry VM has told it the limit.
+    pub may_limit_cold: bool,
 }
 
 /// Settings of either role.
@@ -386,10 +409,23 @@
             flow_idle: Duration::from_millis(wire.flow_idle_ms),
             report_period: wire.report_period_ms.map(Duration::from_millis),
             flow_limit: wire.flow_limit,
+            may_limit_cold: wire.cold_limits,
         })
     }
 }
 
+// Shorter deadlines can't be met by reads of the platform.
+fn parse_change_deadline(millis: u64) -> Result<Duration, DocumentError> {
+    if (MIN_CHANGE_DEADLINE_MS..=MAX_CHANGE_DEADLINE_MS).contains(&millis) {
+        return Ok(Duration::from_millis(millis));
+    }
+    Err(DocumentError::Value(
+        "change_deadline_ms".to_owned(),
+        millis.to_string(),
+        format!("{MIN_CHANGE_DEADLINE_MS} to {MAX_CHANGE_DEADLINE_MS}"),
+    ))
+}
+
 fn check_log(log: &LogSettings) -> Result<(), DocumentError> {
     let levels = "error, warn, info, debug or trace";
     parse_text::<log::LevelFilter>("log.level", &log.level, levels)?;
@@ -429,6 +465,8 @@
             )?,
             platform: wire.platform.clone(),
             host_datacenters: wire.places.clone(),
+            reads_drains: wire.drains,
+            change_deadline: parse_change_deadline(wire.change_deadline_ms)?,
             seeds: parse_seeds(&wire.seeds, wire.seeds_port)?,
             hint_limit: wire.hints,
             flow_age: Duration::from_millis(wire.flow_age_ms),
--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -53,6 +53,17 @@
             "bad log level",
             SIDE.replace("\"seeds\"", "\"log\": {\"level\": \"loud\"}, \"seeds\""),
         ),
+        (
+            "drains and deadline",
+            ENTRY.replace(
+                "\"peers\"",
+                "\"drains\": true, \"change_deadline_ms\": 3000, \"peers\"",
+            ),
+        ),
+        (
+            "deadline too short",
+            ENTRY.replace("\"peers\"", "\"change_deadline_ms\": 100, \"peers\""),
+        ),
         ("not JSON", "role = entry".to_owned()),
     ];
     let reports: Vec<_> = cases
--- a/crates/spec/src/lib.rs
+++ b/crates/spec/src/lib.rs
@@ -19,6 +19,7 @@
 
 mod checker;
 pub mod commits;
+pub mod drains;
 pub mod flows;
 pub mod passthrough;
 pub mod relays;
--- a/crates/spec/tests/properties.rs
+++ b/crates/spec/tests/properties.rs
@@ -2,6 +2,7 @@
 //! the snapshots contain a shortest trace to a state that violates it.
 
 use chestnutlb_spec::commits::{CommitMutation, CommitSpec};
+use chestnutlb_spec::drains::{DrainMutation, DrainSpec};
 use chestnutlb_spec::flows::{FlowMutation, FlowSpec};
 use chestnutlb_spec::passthrough::{PassthroughMutation, PassthroughSpec};
 use chestnutlb_spec::relays::{RelayMutation, RelaySpec};
@@ -445,3 +446,35 @@
     ];
     insta::assert_snapshot!(results.join("\n"));
 }
+
+fn search_drains(mutation: DrainMutation, property: impl Fn(&DrainSpec) -> bool) -> SearchResult {
+    search(DrainSpec::start(), |state| state.next(mutation), property)
+}
+
+#[test]
+fn drain_properties_hold_and_fail_without_a_guard() {
+    let all = |state: &DrainSpec| state.is_monotonic() && state.versions_agree();
+    let mutations = [
+        ("drains", DrainMutation::None),
+        (
+            "a list ends later drains",
+            DrainMutation::ListsEndLaterDrains,
+        ),
+        ("any version is applied", DrainMutation::AppliesAll),
+        (
+            "a host goes by the last reply",
+            DrainMutation::HostGoesByLastReply,
+        ),
+        (
+            "an entry VM that knows of no drain ends it",
+            DrainMutation::SilenceEnds,
+        ),
+    ];
+    let mut results: Vec<String> = mutations
+        .into_iter()
+        .map(|(name, mutation)| describe(name, &search_drains(mutation, all)))
+        .collect();
+    let reached = search_drains(DrainMutation::None, DrainSpec::host_sees_no_end);
+    results.push(describe("a drain that never ends at the host", &reached));
+    insta::assert_snapshot!(results.join("\n"));
+}
--- a/crates/standin/src/capacity.rs
+++ b/crates/standin/src/capacity.rs
@@ -369,12 +369,14 @@
         slice: u64::MAX / 3,
         fresh: true,
         resend: false,
+        opening: None,
     });
     let full_reply = PeerMessage::Welcome(WireRegistrationReply {
         keepers: vec![(&entry_record(5_000)).into(), (&entry_record(5_001)).into()],
         slice: u64::MAX / 3,
         fresh: true,
         resend: false,
+        opening: None,
     });
     let recent = vec![
         (
--- a/crates/standin/tests/control_faults.rs
+++ b/crates/standin/tests/control_faults.rs
@@ -3,8 +3,13 @@
 
 mod common;
 
+use std::collections::BTreeSet;
+
+use chestnutlb_standin::fleet::Fleet;
 use chestnutlb_standin::platform::PlatformSwitch;
-use common::{end_name, new_caller, open_feeds, order_task, start_fleet, write_manifest};
+use common::{
+    end_name, find_host_of_order, new_caller, open_feeds, order_task, start_fleet, write_manifest,
+};
 
 const PAUSE: i32 = signal_hook::consts::SIGSTOP;
 const RESUME: i32 = signal_hook::consts::SIGCONT;
@@ -126,6 +131,67 @@
     }
 }
 
+// Starts orders and returns the data centres of the hosts that ran them.
+fn run_orders(fleet: &Fleet, caller: u8, first: usize) -> BTreeSet<&'static str> {
+    let ids = first..first + 20;
+    let mut callers = new_caller(fleet, caller);
+    for id in ids.clone() {
+        callers.add(order_task(id, (id - first) as u64 * 10, 5, 10));
+    }
+    callers.run(|_| false);
+    for result in callers.results() {
+        assert_eq!(end_name(&result.end), "answered", "{result:?}");
+    }
+    let hosts = ids.filter_map(|id| find_host_of_order(fleet, &format!("o{id}")));
+    hosts.map(|host| datacenter_of(&host)).collect()
+}
+
+// As `plan_hosts` places them.
+fn datacenter_of(host: &str) -> &'static str {
+    if host == "order-2" { "dc-1" } else { "dc-2" }
+}
+
+#[test]
+fn drained_data_centre_gets_no_orders_until_it_is_taken_back_and_its_feeds_stay() {
+    let name = "drain";
+    let fleet = start_fleet(name);
+    let mut feeds = open_feeds(&fleet, 12);
+    let platform = format!("http://{}", fleet.platform);
+    let run = |command, datacenter| {
+        let arguments = [command, "--platform", &platform, datacenter];
+        let output = fleet.run_client(&arguments).unwrap();
+        output.status.code().unwrap()
+    };
+    assert_eq!(run("drain", "dc-9"), 2, "an unknown data centre");
+    let wait_drained = |expected: &[&str]| {
+        fleet
+            .wait_for("the drain to be in force", || {
+                let mut statuses = fleet
+                    .entries()
+                    .into_iter()
+                    .map(|entry| fleet.entry_status(&entry));
+                statuses.all(|status| status.is_some_and(|status| status.drained == expected))
+            })
+            .unwrap();
+    };
+    assert_eq!(run("drain", "dc-2"), 0);
+    assert_eq!(run("drain", "dc-2"), 0, "again");
+    wait_drained(&["dc-2"]);
+    assert_eq!(run_orders(&fleet, 2, 0), BTreeSet::from(["dc-1"]));
+    let explanation = fleet.explain("entry-1", "10.30.0.1:7000").unwrap();
+    assert_eq!(explanation.drained, ["dc-2"]);
+    assert_eq!(explanation.opening.len(), 1);
+    assert_eq!(run("undrain", "dc-2"), 0);
+    wait_drained(&[]);
+    assert_eq!(run_orders(&fleet, 3, 100), BTreeSet::from(["dc-1", "dc-2"]));
+    let until = feeds.elapsed() + std::time::Duration::from_secs(1);
+    feeds.run(|feeds| feeds.elapsed() > until);
+    feeds.end_feeds();
+    for result in feeds.results() {
+        assert_eq!(end_name(&result.end), "held", "{result:?}");
+    }
+}
+
 #[test]
 fn stale_platform_replies_revert_no_manifest() {
     let name = "stale";
--- a/crates/store/src/calls.rs
+++ b/crates/store/src/calls.rs
@@ -6,7 +6,7 @@
 
 use serde_json::Value;
 
-use chestnutlb_core::{DocumentId, ObjectVersion, StoreEra};
+use chestnutlb_core::{DocumentId, ListScope, ObjectVersion, StoreEra};
 use chestnutlb_wire::{ObjectList, ObjectReply};
 
 use crate::client::{StoreError, WriteOutcome};
@@ -45,8 +45,8 @@
         revision: ObjectVersion,
         /// All objects of the feed, or only the changed ones.
         objects: Vec<FeedObject>,
-        /// Whether these are all rosters and members of the store.
-        has_all: bool,
+        /// The kinds of which these are all documents of the store, if any.
+        scope: Option<ListScope>,
         /// Era in which the first roster was written, if these are all objects and the store
         /// has recorded it.
         first_era: Option<StoreEra>,
@@ -136,6 +136,11 @@
         None
     }
 
+    /// Returns whether a feed holds objects that operators write. Their changes are read at once.
+    fn is_of_operators(&self, _feed: FeedIndex) -> bool {
+        true
+    }
+
     /// Returns the longest wait of a watch of a feed.
     fn watch_wait(&self, feed: FeedIndex) -> Duration;
 
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -10,7 +10,7 @@
 use serde::Deserialize;
 use serde_json::value::RawValue;
 
-use chestnutlb_core::{DocumentId, DocumentKind, ObjectVersion};
+use chestnutlb_core::{DocumentId, ObjectVersion};
 use chestnutlb_wire::object::ERA_HEADER;
 use chestnutlb_wire::object::ObjectListEntry;
 use chestnutlb_wire::{ObjectList, ObjectReply, WriteReply};
@@ -206,7 +206,7 @@
             version: StoreAnswer::version(era, reply.version)?.0,
             value: match (id.kind, reply.value) {
                 // Valid as a whole.
-                (DocumentKind::Manifest | DocumentKind::Grants, Some(value)) => body.part(value)?,
+                (kind, Some(value)) if kind.is_of_operators() => body.part(value)?,
                 (_, value) => body.content(value),
             },
         }))
--- a/crates/store/src/objects.rs
+++ b/crates/store/src/objects.rs
@@ -8,11 +8,11 @@
 use serde_json::Value;
 
 use chestnutlb_core::{
-    DocumentId, DocumentItem, DocumentKind, FirmManifest, MemberEdit, ObjectVersion, RosterEdit,
-    UnreadableItems,
+    DatacenterName, DocumentId, DocumentItem, DocumentKind, FirmManifest, MemberEdit,
+    ObjectVersion, RosterEdit, UnreadableItems,
 };
 use chestnutlb_wire::manifest::shared_services;
-use chestnutlb_wire::{ManifestObject, ObjectReply, WireGrants, WireItem};
+use chestnutlb_wire::{ManifestObject, ObjectReply, WireDrain, WireGrants, WireItem};
 
 use crate::calls::{FeedObject, StoreCalls};
 use crate::client::{StoreError, WriteOutcome};
@@ -52,6 +52,12 @@
                 .map(|grant| DocumentItem::try_from(&grant).map_err(format_error))
                 .collect::<Result<_, _>>()?
         }
+        DocumentKind::Drain => {
+            let object: WireDrain = parse_value(value)?;
+            let datacenter = id.name.parse().map_err(format_error)?;
+            let drained = object.drained.then_some(DocumentItem::Drain(datacenter));
+            drained.into_iter().collect()
+        }
         DocumentKind::Roster | DocumentKind::Members => {
             return Ok(StoredList::new(id, Some(value)).into_document(version));
         }
@@ -166,6 +172,18 @@
     })
 }
 
+/// Drains a data centre or takes it back. A repetition changes nothing.
+pub fn set_drained(
+    client: &dyn StoreCalls,
+    datacenter: &DatacenterName,
+    drained: bool,
+) -> EditOutcome {
+    let id = DocumentId::new(DocumentKind::Drain, datacenter.as_str());
+    edit(client, &id, ObjectVersion(0), |_, _| {
+        serde_json::to_value(WireDrain { drained }).map_err(format_error)
+    })
+}
+
 // Edits an object of version `oldest` or later.
 fn edit(
     client: &dyn StoreCalls,
--- a/crates/store/src/stored_list.rs
+++ b/crates/store/src/stored_list.rs
@@ -158,7 +158,9 @@
     let value = match record {
         DocumentItem::Host(record) => serde_json::to_value(WireHost::from(record.as_ref())),
         DocumentItem::Entry(record) => serde_json::to_value(WireEntry::from(record)),
-        DocumentItem::Grant(..) | DocumentItem::Service(_) => Ok(Value::Null),
+        DocumentItem::Grant(..) | DocumentItem::Service(_) | DocumentItem::Drain(_) => {
+            Ok(Value::Null)
+        }
     };
     value.map_err(|error| StoreError::Format(error.to_string()))
 }
@@ -167,6 +169,8 @@
     match record {
         DocumentItem::Host(record) => record.incarnation,
         DocumentItem::Entry(record) => record.incarnation,
-        DocumentItem::Grant(..) | DocumentItem::Service(_) => Incarnation(0),
+        DocumentItem::Grant(..) | DocumentItem::Service(_) | DocumentItem::Drain(_) => {
+            Incarnation(0)
+        }
     }
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -23,7 +23,7 @@
 pub mod status;
 
 pub use manifest::{DocumentError, WireGrants, WireManifest, WireService, parse_json, parse_text};
-pub use object::{ManifestObject, ObjectList, ObjectListEntry, ObjectReply, WriteReply};
+pub use object::{ManifestObject, ObjectList, ObjectListEntry, ObjectReply, WireDrain, WriteReply};
 pub use packet::{PacketError, PacketFrame, PacketHeader, WireHop, scan_frame, scan_segment};
 pub use peer::{PeerError, PeerMessage, scan_message, write_message};
 pub use records::{WireEntry, WireHost, WireItem, WireMembers, WirePatch, WireRoster, WireVersion};
--- a/crates/wire/src/manifest.rs
+++ b/crates/wire/src/manifest.rs
@@ -5,6 +5,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddrV4;
+use std::num::NonZeroU32;
 use std::str::FromStr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -15,10 +16,13 @@
 
 use chestnutlb_core::manifest::{HostLimits, ServiceTiming};
 use chestnutlb_core::{
-    AddressBlock, ByteCount, DatacenterName, FirmManifest, FirmName, PercentShare, RequestClass,
-    RouteRule, ServiceId, ServiceKind, ServiceSpec,
+    AddressBlock, ByteCount, ColdLimit, DatacenterName, FirmManifest, FirmName, PercentShare,
+    RequestClass, RouteRule, ServiceId, ServiceKind, ServiceSpec,
 };
 
+/// Largest limit of new flows per second of a cold host.
+pub const MAX_COLD_FLOWS: u64 = 1_000_000;
+
 /// Maximum number of services in a manifest.
 pub const MAX_SERVICES: usize = 2000;
 
@@ -180,6 +184,9 @@
     pub head: CompactString,
     /// Maximum size of a request's body.
     pub body: CompactString,
+    /// Maximum number of new passthrough flows per second while the host is cold.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub cold_flows_per_second: Option<u64>,
 }
 
 impl Default for WireLimits {
@@ -190,6 +197,7 @@
             flows: 2000,
             head: "16KiB".into(),
             body: "1MiB".into(),
+            cold_flows_per_second: None,
         }
     }
 }
@@ -308,8 +316,18 @@
             flows: count("flows", self.flows, 1_000_000)?,
             head: size("head", &self.head, 64 << 10)?,
             body: size("body", &self.body, 16 << 20)?,
+            cold: self.check_cold_limit(path)?,
         })
     }
+
+    fn check_cold_limit(&self, path: &str) -> Result<Option<ColdLimit>, DocumentError> {
+        let Some(found) = self.cold_flows_per_second else {
+            return Ok(None);
+        };
+        let field_path = format!("{path}.cold_flows_per_second");
+        let limit = check_range(&field_path, found, 1, MAX_COLD_FLOWS)?;
+        Ok(NonZeroU32::new(limit as u32).map(ColdLimit))
+    }
 }
 
 impl WireTiming {
@@ -416,6 +434,7 @@
                 flows: spec.limits.flows as u64,
                 head: spec.limits.head.to_compact_string(),
                 body: spec.limits.body.to_compact_string(),
+                cold_flows_per_second: spec.limits.cold.map(|limit| limit.0.get().into()),
             },
             timing: WireTiming {
                 drain_grace_ms: millis(spec.timing.drain_grace),
--- a/crates/wire/src/object.rs
+++ b/crates/wire/src/object.rs
@@ -74,5 +74,14 @@
     pub manifest: WireManifest,
 }
 
+/// Whether a data centre is drained, as the platform stores it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct WireDrain {
+    /// Whether its hosts get no new flows.
+    pub drained: bool,
+}
+
 /// Maximum number of earlier commits that a manifest object lists.
 pub const MAX_EARLIER_COMMITS: usize = 16;
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -1,6 +1,7 @@
 //! Messages between entry VMs and side processes: datagrams for liveness, HTTP
 //! bodies in MessagePack for everything larger.
 
+use std::num::NonZeroU32;
 use std::time::Duration;
 
 use compact_str::CompactString;
@@ -8,7 +9,9 @@
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
-use chestnutlb_core::{DocumentId, Heartbeat, ObjectVersion, RegistrationReply};
+use chestnutlb_core::{
+    ColdLimit, DocumentId, DrainNotice, Heartbeat, ObjectVersion, OpeningRules, RegistrationReply,
+};
 
 use crate::manifest::{DocumentError, WireService};
 use crate::records::{WireEntry, WireHost, WirePatch, WireVersion};
@@ -92,6 +95,65 @@
     pub fresh: bool,
     /// Whether the host should send a full registration.
     pub resend: bool,
+    /// What operators demand of the flows that the host opens; left out if nothing.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub opening: Option<WireOpeningRules>,
+}
+
+/// What operators demand of the flows that a host opens.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct WireOpeningRules {
+    /// Whether its data centre is drained; `None` if it never was.
+    pub drain: Option<WireDrainNotice>,
+    /// Maximum number of new flows per second while it is cold.
+    pub cold: Option<NonZeroU32>,
+}
+
+impl From<OpeningRules> for WireOpeningRules {
+    fn from(rules: OpeningRules) -> Self {
+        Self {
+            drain: rules.drain.map(Into::into),
+            cold: rules.cold.map(|limit| limit.0),
+        }
+    }
+}
+
+impl From<WireOpeningRules> for OpeningRules {
+    fn from(wire: WireOpeningRules) -> Self {
+        Self {
+            drain: wire.drain.map(Into::into),
+            cold: wire.cold.map(ColdLimit),
+        }
+    }
+}
+
+/// Whether a data centre is drained.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct WireDrainNotice {
+    /// Version of the document that states it.
+    pub version: u64,
+    /// Whether its hosts get no new flows.
+    pub drained: bool,
+}
+
+impl From<DrainNotice> for WireDrainNotice {
+    fn from(notice: DrainNotice) -> Self {
+        Self {
+            version: notice.version.0,
+            drained: notice.drained,
+        }
+    }
+}
+
+impl From<WireDrainNotice> for DrainNotice {
+    fn from(wire: WireDrainNotice) -> Self {
+        Self {
+            version: ObjectVersion(wire.version),
+            drained: wire.drained,
+        }
+    }
 }
 
 impl From<&RegistrationReply> for WireRegistrationReply {
@@ -101,6 +163,7 @@
             slice: reply.slice_hash,
             fresh: reply.fresh,
             resend: reply.resend,
+            opening: (!reply.opening.is_empty()).then(|| reply.opening.into()),
         }
     }
 }
@@ -118,6 +181,7 @@
             slice_hash: wire.slice,
             fresh: wire.fresh,
             resend: wire.resend,
+            opening: wire.opening.map(Into::into).unwrap_or_default(),
         })
     }
 }
--- a/crates/wire/src/records.rs
+++ b/crates/wire/src/records.rs
@@ -171,6 +171,8 @@
     Host(WireHost),
     /// An entry VM.
     Entry(WireEntry),
+    /// A drained data centre.
+    Drain(CompactString),
 }
 
 impl TryFrom<&WireItem> for DocumentItem {
@@ -188,6 +190,9 @@
             }
             WireItem::Host(host) => Self::Host(Arc::new(host.try_into()?)),
             WireItem::Entry(entry) => Self::Entry(entry.try_into()?),
+            WireItem::Drain(datacenter) => {
+                Self::Drain(parse_text("datacenter", datacenter, NAME_FORMAT)?)
+            }
         })
     }
 }
@@ -205,6 +210,7 @@
             }
             DocumentItem::Host(record) => Self::Host(record.as_ref().into()),
             DocumentItem::Entry(record) => Self::Entry(record.into()),
+            DocumentItem::Drain(datacenter) => Self::Drain(datacenter.clone().into()),
         }
     }
 }
--- a/crates/wire/src/status.rs
+++ b/crates/wire/src/status.rs
@@ -24,6 +24,9 @@
     pub age_ms: Option<u64>,
     /// Versions of the documents in force.
     pub documents: Vec<WireVersion>,
+    /// Data centres that operators have drained.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub drained: Vec<CompactString>,
     /// All entry VMs in the members documents.
     pub entries: Vec<WireEntry>,
     /// Hosts that register with this entry VM.
@@ -76,6 +79,9 @@
     pub bucket: u16,
     /// Roster generation that the hops were chosen from.
     pub generation: VersionField,
+    /// Data centres that operators have drained: their hosts are no hops of the SYN.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub drained: Vec<CompactString>,
     /// Hops of the flow's SYN.
     pub opening: Vec<HopExplanation>,
     /// Hops of all other packets.
