Soak and process tests: drains of data centres

The soak drew no drains, and no process test showed what a host does with a drain that an entry VM tells it late or out of order.

At the end no entry VM may know of a drain. A side process is told of a drain, an older state and its end.

--- a/crates/standin/src/soak.rs
+++ b/crates/standin/src/soak.rs
@@ -16,7 +16,7 @@
 
 use chestnutlb_core::placement::CHAIN_HOPS;
 use chestnutlb_core::{DocumentId, DocumentKind, ObjectVersion};
-use chestnutlb_store::{StoreCalls, WriteOutcome};
+use chestnutlb_store::{EditOutcome, StoreCalls, WriteOutcome, objects};
 use serde_json::{Value, json};
 
 use crate::caller::{CallerLoop, CallerResult, CallerTask, TaskKind};
@@ -67,6 +67,7 @@
 
 const FEED_SERVICE: &str = "10.20.0.1:7000";
 const ORDER_SERVICE: &str = "10.30.0.1:7000";
+const DATACENTERS: [usize; 2] = [1, 2];
 const FIRMS: [&str; 2] = ["dalbit", "calinawan"];
 
 /// Flow limit of a manifest without commits; that of each commit is higher by its number.
@@ -135,6 +136,8 @@
     Fabric,
     /// Restores the platform from a copy of this age, and clears its failure mode.
     Restore(Duration),
+    /// Lets an operator take back the data centre with this number.
+    Undrain(usize),
     /// Lets the operator of a firm commit again what a restore has lost.
     Operator(&'static str),
 }
@@ -230,6 +233,10 @@
     }
 }
 
+fn datacenter_name(number: usize) -> String {
+    format!("dc-{number}")
+}
+
 fn address(text: &str) -> Result<SocketAddrV4, FleetError> {
     text.parse()
         .map_err(|_| FleetError::Failed(format!("invalid address {text}")))
@@ -241,7 +248,7 @@
         let mut fleet = Fleet::start(&setup.binaries, &setup.logs)?;
         fleet.use_proxies = true;
         fleet.grant(&[("10.20.0.0/16", "dalbit"), ("10.30.0.0/16", "calinawan")])?;
-        let datacenter = |number: usize| format!("dc-{}", number % 2 + 1);
+        let datacenter = |number: usize| datacenter_name(number % 2 + 1);
         let mut entries = Vec::new();
         for number in 1..=shape.entries {
             let name = SoakTarget::Entry(number).to_string();
@@ -534,6 +541,15 @@
                 self.pending_recoveries
                     .push((until, Recovery::Restore(age)));
             }
+            SoakStep::Drain(datacenter, _) => {
+                if let Err(error) = self.set_drained(datacenter, true) {
+                    self.report
+                        .steps
+                        .push(format!("           not drained: {error}"));
+                }
+                self.pending_recoveries
+                    .push((until, Recovery::Undrain(datacenter)));
+            }
             SoakStep::Odd(change, datacenter) => {
                 if let Err(error) = self.change_object(change, datacenter) {
                     self.report
@@ -564,6 +580,25 @@
         }
     }
 
+    fn set_drained(&self, datacenter: usize, drained: bool) -> Result<(), FleetError> {
+        let name = datacenter_name(datacenter)
+            .parse()
+            .map_err(|_| FleetError::Failed("no data centre".to_owned()))?;
+        match objects::set_drained(&self.fleet.client(), &name, drained) {
+            EditOutcome::Done(_) => Ok(()),
+            outcome => Err(FleetError::Failed(format!("{outcome:?}"))),
+        }
+    }
+
+    // Lets an operator take back a data centre; repeats this later if it fails.
+    fn take_back(&mut self, datacenter: usize) {
+        if self.has_platform_failure() || self.set_drained(datacenter, false).is_err() {
+            let due_at = self.now() + OPERATOR_DELAY;
+            self.pending_recoveries
+                .push((due_at, Recovery::Undrain(datacenter)));
+        }
+    }
+
     fn restore(&mut self, age: Duration) -> Result<(), FleetError> {
         let point = RestorePoint::AgeMs(age.as_millis() as u64);
         let reply = self.fleet.restore(point)?;
@@ -580,16 +615,21 @@
         let due_at = self.now() + OPERATOR_DELAY;
         let firms = FIRMS.map(|firm| (due_at, Recovery::Operator(firm)));
         self.pending_recoveries.extend(firms);
+        // The copy may have a drain that has ended since.
+        let drains = DATACENTERS.map(|number| (due_at, Recovery::Undrain(number)));
+        self.pending_recoveries.extend(drains);
+    }
+
+    fn has_platform_failure(&self) -> bool {
+        self.pending_recoveries
+            .iter()
+            .any(|(_, recovery)| matches!(recovery, Recovery::Platform | Recovery::Restore(_)))
     }
 
     // Lets an operator check a manifest; repeats this later if it fails. Calls to a platform
     // with a failure mode would delay other recoveries.
     fn check_manifest(&mut self, firm: &'static str) {
-        let has_failure = self
-            .pending_recoveries
-            .iter()
-            .any(|(_, recovery)| matches!(recovery, Recovery::Platform | Recovery::Restore(_)));
-        if has_failure || self.repeat_commit(firm).is_err() {
+        if self.has_platform_failure() || self.repeat_commit(firm).is_err() {
             let due_at = self.now() + OPERATOR_DELAY;
             self.pending_recoveries
                 .push((due_at, Recovery::Operator(firm)));
@@ -628,6 +668,7 @@
                 self.fleet.switch(PlatformSwitch::default())?;
             }
             Recovery::Operator(firm) => self.check_manifest(firm),
+            Recovery::Undrain(datacenter) => self.take_back(datacenter),
         }
         Ok(())
     }
@@ -649,6 +690,9 @@
             violations.push(format!("no convergence after all faults: {error}"));
         }
         for entry in &entries {
+            if let Err(error) = self.check_no_drain(entry) {
+                violations.push(format!("drains after all faults: {error}"));
+            }
             if let Err(error) = self.check_routes(entry) {
                 violations.push(format!("routes after all faults: {error}"));
             }
@@ -661,6 +705,15 @@
         Ok(violations)
     }
 
+    // Checks that an entry VM knows that all drains have ended.
+    fn check_no_drain(&self, entry: &str) -> Result<(), FleetError> {
+        let what = format!("{entry} to know that all drains have ended");
+        self.fleet.wait_for(&what, || {
+            let status = self.fleet.entry_status(entry);
+            status.is_some_and(|status| status.drained.is_empty())
+        })
+    }
+
     // Checks that an entry VM routes to exactly the hosts in the platform's rosters; of a large
     // service, to as many of them as a walk has.
     fn check_routes(&self, entry: &str) -> Result<(), FleetError> {
--- a/crates/standin/src/soak_plan.rs
+++ b/crates/standin/src/soak_plan.rs
@@ -43,6 +43,16 @@
 /// to twice this value.
 const RECORD_GAP: Duration = Duration::from_secs(2);
 
+/// Combined with the seed for the drains of data centres, as [`RESTORE_STREAM`] is.
+const DRAIN_STREAM: u64 = 0x6472_6169_6e73_0000;
+
+/// Approximate mean time between the end of a drain and the next one; the time is drawn from
+/// 100 ms to twice this value.
+const DRAIN_GAP: Duration = Duration::from_secs(2);
+
+/// Longest drain of a data centre, in milliseconds.
+const DRAIN_LIMIT_MS: u64 = 3_000;
+
 /// Size of the fleet and duration of the fault phase.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct SoakShape {
@@ -117,6 +127,8 @@
     Restore(Duration, Duration),
     /// Another program changes the roster or members of the data centre with this number.
     Odd(OddChange, usize),
+    /// Operators drain the data centre with this number, for the given time.
+    Drain(usize, Duration),
 }
 
 impl SoakStep {
@@ -127,7 +139,8 @@
             | Self::Link(_, _, time)
             | Self::Platform(_, time)
             | Self::Fabric(_, _, time)
-            | Self::Restore(_, time) => *time,
+            | Self::Restore(_, time)
+            | Self::Drain(_, time) => *time,
             Self::Kill(_)
             | Self::KillEntries
             | Self::Stop(_)
@@ -161,6 +174,7 @@
             Self::Odd(change, datacenter) => {
                 write!(f, "another program in dc-{datacenter}: {change:?}")
             }
+            Self::Drain(datacenter, _) => write!(f, "drain dc-{datacenter}"),
         }
     }
 }
@@ -202,6 +216,7 @@
     }
     steps.extend(draw_restores(seed, shape));
     steps.extend(draw_odd_changes(seed, shape));
+    steps.extend(draw_drains(seed, shape));
     steps.retain(|planned| planned.start + planned.step.duration() < shape.fault_time);
     steps.sort_by_key(|planned| planned.start);
     steps
@@ -244,6 +259,21 @@
     changes
 }
 
+// Draws drains, of one data centre at a time.
+fn draw_drains(seed: u64, shape: SoakShape) -> Vec<PlannedStep> {
+    let mut random = StdRng::seed_from_u64(seed ^ DRAIN_STREAM);
+    let gap_limit = 2 * DRAIN_GAP.as_millis() as u64;
+    let mut drains = Vec::new();
+    let mut start = random_millis(&mut random, 100, gap_limit);
+    while start < shape.fault_time {
+        let time = random_millis(&mut random, 300, DRAIN_LIMIT_MS);
+        let step = SoakStep::Drain(random.random_range(1..=2), time);
+        drains.push(PlannedStep { start, step });
+        start += time + random_millis(&mut random, 100, gap_limit);
+    }
+    drains
+}
+
 fn random_millis(random: &mut StdRng, from: u64, to: u64) -> Duration {
     Duration::from_millis(random.random_range(from..to))
 }
--- a/crates/standin/tests/passthrough.rs
+++ b/crates/standin/tests/passthrough.rs
@@ -6,14 +6,17 @@
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 
-use chestnutlb_core::{FlowKey, HostRecord, HostState, OwnershipReply, ServiceId, TimePoint};
+use chestnutlb_core::{
+    DrainNotice, FlowKey, HostRecord, HostState, ObjectVersion, OpeningRules, OwnershipReply,
+    RegistrationReply, ServiceId, TimePoint,
+};
 use chestnutlb_stack::FlowStack;
 use chestnutlb_standin::fleet::send_signal;
 use chestnutlb_standin::free_ports::free_address;
 use chestnutlb_standin::http::send_request;
 use chestnutlb_standin::tryout::program_folder;
 use chestnutlb_wire::packet::{WireLookupQuery, mark_returned, write_data, write_lookup_query};
-use chestnutlb_wire::peer::{PeerMessage, scan_message};
+use chestnutlb_wire::peer::{PeerMessage, scan_message, write_registration_reply};
 use chestnutlb_wire::{PacketFrame, PacketHeader, WireHop, scan_frame, scan_segment};
 use serde_json::{Value, json};
 
@@ -460,3 +463,74 @@
     let status = setup.side.wait().unwrap();
     assert!(status.success(), "{status}");
 }
+
+impl TestSetup {
+    // Answers the next registration or keep-alive as an entry VM whose documents have this drain.
+    fn reply_with_drain(&self, version: u64, drained: bool) {
+        let reply = RegistrationReply {
+            targets: Vec::new(),
+            slice_hash: 1,
+            fresh: true,
+            resend: false,
+            opening: OpeningRules {
+                drain: Some(DrainNotice {
+                    version: ObjectVersion(version),
+                    drained,
+                }),
+                ..OpeningRules::default()
+            },
+        };
+        let bytes = write_registration_reply(&reply).bytes;
+        let start = Instant::now();
+        let mut datagram = [0; 4096];
+        while start.elapsed() < TEST_TIMEOUT {
+            let Ok((len, from)) = self.entry.recv_from(&mut datagram) else {
+                continue;
+            };
+            if let Ok(PeerMessage::Announce(_) | PeerMessage::Alive(_)) =
+                scan_message(&datagram[..len])
+            {
+                self.entry.send_to(&bytes, from).unwrap();
+                return;
+            }
+        }
+        panic!("no registration in time");
+    }
+
+    fn is_drained(&self) -> bool {
+        let (_, body) = send_request(self.status, "GET", "/v1/status", "").unwrap();
+        let status: Value = serde_json::from_str(&body).unwrap();
+        status["drained"] == json!(true)
+    }
+
+    // Replies until the side process knows the drain: a reply may be lost.
+    fn set_drained(&self, version: u64, drained: bool) {
+        let start = Instant::now();
+        while self.is_drained() != drained {
+            assert!(start.elapsed() < TEST_TIMEOUT, "the reply has no effect");
+            self.reply_with_drain(version, drained);
+            std::thread::sleep(Duration::from_millis(50));
+        }
+    }
+}
+
+#[test]
+fn host_of_drained_data_centre_passes_syns_on_and_keeps_its_flows() {
+    let setup = TestSetup::start("drained");
+    setup.report("ready", 1);
+    let open = build_handshake(4101);
+    open_flow(&setup, &open);
+    setup.set_drained(7, true);
+    let refused = build_handshake(4102);
+    setup.send_packet(&refused.syn);
+    assert_eq!(receive_forwarded(&setup.next_host), refused.syn);
+    setup.send_packet(&open.data);
+    assert_eq!(receive(&setup.backend), open.data);
+    // An entry VM that was cut off before the drain.
+    setup.reply_with_drain(3, false);
+    std::thread::sleep(Duration::from_millis(200));
+    assert!(setup.is_drained());
+    setup.set_drained(8, false);
+    setup.send_packet(&refused.syn);
+    assert_eq!(receive(&setup.backend), refused.syn);
+}
--- a/crates/standin/tests/soak.rs
+++ b/crates/standin/tests/soak.rs
@@ -65,17 +65,18 @@
     insta::assert_snapshot!(lines.join("\n"));
 }
 
-// Kept seeds must keep their other steps, so restores and changes by other programs have random
-// numbers of their own.
+// Kept seeds must keep their other steps, so restores, changes by other programs and drains have
+// random numbers of their own.
 #[test]
 fn restores_leave_other_steps_of_a_seed_unchanged() {
     let plan = draw_plan(7, SHAPE);
     let is_restore = |planned: &PlannedStep| matches!(planned.step, SoakStep::Restore(..));
     let is_odd = |planned: &PlannedStep| matches!(planned.step, SoakStep::Odd(..));
-    assert!(plan.iter().any(is_restore) && plan.iter().any(is_odd));
+    let is_drain = |planned: &PlannedStep| matches!(planned.step, SoakStep::Drain(..));
+    assert!(plan.iter().any(is_restore) && plan.iter().any(is_odd) && plan.iter().any(is_drain));
     let others: Vec<_> = plan
         .iter()
-        .filter(|planned| !is_restore(planned) && !is_odd(planned))
+        .filter(|planned| !is_restore(planned) && !is_odd(planned) && !is_drain(planned))
         .map(ToString::to_string)
         .collect();
     insta::assert_snapshot!(others.join("\n"));
