Hosts learn what their backend servers take well, where the manifest asks for it

The side process reports its server's own number of slots and the mean time of requests that found one free. It is blind to servers that slow down before their slots are full, and the time of a slow server that gets no requests stays for good.

`limits.learn_capacity` of a service (on the users' platform the setting `learn_capacity`; off everywhere): the side process learns the throughput for each number of requests at once and reports the usable slots; a service time that no answer confirms halves back to the shortest one known. Logged when it changes, and in the status.

--- a/crates/core/benches/common/mod.rs
+++ b/crates/core/benches/common/mod.rs
@@ -31,6 +31,7 @@
             head: ByteCount(16 << 10),
             body: ByteCount(1 << 20),
             cold: None,
+            learns_capacity: false,
         },
         timing: ServiceTiming {
             drain_grace: Duration::ZERO,
--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -499,9 +499,11 @@
 
     fn opening_rules(&self, service: &ServiceId, datacenter: &DatacenterName) -> OpeningRules {
         let spec = self.documents.service(service);
+        let limits = spec.map(|(spec, _)| spec.limits);
         OpeningRules {
             drain: self.documents.drain_notice(datacenter),
-            cold: spec.and_then(|(spec, _)| spec.limits.cold),
+            cold: limits.and_then(|limits| limits.cold),
+            learns_capacity: limits.is_some_and(|limits| limits.learns_capacity),
         }
     }
 
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod backend;
 pub mod backend_report;
 pub mod budget;
+pub mod capacity_estimate;
 pub mod chart;
 pub mod control;
 mod control_documents;
@@ -60,6 +61,7 @@
 pub use backend::{BackendChange, BackendTracker, ReportTiming, SideHistory};
 pub use backend_report::{BackendIdentity, BackendReport, BackendState, ForeignReport};
 pub use budget::RetryBudget;
+pub use capacity_estimate::{CapacityEstimate, LearnedCapacity};
 pub use chart::{
     FlowEvent, FlowState, HostEvent, HostState, RequestEvent, RequestState, check_charts,
 };
--- a/crates/core/src/manifest.rs
+++ b/crates/core/src/manifest.rs
@@ -140,6 +140,8 @@
     pub body: ByteCount,
     /// Maximum number of new flows per second while it is cold; `None` for no limit.
     pub cold: Option<ColdLimit>,
+    /// Whether hosts learn what their backend servers take well, instead of relying on `slots`.
+    pub learns_capacity: bool,
 }
 
 /// Time limits of a service.
--- a/crates/core/src/opening_rules.rs
+++ b/crates/core/src/opening_rules.rs
@@ -1,5 +1,6 @@
 //! What operators demand of the flows that a host opens: none while its data centre is drained,
-//! and only some per second while its backend server is cold.
+//! only some per second while its backend server is cold, and no more at once than that one
+//! takes well.
 //!
 //! Entry VMs learn of both from documents and pass them on in their replies to registrations.
 //! The side process enforces them, since every new flow of its backend server passes it: no
@@ -18,9 +19,9 @@
 /// slides: any span of this length counts.
 pub const COLD_WINDOW: Duration = Duration::from_secs(1);
 
-/// Time after which a limit of cold hosts ends that no entry VM names any more: several
+/// Time after which what the manifest demands ends if no entry VM names it any more: several
 /// keep-alives. An entry VM with an older manifest may still name it.
-pub const COLD_LIMIT_MEMORY: Duration = Duration::from_secs(2);
+pub const RULE_MEMORY: Duration = Duration::from_secs(2);
 
 /// Maximum number of new flows per second of a cold host.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -33,6 +34,8 @@
     pub drain: Option<DrainNotice>,
     /// Limit of cold hosts of its service, if the manifest has one.
     pub cold: Option<ColdLimit>,
+    /// Whether hosts of its service learn what their backend servers take well.
+    pub learns_capacity: bool,
 }
 
 impl OpeningRules {
@@ -65,6 +68,8 @@
     Undrained,
     /// The limit of cold hosts has changed.
     ColdLimit,
+    /// The host begins or ceases to learn what its backend server takes well.
+    Learning,
 }
 
 /// The rules in force at one host, from the replies of its entry VMs.
@@ -74,6 +79,8 @@
     undrained_at: Option<TimePoint>,
     cold: KnownColdLimit,
     cold_named_at: TimePoint,
+    learns_capacity: bool,
+    learning_named_at: TimePoint,
 }
 
 impl OpeningGate {
@@ -92,6 +99,8 @@
                 KnownColdLimit::Unlimited
             },
             cold_named_at: TimePoint::default(),
+            learns_capacity: false,
+            learning_named_at: TimePoint::default(),
         }
     }
 
@@ -110,6 +119,11 @@
         self.cold
     }
 
+    /// Returns whether the host learns what its backend server takes well.
+    pub fn learns_capacity(&self) -> bool {
+        self.learns_capacity
+    }
+
     /// Returns whether a limited host has to be taken for cold, since its backend server last
     /// reported before the end of a drain: it may have turned cold meanwhile.
     pub fn may_have_turned_cold(&self, last_report: Option<TimePoint>) -> bool {
@@ -122,7 +136,10 @@
     /// Records the rules in a reply of an entry VM that knows the service. Of several, the newest
     /// version of a drain holds.
     pub fn record_rules(&mut self, rules: &OpeningRules, now: TimePoint) -> RulesChange {
-        let cold_change = self.record_cold_limit(rules.cold, now);
+        let manifest_change = match self.record_cold_limit(rules.cold, now) {
+            RulesChange::Same => self.record_learning(rules.learns_capacity, now),
+            change => change,
+        };
         match rules.drain {
             Some(notice) if notice.version > self.drain.version => {
                 let before = std::mem::replace(&mut self.drain, notice);
@@ -132,10 +149,23 @@
                         self.undrained_at = Some(now);
                         RulesChange::Undrained
                     }
-                    _ => cold_change,
+                    _ => manifest_change,
                 }
             }
-            _ => cold_change,
+            _ => manifest_change,
+        }
+    }
+
+    fn record_learning(&mut self, named: bool, now: TimePoint) -> RulesChange {
+        if named {
+            self.learning_named_at = now;
+        }
+        let is_remembered = now.since(self.learning_named_at) < RULE_MEMORY;
+        let learns = named || (self.learns_capacity && is_remembered);
+        if std::mem::replace(&mut self.learns_capacity, learns) == learns {
+            RulesChange::Same
+        } else {
+            RulesChange::Learning
         }
     }
 
@@ -145,9 +175,7 @@
                 self.cold_named_at = now;
                 KnownColdLimit::Limited(limit)
             }
-            (None, KnownColdLimit::Limited(_))
-                if now.since(self.cold_named_at) < COLD_LIMIT_MEMORY =>
-            {
+            (None, KnownColdLimit::Limited(_)) if now.since(self.cold_named_at) < RULE_MEMORY => {
                 self.cold
             }
             (None, _) => KnownColdLimit::Unlimited,
--- a/crates/core/src/passthrough.rs
+++ b/crates/core/src/passthrough.rs
@@ -16,6 +16,7 @@
 
 use lru::LruCache;
 
+use crate::capacity_estimate::{CapacityEstimate, LearnedCapacity};
 use crate::flow::{FlowKey, TcpSegment};
 use crate::load::HostLoad;
 use crate::opening_rules::{COLD_WINDOW, ColdOpenings, KnownColdLimit};
@@ -111,6 +112,8 @@
     next_sequence: Option<u32>,
     // Delivery time of the last packet of a request that has no reply yet.
     requested_at: Option<TimePoint>,
+    // Requests in progress when it was recorded, this one included.
+    at_once: u16,
     // Whether a slot was free when the request began, or it was the first of its flow. Only
     // such requests enter the mean service time.
     found_free_slot: bool,
@@ -159,6 +162,8 @@
     responses: ResponseMonitor,
     timing: ReplyTiming,
     cold_openings: ColdOpenings,
+    // Learns what the backend server takes well, where the settings ask for it.
+    estimate: Option<CapacityEstimate>,
 }
 
 impl PassthroughFlows {
@@ -177,6 +182,26 @@
             responses: ResponseMonitor::default(),
             timing: ReplyTiming::default(),
             cold_openings: ColdOpenings::default(),
+            estimate: None,
+        }
+    }
+
+    /// Sets whether to learn how many requests at once the backend server takes well, and to
+    /// follow its service time also while it gets none.
+    pub fn set_learning(&mut self, learns: bool) {
+        if learns != self.estimate.is_some() {
+            self.estimate = learns.then(CapacityEstimate::default);
+        }
+    }
+
+    /// Returns what the backend server takes well, as reported to entry VMs.
+    pub fn capacity(&self, backend: &BackendInfo, now: TimePoint) -> LearnedCapacity {
+        match &self.estimate {
+            Some(estimate) => estimate.capacity(backend.slots, now),
+            None => LearnedCapacity {
+                slots: backend.slots,
+                service_ms: self.service_ms,
+            },
         }
     }
 
@@ -206,12 +231,13 @@
     /// Returns the load report for entry VMs.
     pub fn load(&mut self, backend: &BackendInfo, now: TimePoint) -> HostLoad {
         self.update_mean_at_work(now);
+        let capacity = self.capacity(backend, now);
         HostLoad {
-            slots: backend.slots,
+            slots: capacity.slots,
             at_work: self.at_work,
             busy_hundredths: (self.mean_at_work * 100.0).min(f64::from(u16::MAX)) as u16,
             flows: self.flows.len().min(usize::from(u16::MAX)) as u16,
-            service_us: (self.service_ms * 1000.0) as u32,
+            service_us: (capacity.service_ms * 1000.0) as u32,
             failing_percent: self.responses.failing_percent(),
             takes: backend.accepts_flows && self.admits_while_cold(backend, now),
             cold: backend.cold,
@@ -323,9 +349,8 @@
             self.remove(&segment.key);
             return PassthroughVerdict::NextHop;
         }
-        let work_limit = backend
-            .slots
-            .saturating_mul(1 + queue_factor(segment, arrival));
+        let slots = self.capacity(backend, now).slots;
+        let work_limit = slots.saturating_mul(1 + queue_factor(segment, arrival));
         let accepts = backend.accepts_flows
             && self.admits_while_cold(backend, now)
             && self.at_work < work_limit
@@ -383,6 +408,7 @@
             return;
         }
         let has_free_slot = self.at_work < backend.slots;
+        let at_work = self.at_work;
         let Some(flow) = self.flows.get_mut(&segment.key) else {
             return;
         };
@@ -399,6 +425,8 @@
             flow.requested_at = Some(now);
             if starts_request {
                 flow.found_free_slot = has_free_slot || flow.first_request_pending;
+                // The first request of a flow counts from its SYN on.
+                flow.at_once = at_work + u16::from(!flow.first_request_pending);
                 if !flow.first_request_pending {
                     self.add_work(1, now);
                 }
@@ -444,12 +472,16 @@
                 self.timing.response_time = Some(now.since(requested_at));
                 self.responses
                     .record_response(segment.key.service, segment.payload);
+                if let Some(estimate) = &mut self.estimate {
+                    let time = now.since(requested_at);
+                    estimate.record_answer(segment.key.service, flow.at_once, time, now);
+                }
             }
             let unqueued_at = flow
                 .requested_at
                 .filter(|_| flow.found_free_slot && segment.payload > 0);
             if let Some(requested_at) = unqueued_at {
-                self.record_service_time(now.since(requested_at));
+                self.record_service_time(now.since(requested_at), now);
             }
             self.end_work(segment.key, now);
         }
@@ -500,6 +532,9 @@
             flow.requested_at = None;
         }
         self.responses = ResponseMonitor::default();
+        if let Some(estimate) = &mut self.estimate {
+            *estimate = CapacityEstimate::default();
+        }
         self.backend_replies.clear();
         self.at_work = 0;
         self.flows.len()
@@ -572,7 +607,10 @@
         self.averaged_at = now;
     }
 
-    fn record_service_time(&mut self, service: Duration) {
+    fn record_service_time(&mut self, service: Duration, now: TimePoint) {
+        if let Some(estimate) = &mut self.estimate {
+            estimate.record_service_time(service, now);
+        }
         let millis = service.as_secs_f64() * 1000.0;
         self.service_ms = if self.service_ms == 0.0 {
             millis
@@ -614,6 +652,7 @@
             syn_ack_sequence: None,
             next_sequence: None,
             requested_at: None,
+            at_once: 0,
             found_free_slot: false,
             created_at: now,
             last_seen: now,
--- a/crates/core/tests/cold_limits.rs
+++ b/crates/core/tests/cold_limits.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use chestnutlb_core::opening_rules::{
-    COLD_LIMIT_MEMORY, ColdLimit, KnownColdLimit, OpeningGate, RulesChange,
+    ColdLimit, KnownColdLimit, OpeningGate, RULE_MEMORY, RulesChange,
 };
 use chestnutlb_core::{
     BackendInfo, DrainNotice, ObjectVersion, OpeningRules, PassthroughArrival, PassthroughFlows,
@@ -155,15 +155,16 @@
     let named = OpeningRules {
         drain: None,
         cold: Some(limit(7)),
+        learns_capacity: false,
     };
     let mut gate = OpeningGate::new(true);
     let start = TimePoint(5_000);
     assert_eq!(gate.record_rules(&named, start), RulesChange::ColdLimit);
     let unnamed = OpeningRules::default();
-    let soon = start + COLD_LIMIT_MEMORY / 2;
+    let soon = start + RULE_MEMORY / 2;
     assert_eq!(gate.record_rules(&unnamed, soon), RulesChange::Same);
     assert_eq!(gate.cold_limit(), KnownColdLimit::Limited(limit(7)));
-    let later = start + COLD_LIMIT_MEMORY;
+    let later = start + RULE_MEMORY;
     assert_eq!(gate.record_rules(&unnamed, later), RulesChange::ColdLimit);
     assert_eq!(gate.cold_limit(), KnownColdLimit::Unlimited);
 }
@@ -177,6 +178,7 @@
             drained,
         }),
         cold: Some(limit(7)),
+        learns_capacity: false,
     };
     let mut gate = OpeningGate::new(true);
     gate.record_rules(&rules(3, true), TimePoint(1_000));
--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -101,6 +101,7 @@
             head: ByteCount(1024),
             body: ByteCount(1024),
             cold: None,
+            learns_capacity: false,
         },
         timing: ServiceTiming {
             drain_grace: Duration::from_secs(1),
--- a/crates/core/tests/drained_datacenters.rs
+++ b/crates/core/tests/drained_datacenters.rs
@@ -325,7 +325,7 @@
             version: ObjectVersion(12),
             drained: true,
         }),
-        cold: None,
+        ..OpeningRules::default()
     };
     gate.record_rules(&later, LATER);
     gate.record_rules(&silent, LATER);
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -167,7 +167,8 @@
         Dialect::Platform => {
             let datacenters = settings.host_datacenters.clone();
             let store = PlatformStore::new(&settings.platform, datacenters);
-            clone_client(&store.with_drains(settings.reads_drains))
+            let store = store.with_drains(settings.reads_drains);
+            clone_client(&store.with_learned_capacity(settings.learns_capacity))
         }
     }
 }
--- a/crates/daemon/src/passthrough_control.rs
+++ b/crates/daemon/src/passthrough_control.rs
@@ -69,7 +69,7 @@
                 target: "host",
                 change:? = change, drained = gate.is_drained(),
                 version = LoggedVersion::from(gate.drain_version()),
-                cold_limit:? = gate.cold_limit();
+                cold_limit:? = gate.cold_limit(), learns_capacity = gate.learns_capacity();
                 "opening rules"
             );
         }
--- a/crates/daemon/src/passthrough_packets.rs
+++ b/crates/daemon/src/passthrough_packets.rs
@@ -251,6 +251,11 @@
     // Sends the load to entry VMs if it changed or the steady interval has passed.
     fn report(&mut self, now: TimePoint) {
         let backend_info = self.backend_info(now);
+        let learns_capacity = self.shared.opening().learns_capacity();
+        self.flows.set_learning(learns_capacity);
+        if learns_capacity {
+            self.log_capacity(&backend_info, now);
+        }
         let load = self.flows.load(&backend_info, now);
         self.shared
             .flows
@@ -272,6 +277,24 @@
         }
     }
 
+    // Logs and publishes what the backend server takes well if its usable slots have changed.
+    fn log_capacity(&mut self, backend_info: &BackendInfo, now: TimePoint) {
+        let capacity = self.flows.capacity(backend_info, now);
+        let usable_slots = u64::from(capacity.slots);
+        let before = self
+            .shared
+            .usable_slots
+            .swap(usable_slots, Ordering::Relaxed);
+        if before != usable_slots {
+            log::info!(
+                target: "host",
+                from = before, usable_slots = usable_slots, slots = backend_info.slots,
+                service_ms = capacity.service_ms, at_work = self.flows.at_work();
+                "capacity learned"
+            );
+        }
+    }
+
     fn handle_datagram(&mut self, datagram: &mut [u8], from: SocketAddr) {
         let outcome = match scan_frame(datagram) {
             Ok(PacketFrame::Data {
--- a/crates/daemon/src/passthrough_side.rs
+++ b/crates/daemon/src/passthrough_side.rs
@@ -52,6 +52,8 @@
     pub flows: AtomicU64,
     /// Number of requests in progress at the backend server.
     pub at_work: AtomicU64,
+    /// Requests at once that the backend server takes well; zero before it is learned.
+    pub usable_slots: AtomicU64,
     backend: Mutex<BackendTracker>,
     opening: Mutex<OpeningGate>,
     /// Number of new backend epochs recorded by this process.
@@ -77,6 +79,7 @@
             stopping: AtomicBool::new(false),
             flows: AtomicU64::new(0),
             at_work: AtomicU64::new(0),
+            usable_slots: AtomicU64::new(0),
             backend: Mutex::default(),
             opening: Mutex::new(OpeningGate::new(passthrough.may_limit_cold)),
             backend_epochs: AtomicU64::new(0),
@@ -153,6 +156,11 @@
             flows: self.flows.load(Ordering::Relaxed),
             running: self.at_work.load(Ordering::Relaxed),
             waiting: 0,
+            usable_slots: match self.usable_slots.load(Ordering::Relaxed) {
+                0 => None,
+                slots => Some(slots),
+            },
+            drained: self.opening().is_drained(),
             counters: self.counters.snapshot(),
         }
     }
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -94,6 +94,8 @@
     seeds_port: Option<u16>,
     #[serde(default)]
     drains: bool,
+    #[serde(default)]
+    learn_capacity: bool,
     #[serde(default = "default_change_deadline")]
     change_deadline_ms: u64,
     #[serde(default = "default_hints")]
@@ -215,6 +217,9 @@
     /// Whether operators drain data centres, on a platform that keeps this apart from the
     /// configuration.
     pub reads_drains: bool,
+    /// Whether hosts of all services learn what their backend servers take well, on a platform
+    /// whose configuration does not say so for each.
+    pub learns_capacity: bool,
     /// Time within which a change of the operators' documents has to be in force.
     pub change_deadline: Duration,
     /// Peer addresses of other entry VMs, used to join them.
@@ -466,6 +471,7 @@
             platform: wire.platform.clone(),
             host_datacenters: wire.places.clone(),
             reads_drains: wire.drains,
+            learns_capacity: wire.learn_capacity,
             change_deadline: parse_change_deadline(wire.change_deadline_ms)?,
             seeds: parse_seeds(&wire.seeds, wire.seeds_port)?,
             hint_limit: wire.hints,
--- a/crates/daemon/src/side_http.rs
+++ b/crates/daemon/src/side_http.rs
@@ -59,6 +59,8 @@
         flows: shared.flows.load(Ordering::Relaxed),
         running: shared.running.load(Ordering::Relaxed),
         waiting: shared.waiting.load(Ordering::Relaxed),
+        usable_slots: None,
+        drained: false,
         counters: shared.counters.snapshot(),
     })
 }
--- a/crates/wire/src/manifest.rs
+++ b/crates/wire/src/manifest.rs
@@ -187,6 +187,13 @@
     /// Maximum number of new passthrough flows per second while the host is cold.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub cold_flows_per_second: Option<u64>,
+    /// Whether passthrough hosts learn what their backend servers take well.
+    #[serde(skip_serializing_if = "is_false")]
+    pub learn_capacity: bool,
+}
+
+fn is_false(value: &bool) -> bool {
+    !value
 }
 
 impl Default for WireLimits {
@@ -198,6 +205,7 @@
             head: "16KiB".into(),
             body: "1MiB".into(),
             cold_flows_per_second: None,
+            learn_capacity: false,
         }
     }
 }
@@ -317,6 +325,7 @@
             head: size("head", &self.head, 64 << 10)?,
             body: size("body", &self.body, 16 << 20)?,
             cold: self.check_cold_limit(path)?,
+            learns_capacity: self.learn_capacity,
         })
     }
 
@@ -435,6 +444,7 @@
                 head: spec.limits.head.to_compact_string(),
                 body: spec.limits.body.to_compact_string(),
                 cold_flows_per_second: spec.limits.cold.map(|limit| limit.0.get().into()),
+                learn_capacity: spec.limits.learns_capacity,
             },
             timing: WireTiming {
                 drain_grace_ms: millis(spec.timing.drain_grace),
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -108,6 +108,8 @@
     pub drain: Option<WireDrainNotice>,
     /// Maximum number of new flows per second while it is cold.
     pub cold: Option<NonZeroU32>,
+    /// Whether it learns what its backend server takes well.
+    pub learns_capacity: bool,
 }
 
 impl From<OpeningRules> for WireOpeningRules {
@@ -115,6 +117,7 @@
         Self {
             drain: rules.drain.map(Into::into),
             cold: rules.cold.map(|limit| limit.0),
+            learns_capacity: rules.learns_capacity,
         }
     }
 }
@@ -124,6 +127,7 @@
         Self {
             drain: wire.drain.map(Into::into),
             cold: wire.cold.map(ColdLimit),
+            learns_capacity: wire.learns_capacity,
         }
     }
 }
--- a/crates/wire/src/status.rs
+++ b/crates/wire/src/status.rs
@@ -65,6 +65,12 @@
     pub running: u64,
     /// Number of queued requests.
     pub waiting: u64,
+    /// Requests at once that the backend server takes well, if this is learned.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub usable_slots: Option<u64>,
+    /// Whether the data centre is drained as far as the host knows.
+    #[serde(default)]
+    pub drained: bool,
     /// Counters by name.
     pub counters: BTreeMap<CompactString, u64>,
 }
--- a/crates/wire/tests/registration_replies.rs
+++ b/crates/wire/tests/registration_replies.rs
@@ -67,7 +67,11 @@
         (Some(notice), Some(limit)),
     ];
     let sizes = cases.map(|(drain, cold)| {
-        let opening = OpeningRules { drain, cold };
+        let opening = OpeningRules {
+            drain,
+            cold,
+            learns_capacity: cold.is_some(),
+        };
         let sent = RegistrationReply {
             opening,
             ..plain.clone()
