Gossip of a change is never taken for a confirmation by the platform

The store turned the three watchers away from 2.5 s on. No other entry VM read it before 10.3 s, since each took its documents for confirmed 3.7 s earlier.

A watch that was still open, and confirmations that grow younger from hop to hop: debug lines in a trial show that no entry VM got a list from the store, and that ages of ordinary heartbeats are right.

Heartbeats that gossip a change carry the largest age so that nobody takes them for a confirmation. On the wire that is 2^64 - 1 milliseconds. The receiver adds the time for which the event waited and converts the sum to 64 bits, which wraps: one millisecond of waiting made the oldest possible age zero, and the documents confirmed this moment. So an entry VM that reaches nobody who reaches the store stayed fresh as long as anything changed. The same freshness admits resets of flows without an owner.

An age that exceeds the time of the clock confirms nothing.

The test fails before (confirmed at the arrival) and passes after.

--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -522,8 +522,10 @@
         if heartbeat.summary == self.documents.summary() {
             self.last_in_sync = now;
             let age = heartbeat.age.saturating_add(self.event_lag);
-            let confirmed = TimePoint(now.0.saturating_sub(age.as_millis() as u64));
-            self.confirmed_at = self.confirmed_at.max(Some(confirmed));
+            // Gossip of a change has the largest age, which is no time that can have been.
+            let age_ms = u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
+            let confirmed = now.0.checked_sub(age_ms).map(TimePoint);
+            self.confirmed_at = self.confirmed_at.max(confirmed);
             return;
         }
         for (id, version) in &heartbeat.recent {
--- a/crates/core/tests/control.rs
+++ b/crates/core/tests/control.rs
@@ -804,3 +804,24 @@
     told.handle(list, now);
     assert_eq!(told.confirmation_age(now), Some(Duration::ZERO));
 }
+
+// Gossip of a change carries the largest age, on the wire in milliseconds. One that waited for a
+// millisecond was taken for a confirmation of this moment.
+#[test]
+fn gossip_of_a_change_confirms_nothing_however_long_it_waited() {
+    for age in [Duration::MAX, Duration::from_millis(u64::MAX)] {
+        for lag_ms in [0, 1, 2, 700] {
+            let mut control = control();
+            let heartbeat = Heartbeat {
+                age,
+                summary: control.documents().summary(),
+                ..heartbeat(&control, Vec::new())
+            };
+            let now = TimePoint(90_000_000);
+            let arrived_at = TimePoint(now.0 - lag_ms);
+            let event = ControlEvent::HeartbeatReceived(heartbeat);
+            control.handle_arrived(event, arrived_at, now);
+            assert_eq!(control.confirmed_at(), None, "{age:?}, {lag_ms} ms");
+        }
+    }
+}
