Explain: where a passthrough flow would go now, by the code that decides

`explain` routed with an empty router and the chain of stream services, so for passthrough flows it showed neither load nor the hosts that a SYN visits.

The decision on a SYN is a module of its own (opening_plan), in a part that changes nothing and one that counts the placement. The packet thread answers questions of the HTTP server between packets. Candidates come with cost, load report and its age, and the reason why they are left out. `--service` takes a name too.

With processes: by name as by address, unknown names end with exit code 3 as before.

--- a/crates/client/src/entry_commands.rs
+++ b/crates/client/src/entry_commands.rs
@@ -10,7 +10,9 @@
 
 use chestnutlb_core::{FirmName, ObjectVersion};
 use chestnutlb_wire::records::VersionField;
-use chestnutlb_wire::status::{EntryStatus, FlowExplanation, HopExplanation, HostStatus};
+use chestnutlb_wire::status::{
+    CandidateExplanation, EntryStatus, FlowExplanation, HopExplanation, HostStatus,
+};
 
 use crate::output::{CommandError, CommandOutcome, finish, print_result};
 
@@ -78,9 +80,9 @@
     /// address and port of the caller
     #[argh(option)]
     caller: SocketAddrV4,
-    /// address and port of the service
+    /// address and port of the service, or its name as firm/service
     #[argh(option)]
-    service: SocketAddrV4,
+    service: String,
     /// print the result as JSON
     #[argh(switch)]
     json: bool,
@@ -379,6 +381,38 @@
     })
 }
 
+fn write_candidates(
+    f: &mut fmt::Formatter<'_>,
+    candidates: &[CandidateExplanation],
+) -> fmt::Result {
+    if candidates.is_empty() {
+        return Ok(());
+    }
+    write!(f, "\ncandidates, by the time for one more request:")?;
+    candidates.iter().try_for_each(|candidate| {
+        write!(
+            f,
+            "\n  {:<16} {:<12} {:>6.0} ms",
+            candidate.host, candidate.datacenter, candidate.cost_ms
+        )?;
+        match &candidate.report {
+            Some(report) => write!(
+                f,
+                "  {} at work, {} slots, {:.1} ms each, reported {} ms ago",
+                report.at_work,
+                report.slots,
+                f64::from(report.service_us) / 1000.0,
+                report.age_ms
+            )?,
+            None => write!(f, "  no report")?,
+        }
+        match &candidate.left_out {
+            Some(cause) => write!(f, "  left out: {cause}"),
+            None => Ok(()),
+        }
+    })
+}
+
 impl fmt::Display for ExplainResult {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let flow = &self.0;
@@ -396,6 +430,10 @@
         }
         write!(f, "\nhosts that a SYN visits, in order:")?;
         write_hops(f, &flow.opening)?;
+        if let Some(cause) = &flow.dropped {
+            write!(f, "\n  none ({cause})")?;
+        }
+        write_candidates(f, &flow.candidates)?;
         write!(
             f,
             "\nhosts that any other packet visits, in order (the walk):"
--- a/crates/core/src/flow.rs
+++ b/crates/core/src/flow.rs
@@ -81,3 +81,20 @@
     /// Length of the payload in bytes.
     pub payload: u16,
 }
+
+impl TcpSegment {
+    /// Returns the first SYN of a flow.
+    pub fn first_syn(key: FlowKey) -> Self {
+        Self {
+            key,
+            is_syn: true,
+            syn_copies: 0,
+            is_syn_ack: false,
+            is_fin: false,
+            is_rst: false,
+            sequence: 0,
+            acknowledgement: None,
+            payload: 0,
+        }
+    }
+}
--- a/crates/core/src/passthrough_routes.rs
+++ b/crates/core/src/passthrough_routes.rs
@@ -17,7 +17,8 @@
 use crate::flow::{FlowKey, TcpSegment};
 use crate::ids::{DatacenterName, ServiceTag};
 use crate::known_hosts::KnownHosts;
-use crate::load::{HostLoad, LoadTable, RankingInput, UNRESPONSIVE_AFTER};
+use crate::load::{HostLoad, LoadTable, UNRESPONSIVE_AFTER};
+use crate::opening_plan::ADDRESS_GRACE_PERIOD;
 use crate::owner_lookup::{LOOKUP_TIMEOUT, OwnerLookups};
 use crate::passthrough_lookups::UnconfirmedLookup;
 use crate::passthrough_plan::{PassthroughPlan, RerouteDecision};
@@ -25,16 +26,6 @@
 use crate::view::{RoutingView, ServiceView, ViewHost};
 use crate::{FlowHash, HostState};
 
-/// Number of SYNs of a flow that are not refused even if every host rejects them.
-/// Callers retransmit a SYN after 200 and 600 ms, in which time a full host works off its
-/// queue; the last retransmission is refused so that the caller does not have to wait for
-/// a timeout.
-const SYNS_BEFORE_REFUSAL: u8 = 2;
-
-/// SYNs to an address that was added to the view less than this time ago are not refused: to
-/// the caller a refusal would look as if the address had no service yet.
-const ADDRESS_GRACE_PERIOD: Duration = Duration::from_secs(15);
-
 /// A walk whose last host did not return the packet is taken to have found no owner if the
 /// next walk of the flow begins between these times after it. Callers retransmit after
 /// 200 ms, then at growing intervals.
@@ -52,10 +43,6 @@
 /// Maximum number of flows whose last walk is cached.
 const WALK_LIMIT: NonZeroUsize = NonZeroUsize::new(8192).unwrap();
 
-/// A host from which nothing was received for this time after a SYN is not the first hop
-/// of the retransmission. Callers send the first retransmission after 200 ms.
-const SILENT_AFTER_SYN: Duration = Duration::from_millis(150);
-
 // The last walk of a flow, and its lookups since `lookups_since`.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct FlowWalk {
@@ -91,19 +78,19 @@
 
 // Owner of a flow; the first hop of its last packet as long as no host has claimed it.
 #[derive(Debug, Clone, Copy)]
-struct CachedOwner {
-    tag: ServiceTag,
-    host: SocketAddrV4,
+pub(crate) struct CachedOwner {
+    pub(crate) tag: ServiceTag,
+    pub(crate) host: SocketAddrV4,
     // SYNs of the flow that were routed so far.
-    syns: u8,
+    pub(crate) syns: u8,
 }
 
 /// Routes packets of passthrough flows.
 #[derive(Debug)]
 pub struct PassthroughRouter {
-    local_datacenter: DatacenterName,
-    loads: LoadTable,
-    cached_owners: LruCache<FlowKey, CachedOwner>,
+    pub(crate) local_datacenter: DatacenterName,
+    pub(crate) loads: LoadTable,
+    pub(crate) cached_owners: LruCache<FlowKey, CachedOwner>,
     // When each service address first appeared in the view.
     address_added_at: HashMap<SocketAddrV4, TimePoint>,
     pub(crate) known_hosts: KnownHosts,
@@ -146,7 +133,7 @@
         self.known_hosts.record_freshness(has_fresh_view, now);
     }
 
-    fn is_past_grace_period(&self, address: SocketAddrV4, now: TimePoint) -> bool {
+    pub(crate) fn is_past_grace_period(&self, address: SocketAddrV4, now: TimePoint) -> bool {
         self.address_added_at
             .get(&address)
             .is_some_and(|since| now.since(*since) >= ADDRESS_GRACE_PERIOD)
@@ -259,118 +246,6 @@
         }
     }
 
-    // Retransmitted SYNs go to the host of the first one, unless that host has been
-    // silent since. After the candidates they visit other hosts of the service.
-    fn plan_syn(
-        &mut self,
-        service: &ServiceView,
-        segment: &TcpSegment,
-        cached: Option<CachedOwner>,
-        now: TimePoint,
-    ) -> Result<PassthroughPlan, RouteDrop> {
-        let key = segment.key;
-        let syns = cached.map_or(0, |cached| cached.syns);
-        let earlier_syns = syns.max(segment.syn_copies.min(u8::MAX.into()) as u8);
-        let mut ranked: Vec<(f64, SocketAddrV4)> =
-            opening_candidates(service, key.hash(), &self.local_datacenter)
-                .filter(|host| host.accepts_flows())
-                .filter(|host| !self.loads.refuses(host.record.packets, now))
-                .map(|host| (self.cost(host, now), host.record.packets))
-                .collect();
-        let is_known = |host| !self.known_hosts.is_new(host, now);
-        if ranked.iter().any(|(_, host)| is_known(*host)) {
-            ranked.retain(|(_, host)| is_known(*host));
-        } else {
-            // Without other hosts, a new one is better than none.
-            let has_known_host = self.has_established_host(service, now);
-            let may_stand_in = |host| self.known_hosts.may_stand_in(host, has_known_host);
-            ranked.retain(|(_, host)| may_stand_in(*host));
-        }
-        ranked.sort_by(|(cost, _), (other, _)| cost.total_cmp(other));
-        let cached_host = cached.map(|cached| cached.host);
-        let silent_host =
-            cached_host.filter(|host| self.loads.is_silent(*host, SILENT_AFTER_SYN, now));
-        // The sort is stable: the other hosts keep their order.
-        ranked.sort_by_key(|(_, host)| Some(*host) == silent_host);
-        let preferred = cached_host.filter(|_| silent_host.is_none());
-        let mut hops: Vec<SocketAddrV4> = Vec::with_capacity(PLAN_HOPS);
-        hops.extend(preferred.filter(|host| ranked.iter().any(|(_, other)| other == host)));
-        for (_, host) in ranked {
-            if hops.len() < PLAN_HOPS && !hops.contains(&host) {
-                hops.push(host);
-            }
-        }
-        if earlier_syns > 0 || hops.is_empty() {
-            self.append_stand_ins(service, key.hash(), &mut hops, now);
-        }
-        let Some(&first) = hops.first() else {
-            // A refusal of an address that was just added would look as if it had no service.
-            let is_refusable = self.is_past_grace_period(key.service, now);
-            return Err(if is_refusable && service.is_wholly_drained() {
-                RouteDrop::Drained
-            } else {
-                RouteDrop::NoHost
-            });
-        };
-        if preferred != Some(first) {
-            self.loads.record_placement(first, now);
-        }
-        let owner = CachedOwner {
-            tag: service.tag,
-            host: first,
-            syns: syns.saturating_add(1),
-        };
-        self.cached_owners.put(key, owner);
-        let refusable =
-            earlier_syns >= SYNS_BEFORE_REFUSAL && self.is_past_grace_period(key.service, now);
-        Ok(PassthroughPlan {
-            tag: service.tag,
-            complete: refusable && self.tries_enough_hosts(service, hops.len(), now),
-            hops,
-            source: PlanSource::Chain,
-        })
-    }
-
-    // Appends the hosts of another bucket, as far as the plan has room: where all candidates of
-    // a large service are full, others may not be. All entry VMs append the same ones.
-    fn append_stand_ins(
-        &self,
-        service: &ServiceView,
-        flow: FlowHash,
-        hops: &mut Vec<SocketAddrV4>,
-        now: TimePoint,
-    ) {
-        let chain = service.opening_chain(flow.bucket().opposite());
-        for index in chain.as_slice() {
-            let host = service.host(*index);
-            let address = host.record.packets;
-            let is_usable = host.accepts_flows()
-                && !self.loads.refuses(address, now)
-                && !self.known_hosts.is_new(address, now);
-            if is_usable && hops.len() < PLAN_HOPS && !hops.contains(&address) {
-                hops.push(address);
-            }
-        }
-    }
-
-    // Returns whether a SYN may be refused once so many hosts have rejected it: all that do not
-    // reject every SYN, or as many as a plan has room for.
-    fn tries_enough_hosts(&self, service: &ServiceView, hops: usize, now: TimePoint) -> bool {
-        let usable = |host: &&ViewHost| {
-            host.accepts_flows() && !self.loads.refuses(host.record.packets, now)
-        };
-        hops == PLAN_HOPS || hops >= service.hosts().iter().filter(usable).count()
-    }
-
-    fn cost(&self, host: &ViewHost, now: TimePoint) -> f64 {
-        let input = RankingInput {
-            packets: host.record.packets,
-            datacenter: &host.record.datacenter,
-            cold: host.state == HostState::Warming,
-        };
-        self.loads.cost(&input, &self.local_datacenter, now)
-    }
-
     // Records the start of a walk. If the last walk of the same flow began within
     // RETRANSMISSION_WINDOW and its packet was not returned, it is taken to have found no
     // owner, and a lookup is started.
@@ -392,15 +267,15 @@
         }
     }
 
-    fn plan_walk(
-        &mut self,
+    // Returns the hosts that a packet of a flow visits if its owner is not cached. Those that may
+    // not answer come last.
+    pub(crate) fn walk_hops(
+        &self,
         service: &ServiceView,
-        segment: &TcpSegment,
+        key: FlowKey,
         visited: Option<SocketAddrV4>,
         now: TimePoint,
-    ) -> Result<PassthroughPlan, RouteDrop> {
-        let key = segment.key;
-        self.record_walk(service, segment, now);
+    ) -> Vec<SocketAddrV4> {
         let mut hops: Vec<SocketAddrV4> = Vec::with_capacity(PLAN_HOPS);
         for unresponsive_pass in [false, true] {
             for host in candidates(service, key.hash(), &self.local_datacenter) {
@@ -414,6 +289,19 @@
                 }
             }
         }
+        hops
+    }
+
+    fn plan_walk(
+        &mut self,
+        service: &ServiceView,
+        segment: &TcpSegment,
+        visited: Option<SocketAddrV4>,
+        now: TimePoint,
+    ) -> Result<PassthroughPlan, RouteDrop> {
+        let key = segment.key;
+        self.record_walk(service, segment, now);
+        let hops = self.walk_hops(service, key, visited, now);
         let first = *hops.first().ok_or(RouteDrop::NoHost)?;
         if let Some(walk) = self.walks.get_mut(&key) {
             walk.last_hop = hops.last().copied();
@@ -453,16 +341,3 @@
     indexes.extend(service.holders(bucket));
     indexes.into_iter().map(|index| service.host(index))
 }
-
-// Returns the hosts that may open a flow, near ones first.
-fn opening_candidates<'a>(
-    service: &'a ServiceView,
-    flow: FlowHash,
-    local_datacenter: &DatacenterName,
-) -> impl Iterator<Item = &'a ViewHost> + use<'a> {
-    let bucket = flow.bucket();
-    let chain = service.opening_chain_near(bucket, local_datacenter);
-    let mut indexes: Vec<_> = chain.as_slice().to_vec();
-    indexes.extend(service.holders(bucket));
-    indexes.into_iter().map(|index| service.host(index))
-}
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -18,6 +18,7 @@
 use crate::entry_packets::PacketLoop;
 use crate::entry_store::{WatchState, run_pulls, run_store, run_watch};
 use crate::event_ring::EventRing;
+use crate::flow_questions::FlowQuestions;
 use crate::metrics::CounterSet;
 use crate::reload::SettingsFile;
 use crate::settings::{Dialect, EntrySettings};
@@ -69,9 +70,10 @@
     // Until other entry VMs are known, this one watches the platform.
     let watching = Arc::new(AtomicBool::new(true));
 
-    http::start(server(Arc::clone(&shared), settings.status))?;
+    let (questions, asked) = FlowQuestions::new();
+    http::start(server(Arc::clone(&shared), questions, settings.status))?;
 
-    let packets = PacketLoop::new(packet_socket, settings, views, Arc::clone(&shared));
+    let packets = PacketLoop::new(packet_socket, settings, views, asked, Arc::clone(&shared));
     Builder::new()
         .name("packets".to_owned())
         .spawn(move || packets.run())?;
--- a/crates/daemon/src/entry_http.rs
+++ b/crates/daemon/src/entry_http.rs
@@ -13,17 +13,18 @@
 use rocket::{Build, Rocket, State, get, post, routes};
 
 use chestnutlb_core::control::FRESH_AGE;
-use chestnutlb_core::entry::EntryRouter;
 use chestnutlb_core::view::ViewHost;
 use chestnutlb_core::{
-    DocumentId, DocumentItem, DocumentKind, DocumentStore, EntryControl, EntryRecord, FlowKey,
-    RouteDecision, RoutingView, ServiceId, TcpSegment, TimePoint,
+    DocumentId, DocumentItem, DocumentKind, DocumentStore, EntryControl, EntryRecord, RoutingView,
+    ServiceId, TimePoint,
 };
 use chestnutlb_wire::peer::{PullQuery, ServiceSlice, wire_versions, write_message};
-use chestnutlb_wire::status::{EntryStatus, FlowExplanation, HopExplanation, HostStatus};
+use chestnutlb_wire::status::{EntryStatus, HostStatus};
 
 use crate::clock;
+use crate::entry_explain::explain;
 use crate::entry_store::pull_reply;
+use crate::flow_questions::FlowQuestions;
 use crate::http::read_query;
 use crate::metrics::CounterSet;
 
@@ -134,6 +135,11 @@
         replace(&self.control_snapshot, Arc::new(control_snapshot));
     }
 
+    /// Returns the view in force.
+    pub fn view(&self) -> Arc<RoutingView> {
+        read(&self.view)
+    }
+
     // Built per request instead of kept current: the members alone may be thousands.
     fn status(&self) -> EntryStatus {
         let documents = self.documents();
@@ -195,82 +201,6 @@
     Json(shared.status())
 }
 
-#[get("/v1/explain?<caller>&<service>")]
-fn explain(
-    shared: &State<Arc<EntryShared>>,
-    caller: &str,
-    service: &str,
-) -> Result<Json<FlowExplanation>, (Status, String)> {
-    let address = |name: &str, text: &str| {
-        text.parse::<SocketAddrV4>().map_err(|_| {
-            let text = format!("{name}: found {text:?}, allowed is an IPv4 address and port");
-            (Status::BadRequest, text)
-        })
-    };
-    let key = FlowKey {
-        caller: address("caller", caller)?,
-        service: address("service", service)?,
-    };
-    explain_flow(&read(&shared.view), key)
-        .map(Json)
-        .ok_or_else(|| (Status::NotFound, format!("no service at {}", key.service)))
-}
-
-// Routes a SYN and a later packet of the flow with an empty router, so the result does
-// not depend on owner hints.
-fn explain_flow(view: &Arc<RoutingView>, key: FlowKey) -> Option<FlowExplanation> {
-    let service = view.service_at(key.service)?;
-    let mut router = EntryRouter::new(0);
-    router.replace_view(Arc::clone(view), TimePoint(0));
-    let mut hops = |is_syn: bool| {
-        let segment = TcpSegment {
-            key,
-            is_syn,
-            is_syn_ack: false,
-            syn_copies: 0,
-            is_fin: false,
-            is_rst: false,
-            sequence: 0,
-            acknowledgement: None,
-            payload: 0,
-        };
-        match router.route(&segment, TimePoint(0)) {
-            RouteDecision::Forward(plan) => (
-                plan.hops()
-                    .iter()
-                    .map(|host| explain_hop(service.host(*host)))
-                    .collect(),
-                plan.complete,
-            ),
-            RouteDecision::Drop(_) => (Vec::new(), false),
-        }
-    };
-    let (opening, _) = hops(true);
-    let (walk, complete) = hops(false);
-    Some(FlowExplanation {
-        service: service.id().to_compact_string(),
-        bucket: key.hash().bucket().0,
-        generation: view.generation.into(),
-        drained: view
-            .drained
-            .iter()
-            .map(ToCompactString::to_compact_string)
-            .collect(),
-        opening,
-        walk,
-        complete,
-    })
-}
-
-fn explain_hop(host: &ViewHost) -> HopExplanation {
-    HopExplanation {
-        host: host.record.name.to_compact_string(),
-        state: host.state.to_compact_string(),
-        weight: host.record.weight.get(),
-        packets: host.record.packets.to_compact_string(),
-    }
-}
-
 #[post("/peer/pull", data = "<body>")]
 async fn pull(shared: &State<Arc<EntryShared>>, body: Data<'_>) -> Result<Vec<u8>, Status> {
     let query: PullQuery = read_query(body, &shared.counters).await?;
@@ -300,8 +230,13 @@
 }
 
 /// Returns the HTTP server of an entry VM.
-pub fn server(shared: Arc<EntryShared>, address: SocketAddrV4) -> Rocket<Build> {
-    crate::http::server(address).manage(shared).mount(
+pub fn server(
+    shared: Arc<EntryShared>,
+    questions: FlowQuestions,
+    address: SocketAddrV4,
+) -> Rocket<Build> {
+    let server = crate::http::server(address).manage(shared);
+    server.manage(questions).mount(
         "/",
         routes![health, ready, metrics, status, explain, pull, slice],
     )
--- a/crates/daemon/src/entry_packets.rs
+++ b/crates/daemon/src/entry_packets.rs
@@ -25,6 +25,7 @@
 use crate::clock;
 use crate::entry_http::EntryShared;
 use crate::flow_log::FlowLog;
+use crate::flow_questions::FlowQuestion;
 use crate::logs::LoggedVersion;
 use crate::metrics::{Counter, CounterSet, Timing};
 use crate::packet_format::PacketFormat;
@@ -49,6 +50,7 @@
     early_packets: EarlyPackets,
     flow_log: FlowLog,
     views: Receiver<Arc<RoutingView>>,
+    questions: Receiver<FlowQuestion>,
     shared: Arc<EntryShared>,
     counters: Arc<CounterSet>,
     buffer: Vec<u8>,
@@ -60,6 +62,7 @@
         socket: UdpSocket,
         settings: &EntrySettings,
         views: Receiver<Arc<RoutingView>>,
+        questions: Receiver<FlowQuestion>,
         shared: Arc<EntryShared>,
     ) -> Self {
         let passthrough_limit = NonZeroUsize::new(settings.hint_limit).unwrap_or(NonZeroUsize::MIN);
@@ -73,6 +76,7 @@
             early_packets: EarlyPackets::default(),
             flow_log: FlowLog::default(),
             views,
+            questions,
             counters: Arc::clone(&shared.counters),
             shared,
             buffer: Vec::with_capacity(MAX_DATAGRAM_BYTES),
@@ -97,6 +101,7 @@
             if has_new_view || is_fresh {
                 self.forward_early_packets(is_fresh, now);
             }
+            self.answer_questions();
             self.send_probes();
             self.send_lookup_queries();
             // The socket's read timeout lets the loop check for a new view.
@@ -106,6 +111,15 @@
         }
     }
 
+    fn answer_questions(&self) {
+        while let Ok(question) = self.questions.try_recv() {
+            let view = self.router.view();
+            let syn = TcpSegment::first_syn(question.key);
+            let explanation = self.passthrough.explain_opening(view, &syn, clock::now());
+            question.answer(explanation);
+        }
+    }
+
     // Keeps a packet that can't be forwarded if the configuration is not known yet. Returns
     // whether it is kept.
     fn keep_early(&mut self, segment: &TcpSegment, packet: &[u8], arrived_at: TimePoint) -> bool {
--- a/crates/standin/tests/control_faults.rs
+++ b/crates/standin/tests/control_faults.rs
@@ -296,6 +296,21 @@
     assert_eq!(explained["service"], "dalbit/catalogue");
     assert_eq!(explained["opening"].as_array().unwrap().len(), 3);
     assert_eq!(explained["complete"], true);
+    assert!(explained["view_age_ms"].as_u64().is_some());
+    let named = [
+        "--caller",
+        "10.9.1.1:10000",
+        "--service",
+        "dalbit/catalogue",
+    ];
+    let mut by_name = run_json(&[&arguments[..], &named].concat());
+    by_name["view_age_ms"] = explained["view_age_ms"].clone();
+    assert_eq!(by_name, explained);
+    let unknown_name = ["--caller", "10.9.1.1:10000", "--service", "dalbit/none"];
+    let output = fleet
+        .run_client(&[&arguments[..], &unknown_name].concat())
+        .unwrap();
+    assert_eq!(output.status.code(), Some(3));
     let unknown_service = ["--caller", "10.9.1.1:10000", "--service", "10.99.0.1:1"];
     let output = fleet
         .run_client(&[&arguments[..], &unknown_service].concat())
--- a/crates/wire/src/status.rs
+++ b/crates/wire/src/status.rs
@@ -1,10 +1,13 @@
 //! Status reports of the processes for operators, in JSON.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
-use compact_str::CompactString;
+use compact_str::{CompactString, ToCompactString};
 use serde::{Deserialize, Serialize};
 
+use chestnutlb_core::{HostLoad, OpeningCandidate};
+
 use crate::records::{VersionField, WireEntry, WireVersion};
 
 /// Status of an entry VM.
@@ -76,7 +79,7 @@
 }
 
 /// The hosts that an entry VM would send the packets of a flow to.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 #[derive(Serialize, Deserialize)]
 pub struct FlowExplanation {
     /// Firm and service, as `firm/service`.
@@ -90,6 +93,15 @@
     pub drained: Vec<CompactString>,
     /// Hops of the flow's SYN.
     pub opening: Vec<HopExplanation>,
+    /// Candidates for the SYN of a passthrough flow: the hops by cost, then those left out.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub candidates: Vec<CandidateExplanation>,
+    /// Why the SYN would go to no host.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub dropped: Option<CompactString>,
+    /// Time since the platform confirmed the view, in milliseconds; `None` if it did not.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub view_age_ms: Option<u64>,
     /// Hops of all other packets.
     pub walk: Vec<HopExplanation>,
     /// Whether the walk contains every possible owner.
@@ -109,3 +121,68 @@
     /// Address at which the side process receives packets.
     pub packets: CompactString,
 }
+
+/// A candidate for the SYN of a passthrough flow, with the inputs of its rank.
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct CandidateExplanation {
+    /// Name of the host.
+    pub host: CompactString,
+    /// Data centre of the host.
+    pub datacenter: CompactString,
+    /// State of the host.
+    pub state: CompactString,
+    /// Address at which the side process receives packets.
+    pub packets: CompactString,
+    /// Time in which the host would complete one more request, with penalties, in milliseconds.
+    pub cost_ms: f64,
+    /// Its newest load report, if it has sent one.
+    pub report: Option<ReportExplanation>,
+    /// Why it is no hop; `None` if it is one.
+    pub left_out: Option<CompactString>,
+}
+
+/// A load report that a rank depends on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct ReportExplanation {
+    /// Age of the report, in milliseconds.
+    pub age_ms: u64,
+    /// Requests in progress or queued at the backend server.
+    pub at_work: u16,
+    /// Requests that it takes at once.
+    pub slots: u16,
+    /// Mean time of a request that was not queued, in microseconds; zero if none was measured.
+    pub service_us: u32,
+    /// Share of its recent responses that look like failures.
+    pub failing_percent: u8,
+    /// Whether it is slow because it has just started.
+    pub cold: bool,
+}
+
+impl From<(HostLoad, Duration)> for ReportExplanation {
+    fn from((load, age): (HostLoad, Duration)) -> Self {
+        Self {
+            age_ms: age.as_millis() as u64,
+            at_work: load.at_work,
+            slots: load.slots,
+            service_us: load.service_us,
+            failing_percent: load.failing_percent,
+            cold: load.cold,
+        }
+    }
+}
+
+impl From<&OpeningCandidate> for CandidateExplanation {
+    fn from(candidate: &OpeningCandidate) -> Self {
+        Self {
+            host: candidate.name.to_compact_string(),
+            datacenter: candidate.datacenter.to_compact_string(),
+            state: candidate.state.to_compact_string(),
+            packets: candidate.packets.to_compact_string(),
+            cost_ms: candidate.cost_ms,
+            report: candidate.report.map(ReportExplanation::from),
+            left_out: candidate.left_out.map(|reason| reason.as_str().into()),
+        }
+    }
+}
