Gossip of a change carries the true age of the last confirmation

Since gossip of a change confirms nothing any more, an entry VM that is no watcher was confirmed only by heartbeats of equal versions, twice a second and a neighbour. While rosters change several times a second, as after a loss of power, versions are seldom equal then.

A confirmation says that the documents contain all that the platform had at a time. Newer documents still contain it, so the sender of a change may say when its documents were last confirmed, as ordinary heartbeats do; the receiver takes it only with equal versions.

Gossip carries the sender's age instead of the largest one.

--- a/crates/core/src/control_documents.rs
+++ b/crates/core/src/control_documents.rs
@@ -212,7 +212,7 @@
         self.recent.push_front((id.clone(), version));
         self.recent.truncate(RECENT_LIMIT);
         actions.push(ControlAction::InForce(id.clone(), version));
-        let heartbeat = self.heartbeat_at_change(id, version);
+        let heartbeat = self.heartbeat_at_change(id, version, now);
         for peer in self.random_peers() {
             actions.push(ControlAction::Heartbeat(peer.peers, heartbeat.clone()));
         }
@@ -281,14 +281,17 @@
         }
     }
 
-    // Returns the heartbeat that gossips one change. Its maximal age keeps receivers
-    // from taking it as a confirmation by the platform.
-    fn heartbeat_at_change(&self, id: DocumentId, version: ObjectVersion) -> Heartbeat {
+    // Returns the heartbeat that gossips one change. Newer documents still contain all that the
+    // platform had when it last confirmed the earlier ones.
+    fn heartbeat_at_change(
+        &self,
+        id: DocumentId,
+        version: ObjectVersion,
+        now: TimePoint,
+    ) -> Heartbeat {
         Heartbeat {
-            entry: self.me.clone(),
-            summary: self.documents.summary(),
-            age: Duration::MAX,
             recent: vec![(id, version)],
+            ..self.heartbeat(now)
         }
     }
 }
