A new side process beside a cold backend server opens a few flows at once

Where manifests may limit cold hosts, a side process opened nothing at a cold backend server before an entry VM had told it the limit, up to half a second after the entry VMs knew the manifest. No service there limits cold hosts.

Until it is told, the first limit of the settings holds, which any cold host takes; and it registers every 100 ms instead of 500.

--- a/crates/core/src/opening_rules.rs
+++ b/crates/core/src/opening_rules.rs
@@ -51,8 +51,9 @@
     /// There is none.
     #[default]
     Unlimited,
-    /// There may be one, and no entry VM has answered yet.
-    Unknown,
+    /// There may be one, and no entry VM has answered yet. Until then this one holds, which any
+    /// host takes.
+    Unknown(ColdLimit),
     /// New flows per second.
     Limited(ColdLimit),
 }
@@ -84,20 +85,16 @@
 }
 
 impl OpeningGate {
-    /// Returns the gate of a process that has just started. `may_be_limited` states whether
-    /// manifests may limit cold hosts: a cold host then opens nothing before it knows the limit.
-    pub fn new(may_be_limited: bool) -> Self {
+    /// Returns the gate of a process that has just started. `first_limit` holds until an entry VM
+    /// has answered, if manifests may limit cold hosts.
+    pub fn new(first_limit: Option<ColdLimit>) -> Self {
         Self {
             drain: DrainNotice {
                 version: ObjectVersion(0),
                 drained: false,
             },
             undrained_at: None,
-            cold: if may_be_limited {
-                KnownColdLimit::Unknown
-            } else {
-                KnownColdLimit::Unlimited
-            },
+            cold: first_limit.map_or(KnownColdLimit::Unlimited, KnownColdLimit::Unknown),
             cold_named_at: TimePoint::default(),
             learns_capacity: false,
             learning_named_at: TimePoint::default(),
@@ -119,6 +116,11 @@
         self.cold
     }
 
+    /// Returns whether an entry VM has yet to say what the limit of cold hosts is.
+    pub fn awaits_cold_limit(&self) -> bool {
+        matches!(self.cold, KnownColdLimit::Unknown(_))
+    }
+
     /// Returns whether the host learns what its backend server takes well.
     pub fn learns_capacity(&self) -> bool {
         self.learns_capacity
@@ -199,8 +201,8 @@
     pub fn admits(&self, limit: KnownColdLimit, now: TimePoint) -> bool {
         match limit {
             KnownColdLimit::Unlimited => true,
-            KnownColdLimit::Unknown => false,
-            KnownColdLimit::Limited(ColdLimit(limit)) => {
+            KnownColdLimit::Unknown(ColdLimit(limit))
+            | KnownColdLimit::Limited(ColdLimit(limit)) => {
                 let recent = self.opened_at.iter().rev();
                 let recent = recent.take_while(|opened_at| now.since(**opened_at) < COLD_WINDOW);
                 recent.count() < limit.get() as usize
--- a/crates/daemon/src/passthrough_control.rs
+++ b/crates/daemon/src/passthrough_control.rs
@@ -2,6 +2,7 @@
 //! the state that follows from the backend server's reports.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use chestnutlb_core::opening_rules::RulesChange;
 use chestnutlb_core::{
@@ -16,6 +17,9 @@
 /// Number of times that a deregistration is sent, since each one may be lost.
 const DEREGISTRATION_REPEATS: u32 = 3;
 
+/// Interval between two registrations while the limit of cold hosts is not known.
+const FIRST_REGISTRATION_PERIOD: Duration = Duration::from_millis(100);
+
 /// State of the control thread.
 #[derive(Debug)]
 pub struct PassthroughControl {
@@ -45,7 +49,7 @@
             self.update_state(now);
             let is_due = self.registration_due <= now || self.registration.is_due_at_once(now);
             if is_due && !self.is_registration_paused() {
-                self.registration_due = now + REGISTRATION_PERIOD;
+                self.registration_due = now + self.registration_period();
                 self.register(now);
             }
             // `receive` records the registration targets. The hash in a reply concerns hosts of
@@ -75,6 +79,15 @@
         }
     }
 
+    // Before an entry VM has answered, a cold host opens few flows.
+    fn registration_period(&self) -> Duration {
+        if self.shared.opening().awaits_cold_limit() {
+            FIRST_REGISTRATION_PERIOD
+        } else {
+            REGISTRATION_PERIOD
+        }
+    }
+
     // Updates the host state; a change is registered at once.
     fn update_state(&mut self, now: TimePoint) {
         let state = self.shared.state(now);
--- a/crates/daemon/src/passthrough_side.rs
+++ b/crates/daemon/src/passthrough_side.rs
@@ -81,7 +81,7 @@
             at_work: AtomicU64::new(0),
             usable_slots: AtomicU64::new(0),
             backend: Mutex::default(),
-            opening: Mutex::new(OpeningGate::new(passthrough.may_limit_cold)),
+            opening: Mutex::new(OpeningGate::new(passthrough.first_cold_limit)),
             backend_epochs: AtomicU64::new(0),
         }
     }
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -3,12 +3,15 @@
 //! before the process starts any work.
 
 use std::net::{SocketAddr, SocketAddrV4};
+use std::num::NonZeroU32;
 use std::time::Duration;
 
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 
-use chestnutlb_core::{DatacenterName, EntryName, FlowKey, HostName, HostWeight, ServiceId};
+use chestnutlb_core::{
+    ColdLimit, DatacenterName, EntryName, FlowKey, HostName, HostWeight, ServiceId,
+};
 use chestnutlb_wire::{DocumentError, parse_json, parse_text};
 
 const NAME_FORMAT: &str = "1 to 63 of a-z, 0-9 and '-'";
@@ -123,7 +126,7 @@
     2_000
 }
 
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 #[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 struct WireSideSettings {
@@ -156,7 +159,7 @@
     log: LogSettings,
 }
 
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 #[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 struct WirePassthrough {
@@ -170,7 +173,7 @@
     #[serde(default = "default_flow_limit")]
     flow_limit: usize,
     #[serde(default)]
-    cold_limits: bool,
+    first_cold_limit: Option<f64>,
 }
 
 /// Default maximum age of a flow, in milliseconds: feeds may stay open for a
@@ -286,9 +289,9 @@
     pub report_period: Option<Duration>,
     /// Maximum number of flows that the backend server holds at once.
     pub flow_limit: usize,
-    /// Whether manifests may limit the new flows of a cold host. It then opens none before an
-    /// entry VM has told it the limit.
-    pub may_limit_cold: bool,
+    /// Limit of the new flows per second of a cold host before an entry VM has told it that of its
+    /// service; `None` if no manifest limits cold hosts.
+    pub first_cold_limit: Option<ColdLimit>,
 }
 
 /// Settings of either role.
@@ -414,11 +417,16 @@
             flow_idle: Duration::from_millis(wire.flow_idle_ms),
             report_period: wire.report_period_ms.map(Duration::from_millis),
             flow_limit: wire.flow_limit,
-            may_limit_cold: wire.cold_limits,
+            first_cold_limit: wire.first_cold_limit.map(first_cold_limit),
         })
     }
 }
 
+// Returns the limit in whole flows per second. A host that opened none would be of no use.
+fn first_cold_limit(flows: f64) -> ColdLimit {
+    ColdLimit(NonZeroU32::new(flows as u32).unwrap_or(NonZeroU32::MIN))
+}
+
 // Shorter deadlines can't be met by reads of the platform.
 fn parse_change_deadline(millis: u64) -> Result<Duration, DocumentError> {
     if (MIN_CHANGE_DEADLINE_MS..=MAX_CHANGE_DEADLINE_MS).contains(&millis) {
