--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -522,7 +522,7 @@
         if heartbeat.summary == self.documents.summary() {
             self.last_in_sync = now;
             let age = heartbeat.age.saturating_add(self.event_lag);
-            // Gossip of a change has the largest age, which is no time that can have been.
+            // An entry VM without a confirmation sends the largest age: no time that can have been.
             let age_ms = u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
             let confirmed = now.0.checked_sub(age_ms).map(TimePoint);
             self.confirmed_at = self.confirmed_at.max(confirmed);
--- a/crates/core/src/control_duties.rs
+++ b/crates/core/src/control_duties.rs
@@ -99,12 +99,10 @@
             .retain(|_, progress| now.since(progress.last_seen) < SUSPECT_AFTER * 5);
         let stands_in = self.stand_in.is_watching(now);
         let watching = !self.stopping && (self.rings.is_watcher() || stands_in);
-        if !self.stopping && !watching {
-            let is_due = self.stand_in.is_probe_due(self.confirmed_at, now);
-            if is_due {
-                self.stand_in.record_probe(&mut self.random, now);
-                actions.push(ControlAction::ProbeStore);
-            }
+        let is_probe_due = self.stand_in.is_probe_due(self.confirmed_at, now);
+        if is_probe_due && !self.stopping && !watching {
+            self.stand_in.record_probe(&mut self.random, now);
+            actions.push(ControlAction::ProbeStore);
         }
         if self.watching != Some(watching) {
             self.watching = Some(watching);
--- a/crates/core/src/opening_plan.rs
+++ b/crates/core/src/opening_plan.rs
@@ -210,7 +210,7 @@
             .iter()
             .filter(|candidate| candidate.left_out.is_none());
         let has_known_candidate = usable.any(is_known);
-        let has_known_host = self.has_established_host(service, now);
+        let has_known_host = has_known_candidate || self.has_established_host(service, now);
         for candidate in ranked {
             let may_open = if has_known_candidate {
                 is_known(candidate)
--- a/crates/core/src/passthrough.rs
+++ b/crates/core/src/passthrough.rs
@@ -162,7 +162,7 @@
     responses: ResponseMonitor,
     timing: ReplyTiming,
     cold_openings: ColdOpenings,
-    // Learns what the backend server takes well, where the settings ask for it.
+    // Learns what the backend server takes well, where the manifest asks for it.
     estimate: Option<CapacityEstimate>,
 }
 
--- a/crates/core/src/view.rs
+++ b/crates/core/src/view.rs
@@ -187,12 +187,11 @@
     /// Returns whether the service has hosts that would accept new flows, and all of them are
     /// drained.
     pub fn is_wholly_drained(&self) -> bool {
-        let mut accepting = self
+        let has_drained_host = self
             .hosts
             .iter()
-            .filter(|host| matches!(host.state, HostState::Warming | HostState::Serving))
-            .peekable();
-        accepting.peek().is_some() && accepting.all(|host| host.drained)
+            .any(|host| host.drained && host.record.accepts_flows());
+        has_drained_host && !self.hosts.iter().any(ViewHost::accepts_flows)
     }
 
     /// Returns the hosts that hold flows of a bucket without being candidates for it.
--- a/crates/core/tests/control.rs
+++ b/crates/core/tests/control.rs
@@ -805,10 +805,11 @@
     assert_eq!(told.confirmation_age(now), Some(Duration::ZERO));
 }
 
-// Gossip of a change carries the largest age, on the wire in milliseconds. One that waited for a
-// millisecond was taken for a confirmation of this moment.
+// Gossip of a change had the largest age, on the wire in milliseconds, and so has every heartbeat
+// of an entry VM without a confirmation. One that waited for a millisecond was taken for a
+// confirmation of this moment.
 #[test]
-fn gossip_of_a_change_confirms_nothing_however_long_it_waited() {
+fn heartbeat_without_a_confirmation_confirms_nothing_however_long_it_waited() {
     for age in [Duration::MAX, Duration::from_millis(u64::MAX)] {
         for lag_ms in [0, 1, 2, 700] {
             let mut control = control();
