--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -60,6 +60,13 @@
                 "\"drains\": true, \"change_deadline_ms\": 3000, \"peers\"",
             ),
         ),
+        (
+            "first cold limit",
+            SIDE.replace(
+                "\"seeds\"",
+                "\"passthrough\": {\"outbound\": \"127.0.0.1:9104\", \"first_cold_limit\": 2.5}, \"seeds\"",
+            ),
+        ),
         (
             "deadline too short",
             ENTRY.replace("\"peers\"", "\"change_deadline_ms\": 100, \"peers\""),
