Flows in use at the loss of a host are probed once they are idle

Logs: the caller of the third sent its keep-alive, one in 30 s, 20 ms before its host was taken off the roster, 30 s after the kill. So its flow was not idle and no entry VM probed it. Its next two keep-alives, 30 and 60 s later, started the 6 s that a host waits for an owner and ended them: reset 90 s after the kill.

Freshness of the trackers: the two others were reset 9 s after the loss.

All flows of a service that lost a host are planned for probes, each at the time when it is idle for 5 s; one that stays in use is left alone after a minute. The test asked that a flow in use one second before the loss is never probed, and now asks that it is probed five times from 5 s after its last packet on, and that one used each second is not.

--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -30,6 +30,10 @@
 /// owner.
 pub const PROBE_AFTER_IDLE: Duration = Duration::from_secs(5);
 
+/// Time after the loss of a host in which a flow that was in use is probed once it is idle.
+/// Callers that only listen send a keep-alive now and then, which may come just before the loss.
+pub const PROBE_WATCH: Duration = Duration::from_secs(60);
+
 /// Interval between two probes of a flow.
 pub const PROBE_PERIOD: Duration = Duration::from_secs(3);
 
@@ -144,6 +148,8 @@
     key: FlowKey,
     due: TimePoint,
     rounds_left: u8,
+    // A flow that is in use until then is not probed.
+    watched_until: TimePoint,
 }
 
 /// Routes packets by the newest view.
@@ -171,23 +177,34 @@
 
     /// Replaces the view. Owner hints are not updated: a hint whose host was replaced or has
     /// another index now fails the incarnation check when it is used. If the new view lacks
-    /// a host, the idle flows of its service are probed.
+    /// a host, the flows of its service are probed once they are idle.
     pub fn replace_view(&mut self, view: Arc<RoutingView>, now: TimePoint) {
         let affected = view.services_with_lost_hosts(&self.view);
         self.view = view;
         let (Some(flows), false) = (&self.flows, affected.is_empty()) else {
             return;
         };
-        let idle = flows.iter().filter(|(key, cached)| {
-            affected.contains(&key.service) && now.since(cached.last_seen) >= PROBE_AFTER_IDLE
-        });
-        for (key, _) in idle {
+        let watched = flows
+            .iter()
+            .filter(|(key, _)| affected.contains(&key.service));
+        for (key, cached) in watched {
             self.probes.push_back(PlannedProbe {
                 key: *key,
-                due: now,
+                due: now.max(cached.last_seen + PROBE_AFTER_IDLE),
                 rounds_left: PROBE_ROUNDS,
+                watched_until: now + PROBE_WATCH,
             });
         }
+        self.probes
+            .make_contiguous()
+            .sort_by_key(|planned| planned.due);
+    }
+
+    fn plan_probe(&mut self, planned: PlannedProbe) {
+        let index = self
+            .probes
+            .partition_point(|other| other.due <= planned.due);
+        self.probes.insert(index, planned);
     }
 
     /// Returns the next probe that is due.
@@ -195,9 +212,22 @@
         while self.probes.front()?.due <= now {
             let probe = self.probes.pop_front()?;
             let cached = self.flows.as_ref().and_then(|flows| flows.peek(&probe.key));
-            let Some(cached) = cached else { continue };
+            let Some(cached) = cached.copied() else {
+                continue;
+            };
+            // The reply to the first probe makes a flow look used.
+            let idle_at = cached.last_seen + PROBE_AFTER_IDLE;
+            if probe.rounds_left == PROBE_ROUNDS && idle_at > now {
+                if idle_at < probe.watched_until {
+                    self.plan_probe(PlannedProbe {
+                        due: idle_at,
+                        ..probe
+                    });
+                }
+                continue;
+            }
             if probe.rounds_left > 1 {
-                self.probes.push_back(PlannedProbe {
+                self.plan_probe(PlannedProbe {
                     due: now + PROBE_PERIOD,
                     rounds_left: probe.rounds_left - 1,
                     ..probe
