--- a/review/standins-2/fleet.rs
+++ b/review/standins-2/fleet.rs
@@ -191,6 +191,13 @@
             self.record.line(&format!("{}: process killed", self.name));
         }
     }
+
+    /// Returns how the process has ended, if it has.
+    pub fn end_status(&mut self) -> Option<String> {
+        let status = self.child.as_mut()?.try_wait().ok()??;
+        self.child = None;
+        Some(status.to_string())
+    }
 }
 
 /// All processes of the system. They are ended when this is dropped.
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -10,6 +10,7 @@
 mod host;
 mod http;
 mod json;
+mod no_seeds;
 mod packet;
 mod record;
 mod store;
@@ -56,6 +57,7 @@
         "early-kill" => flow_reset::run(has_trouble.then_some(Trouble::EarlyKill), &record),
         "late-ping" => flow_reset::run(has_trouble.then_some(Trouble::LatePing), &record),
         "cold-limit" => cold_limit::run(has_trouble, &record),
+        "no-seeds" => no_seeds::run(has_trouble, &record),
         _ => Err(format!("no case {name}")),
     };
     let outcome = outcome.unwrap_or_else(Outcome::CouldNotRun);
