Review: flows reset after a jump of the clock beside a restarted host

Cause: a side process compares the age of its backend server by the time of day with its own uptime by the steady clock, to tell whether it has seen all flows. A start that was dated by a clock ahead looks as young as the process.

--- a/review/standins-2/flow_reset.rs
+++ b/review/standins-2/flow_reset.rs
@@ -1,4 +1,4 @@
-//! Case: a host starts again, and soon after it the process on its machine is killed.
+//! Cases: a host starts again, and soon after it the process on its machine is killed.
 //!
 //! Flows that consumers opened at the new lifetime before the kill must live on. Each carries a
 //! request, rests for some seconds and carries another one.
@@ -21,14 +21,34 @@
 
 /// How long the host is down.
 const HOST_DOWN: Duration = Duration::from_millis(700);
-/// Time from the start of the host to the kill of the process beside it, before its second ping.
-const KILL_AFTER: Duration = Duration::from_millis(600);
 /// Time after which the platform starts a killed process again.
 const RESTART_DELAY: Duration = Duration::from_millis(500);
 /// Rest of the flows after the disruption. With all before it, a flow rests for less than
 /// `idle_timeout_ms`.
 const REST: Duration = Duration::from_secs(7);
 
+/// When the process is killed, and what the host's clock shows at its start.
+#[derive(Debug, Clone, Copy)]
+pub struct Trouble {
+    /// Time from the start of the host to the kill of the process beside it.
+    kill_after: Duration,
+    /// How far the time of day of the host's machine is ahead when the host starts. It has jumped
+    /// back before the process starts again.
+    clock_ahead: Duration,
+}
+
+/// Before the second ping of the host.
+pub const EARLY_KILL: Trouble = Trouble {
+    kill_after: Duration::from_millis(600),
+    clock_ahead: Duration::ZERO,
+};
+
+/// Between the second ping and the third.
+pub const CLOCK_STEP: Trouble = Trouble {
+    kill_after: Duration::from_millis(1600),
+    clock_ahead: Duration::from_millis(2200),
+};
+
 /// `stability_window_ms`.
 const STABILITY_WINDOW: Duration = Duration::from_secs(5);
 
@@ -83,15 +103,15 @@
     answer.map(|_| flow)
 }
 
-/// Plays the case; without trouble neither the host nor the process ends.
-pub fn run(has_trouble: bool, record: &Record) -> Result<Outcome, String> {
+/// Plays a case; without trouble neither the host nor the process ends.
+pub fn run(trouble: Option<Trouble>, record: &Record) -> Result<Outcome, String> {
     let mut deployment = Deployment::start(plan(), &config(), record)?;
     let consumers = deployment.consumers(CONSUMERS)?;
     let host = deployment.hosts[0].clone();
-    if has_trouble {
+    if let Some(trouble) = trouble {
         host.crash();
         thread::sleep(HOST_DOWN);
-        host.start(true);
+        host.start_with_clock(true, trouble.clock_ahead);
     }
     let started_at = Instant::now();
     let opened: Vec<OpenedFlow> = thread::scope(|scope| {
@@ -100,8 +120,8 @@
             .enumerate()
             .map(|(index, consumer)| scope.spawn(move || open_flow(consumer, index, record)))
             .collect();
-        if has_trouble {
-            thread::sleep(KILL_AFTER.saturating_sub(started_at.elapsed()));
+        if let Some(trouble) = trouble {
+            thread::sleep(trouble.kill_after.saturating_sub(started_at.elapsed()));
             restart_process(&mut deployment)?;
         }
         let joined = threads.into_iter().map(|thread| thread.join());
--- a/review/standins-2/host.rs
+++ b/review/standins-2/host.rs
@@ -113,17 +113,23 @@
 
     /// Starts a lifetime under the same id. A start during traffic is cold.
     pub fn start(&self, is_cold: bool) {
+        self.start_with_clock(is_cold, Duration::ZERO);
+    }
+
+    /// Starts a lifetime while the time of day of its machine is ahead.
+    pub fn start_with_clock(&self, is_cold: bool, clock_ahead: Duration) {
         let mut state = self.state();
-        let since_epoch = SystemTime::now()
+        let time_of_day = SystemTime::now()
             .duration_since(UNIX_EPOCH)
-            .unwrap_or_default();
-        state.born_ms = since_epoch.as_millis() as u64;
+            .unwrap_or_default()
+            + clock_ahead;
+        state.born_ms = time_of_day.as_millis() as u64;
         state.pings = 0;
         state.is_alive = true;
         state.is_ping_due = true;
         state.cold_until = is_cold.then(|| Instant::now() + self.spec.cold_start);
-        self.record
-            .line(&format!("{} starts, born {}", self.spec.id, state.born_ms));
+        let (id, born_ms) = (&self.spec.id, state.born_ms);
+        self.record.line(&format!("{id} starts, born {born_ms}"));
     }
 
     /// Ends the lifetime without a word: its flows are gone.
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -19,6 +19,7 @@
 use std::path::Path;
 use std::process::exit;
 
+use flow_reset::{CLOCK_STEP, EARLY_KILL};
 use record::Record;
 
 /// Address of the routes. It stands in the heads of packets only.
@@ -53,7 +54,8 @@
         }
     };
     let outcome = match name.as_str() {
-        "early-kill" => flow_reset::run(has_trouble, &record),
+        "early-kill" => flow_reset::run(has_trouble.then_some(EARLY_KILL), &record),
+        "clock-step" => flow_reset::run(has_trouble.then_some(CLOCK_STEP), &record),
         "cold-limit" => cold_limit::run(has_trouble, &record),
         "no-seeds" => no_seeds::run(has_trouble, &record),
         _ => Err(format!("no case {name}")),
