A side process whose settings name no entry VM waits for one

The parser of the side settings refused an empty list of seeds.

The list may be empty. The process runs, tries to register twice a second and reads its settings every 2 s as before. While it waits it says so: a log line `contact with entry VMs` at each change, `registration` in its status, the counter `registrations.unsent`, and a new route `/ready` beside `/health`, which is about the backend server alone. Related path: a reload to an empty list was refused as a whole, and with the list allowed it would have dropped seeds that may come back; it now keeps the previous seeds, in both roles (an entry VM did drop them).

--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -125,10 +125,10 @@
     .with_flow_age(settings.flow_age)
     .with_change_deadline(settings.change_deadline);
     let ring = event_ring.clone();
-    file.watch(move |settings| {
+    file.watch(move |seeds| {
         // If the ring is full, the new seeds are dropped: the members already known
         // suffice to reach the other entry VMs.
-        ring.push(ControlEvent::SeedsChanged(settings.seeds().to_vec()));
+        ring.push(ControlEvent::SeedsChanged(seeds.to_vec()));
     })?;
     let rings = ControlRings {
         store: store_ring,
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -73,6 +73,8 @@
     PeerBad = "peer.bad",
     /// Registration targets left out of replies to hosts, whose datagram was full.
     PeerTargetsDropped = "peer.targets-dropped",
+    /// Registrations and keep-alives that were due while no entry VM was known.
+    RegistrationsUnsent = "registrations.unsent",
     /// Datagrams from peers.
     PeerIn = "peer.in",
     /// Datagrams to peers.
--- a/crates/daemon/src/passthrough_http.rs
+++ b/crates/daemon/src/passthrough_http.rs
@@ -17,6 +17,7 @@
 use crate::clock;
 use crate::metrics::Counter;
 use crate::passthrough_side::PassthroughShared;
+use crate::registration::EntryContact;
 
 #[get("/health")]
 fn health(shared: &State<Arc<PassthroughShared>>) -> Status {
@@ -26,6 +27,16 @@
     }
 }
 
+// Returns 200 while the host can get flows: its backend server is there, and an entry VM knows
+// of it.
+#[get("/ready")]
+fn ready(shared: &State<Arc<PassthroughShared>>) -> Status {
+    match shared.contact.get() {
+        EntryContact::Replied => health(shared),
+        _ => Status::ServiceUnavailable,
+    }
+}
+
 #[get("/metrics")]
 fn metrics(shared: &State<Arc<PassthroughShared>>) -> String {
     shared.counters.text()
@@ -111,7 +122,8 @@
 
 /// Returns the HTTP server of the process.
 pub fn server(shared: Arc<PassthroughShared>, address: SocketAddrV4) -> Rocket<Build> {
-    crate::http::server(address)
-        .manage(shared)
-        .mount("/", routes![health, metrics, status, report, deregister])
+    crate::http::server(address).manage(shared).mount(
+        "/",
+        routes![health, ready, metrics, status, report, deregister],
+    )
 }
--- a/crates/daemon/src/passthrough_side.rs
+++ b/crates/daemon/src/passthrough_side.rs
@@ -19,7 +19,7 @@
 use crate::passthrough_control::PassthroughControl;
 use crate::passthrough_http::server;
 use crate::passthrough_packets::PassthroughPackets;
-use crate::registration::{HostRegistration, SeedList};
+use crate::registration::{HostRegistration, SeedList, SharedContact};
 use crate::reload::SettingsFile;
 use crate::settings::{PassthroughSettings, SideSettings};
 use crate::{StopSignal, clock, http};
@@ -54,6 +54,8 @@
     pub at_work: AtomicU64,
     /// Requests at once that the backend server takes well; zero before it is learned.
     pub usable_slots: AtomicU64,
+    /// Whether entry VMs know of the host.
+    pub contact: SharedContact,
     backend: Mutex<BackendTracker>,
     opening: Mutex<OpeningGate>,
     /// Number of new backend epochs recorded by this process.
@@ -80,6 +82,7 @@
             flows: AtomicU64::new(0),
             at_work: AtomicU64::new(0),
             usable_slots: AtomicU64::new(0),
+            contact: SharedContact::default(),
             backend: Mutex::default(),
             opening: Mutex::new(OpeningGate::new(passthrough.first_cold_limit)),
             backend_epochs: AtomicU64::new(0),
@@ -152,6 +155,7 @@
             name: self.settings.name.to_compact_string(),
             service: self.settings.service.to_compact_string(),
             state: self.state(clock::now()).to_compact_string(),
+            registration: Some(self.contact.get().as_str().into()),
             manifest: 0,
             flows: self.flows.load(Ordering::Relaxed),
             running: self.at_work.load(Ordering::Relaxed),
@@ -181,7 +185,8 @@
     log::info!(
         target: "process",
         role = "side", delivery = "passthrough", name:% = settings.name,
-        service:% = settings.service, datacenter:% = settings.datacenter;
+        service:% = settings.service, datacenter:% = settings.datacenter,
+        seeds = settings.seeds.len();
         "started"
     );
     let settings = Arc::new(settings.clone());
@@ -207,9 +212,10 @@
 
     let seeds = SeedList::new(settings.seeds.clone());
     let reloaded_seeds = seeds.clone();
-    file.watch(move |settings| reloaded_seeds.set(settings.seeds()))?;
+    file.watch(move |seeds| reloaded_seeds.set(seeds))?;
     let counters = Arc::clone(&shared.counters);
-    let registration = HostRegistration::new(registration_socket, seeds, counters)?;
+    let contact = shared.contact.clone();
+    let registration = HostRegistration::new(registration_socket, seeds, counters, contact)?;
     let control = PassthroughControl::new(registration, Arc::clone(&shared));
     Builder::new()
         .name("control".to_owned())
--- a/crates/daemon/src/registration.rs
+++ b/crates/daemon/src/registration.rs
@@ -6,7 +6,8 @@
 use std::time::Duration;
 
 use chestnutlb_core::{
-    HostRecord, HostRevision, ObjectVersion, RegistrationReply, RegistrationTargets, TimePoint,
+    HostName, HostRecord, HostRevision, ObjectVersion, RegistrationReply, RegistrationTargets,
+    TimePoint,
 };
 use chestnutlb_wire::peer::{
     MAX_PEER_DATAGRAM_BYTES, PeerMessage, WireKeepAlive, WireRegistration, scan_message,
@@ -46,12 +47,56 @@
     }
 }
 
+/// Whether entry VMs know of a host, as far as its side process can tell.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum EntryContact {
+    /// No registration was due so far: the backend server has not reported.
+    #[default]
+    NotRegistered,
+    /// No address of an entry VM is known: the settings name no seed so far.
+    NoEntryKnown,
+    /// No entry VM has replied within [`REPLY_TIMEOUT`].
+    NoReply,
+    /// An entry VM has replied.
+    Replied,
+}
+
+impl EntryContact {
+    /// Returns the name in the status.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::NotRegistered => "not-registered",
+            Self::NoEntryKnown => "no-entry-known",
+            Self::NoReply => "no-reply",
+            Self::Replied => "replied",
+        }
+    }
+}
+
+/// The contact with entry VMs, for the threads that show it.
+#[derive(Debug, Clone, Default)]
+pub struct SharedContact(Arc<Mutex<EntryContact>>);
+
+impl SharedContact {
+    /// Returns the contact.
+    pub fn get(&self) -> EntryContact {
+        *self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    // Replaces the contact and returns the previous one.
+    fn replace(&self, contact: EntryContact) -> EntryContact {
+        let mut current = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        std::mem::replace(&mut current, contact)
+    }
+}
+
 /// Registers one host with its registration targets.
 #[derive(Debug)]
 pub struct HostRegistration {
     socket: UdpSocket,
     seeds: SeedList,
     counters: Arc<CounterSet>,
+    contact: SharedContact,
     registered: Option<HostRecord>,
     revision: HostRevision,
     registration_targets: RegistrationTargets,
@@ -60,17 +105,19 @@
 
 impl HostRegistration {
     /// Creates a registration that sends from a bound socket; `seeds` are contacted while
-    /// no registration target replies.
+    /// no registration target replies. `contact` shows whether any entry VM does.
     pub fn new(
         socket: UdpSocket,
         seeds: SeedList,
         counters: Arc<CounterSet>,
+        contact: SharedContact,
     ) -> std::io::Result<Self> {
         socket.set_read_timeout(Some(RECEIVE_TIMEOUT))?;
         Ok(Self {
             socket,
             seeds,
             counters,
+            contact,
             registered: None,
             revision: HostRevision::default(),
             registration_targets: RegistrationTargets::default(),
@@ -101,6 +148,8 @@
             self.registered = Some(record.clone());
         }
         self.registration_targets.drop_unnamed(now);
+        let addresses = self.target_addresses(now);
+        self.record_contact(&record.name, addresses.len(), now);
         let message = if has_changed || self.registration_targets.is_full_registration_due(now) {
             self.registration_targets.record_full_registration(now);
             PeerMessage::Announce(WireRegistration {
@@ -117,7 +166,7 @@
             })
         };
         let bytes = write_message(&message);
-        for target in self.target_addresses(now) {
+        for target in addresses {
             // A lost registration is not retransmitted: the next one replaces it.
             if self.socket.send_to(&bytes, target).is_ok() {
                 self.counters.add(Counter::PeerOut);
@@ -125,18 +174,46 @@
         }
     }
 
+    // Records whether entry VMs are known and reply, and logs a change.
+    fn record_contact(&self, host: &HostName, addresses: usize, now: TimePoint) {
+        let contact = if addresses == 0 {
+            self.counters.add(Counter::RegistrationsUnsent);
+            EntryContact::NoEntryKnown
+        } else if self.are_targets_silent(now) {
+            EntryContact::NoReply
+        } else {
+            EntryContact::Replied
+        };
+        if self.contact.replace(contact) == contact {
+            return;
+        }
+        let level = match contact {
+            EntryContact::Replied => log::Level::Info,
+            _ => log::Level::Warn,
+        };
+        log::log!(
+            target: "peer", level,
+            host:% = host, contact = contact.as_str(), addresses = addresses,
+            seeds = self.seeds.get().len(),
+            reply_age_ms = self.last_reply.map(|reply| now.since(reply).as_millis() as u64);
+            "contact with entry VMs"
+        );
+    }
+
+    fn are_targets_silent(&self, now: TimePoint) -> bool {
+        self.last_reply
+            .is_none_or(|last_reply| now.since(last_reply) >= REPLY_TIMEOUT)
+    }
+
     // Returns the addresses of the registration targets, with the seeds if no target is known
     // or no entry VM has replied within [`REPLY_TIMEOUT`].
     fn target_addresses(&self, now: TimePoint) -> Vec<SocketAddrV4> {
-        let targets_silent = self
-            .last_reply
-            .is_none_or(|last_reply| now.since(last_reply) >= REPLY_TIMEOUT);
         let mut addresses: Vec<SocketAddrV4> = self
             .registration_targets
             .entries()
             .map(|target| target.peers)
             .collect();
-        if targets_silent || addresses.is_empty() {
+        if self.are_targets_silent(now) || addresses.is_empty() {
             addresses.extend(self.seeds.get());
         }
         addresses.sort_unstable();
--- a/crates/daemon/src/reload.rs
+++ b/crates/daemon/src/reload.rs
@@ -1,13 +1,15 @@
 //! Reload of the settings file, on SIGHUP or when the file has changed without a signal.
-//! Invalid new settings are rejected and the previous ones stay in force.
+//! Invalid new settings are rejected and the previous ones stay in force. So do the previous
+//! seeds if the new settings name none.
 
+use std::net::SocketAddrV4;
 use std::path::PathBuf;
 use std::thread::Builder;
 use std::time::Duration;
 
 use crossbeam_channel::{Receiver, RecvTimeoutError};
 
-use crate::settings::{self, DaemonSettings};
+use crate::settings;
 
 /// Interval at which the file is checked for changes. A change without a signal takes
 /// effect within this time.
@@ -36,10 +38,10 @@
         }
     }
 
-    /// Starts the thread that calls `apply` with new settings.
+    /// Starts the thread that calls `apply` with the seeds of new settings.
     pub fn watch(
         mut self,
-        mut apply: impl FnMut(&DaemonSettings) + Send + 'static,
+        mut apply: impl FnMut(&[SocketAddrV4]) + Send + 'static,
     ) -> std::io::Result<()> {
         Builder::new().name("settings".to_owned()).spawn(move || {
             loop {
@@ -54,8 +56,8 @@
         Ok(())
     }
 
-    // Reads the file; if its content changed, parses and applies the new settings.
-    fn check_file(&mut self, signalled: bool, apply: &mut impl FnMut(&DaemonSettings)) {
+    // Reads the file; if its content changed, parses the new settings and applies their seeds.
+    fn check_file(&mut self, signalled: bool, apply: &mut impl FnMut(&[SocketAddrV4])) {
         let text = match std::fs::read_to_string(&self.path) {
             Ok(text) => text,
             Err(error) => {
@@ -74,10 +76,13 @@
         self.text = text;
         match settings::parse_settings(&self.text) {
             Ok((settings, _)) => {
-                apply(&settings);
+                let seeds = settings.seeds();
+                if !seeds.is_empty() {
+                    apply(seeds);
+                }
                 log::info!(
                     target: "process",
-                    signalled = signalled, changed = true, seeds = settings.seeds().len();
+                    signalled = signalled, changed = true, seeds = seeds.len();
                     "reloaded"
                 );
             }
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -259,7 +259,8 @@
     pub dialect: Dialect,
     /// Route of the packets to callers.
     pub callers: CallerRoute,
-    /// Peer addresses of entry VMs, contacted while no registration target replies.
+    /// Peer addresses of entry VMs, contacted while no registration target replies. May be
+    /// empty while no entry VM exists; a reload names the first ones.
     pub seeds: Vec<SocketAddrV4>,
     /// Address of the backend server.
     pub backend: SocketAddrV4,
@@ -496,13 +497,6 @@
 
     fn try_from(wire: &WireSideSettings) -> Result<Self, DocumentError> {
         check_log(&wire.log)?;
-        if wire.seeds.is_empty() {
-            return Err(DocumentError::Value(
-                "seeds".to_owned(),
-                "an empty list".to_owned(),
-                "at least one entry VM".to_owned(),
-            ));
-        }
         let weight = HostWeight::new(wire.weight).map_err(|_| {
             DocumentError::Value(
                 "weight".to_owned(),
--- a/crates/daemon/src/side.rs
+++ b/crates/daemon/src/side.rs
@@ -57,13 +57,13 @@
 
     let seeds = SeedList::new(settings.seeds.clone());
     let reloaded_seeds = seeds.clone();
-    file.watch(move |settings| reloaded_seeds.set(settings.seeds()))?;
+    file.watch(move |seeds| reloaded_seeds.set(seeds))?;
     // Logged before any thread logs, so that this line marks the start of an
     // incarnation in the log.
     log::info!(
         target: "process",
         role = "side", name:% = settings.name, service:% = settings.service,
-        incarnation = incarnation.0;
+        incarnation = incarnation.0, seeds = settings.seeds.len();
         "started"
     );
 
--- a/crates/daemon/src/side_control.rs
+++ b/crates/daemon/src/side_control.rs
@@ -78,7 +78,7 @@
         now: TimePoint,
     ) -> std::io::Result<Self> {
         let counters = Arc::clone(&shared.counters);
-        let registration = HostRegistration::new(socket, seeds, counters)?;
+        let registration = HostRegistration::new(socket, seeds, counters, shared.contact.clone())?;
         let mut timers = TimerService::default();
         timers.subscribe(TimerKind::Registration, REGISTRATION_PERIOD, now);
         timers.subscribe(TimerKind::Probe, PROBE_PERIOD, now);
--- a/crates/daemon/src/side_events.rs
+++ b/crates/daemon/src/side_events.rs
@@ -13,6 +13,7 @@
 use chestnutlb_wire::peer::{CancelQuery, CancelReply, RelayQuery, RelayReply};
 
 use crate::metrics::{CounterSet, try_push};
+use crate::registration::SharedContact;
 use crate::side_relay::RelayResult;
 
 /// Maximum number of events that wait for the flow thread.
@@ -97,6 +98,8 @@
     pub running: AtomicU64,
     /// Number of waiting requests.
     pub waiting: AtomicU64,
+    /// Whether entry VMs know of the host.
+    pub contact: SharedContact,
     /// Version of the manifest in force.
     pub manifest_version: AtomicU64,
     state: RwLock<HostState>,
@@ -113,6 +116,7 @@
             flows: AtomicU64::new(0),
             running: AtomicU64::new(0),
             waiting: AtomicU64::new(0),
+            contact: SharedContact::default(),
             manifest_version: AtomicU64::new(0),
             state: RwLock::new(HostState::Joining),
             held_buckets: RwLock::default(),
--- a/crates/daemon/src/side_http.rs
+++ b/crates/daemon/src/side_http.rs
@@ -17,6 +17,7 @@
 use chestnutlb_wire::status::SideStatus;
 
 use crate::http::{read_query, read_query_with_limit};
+use crate::registration::EntryContact;
 use crate::settings::SideSettings;
 use crate::side_events::{SideEvent, SideRing, SideShared};
 
@@ -43,6 +44,16 @@
     }
 }
 
+// Returns 200 while the host can get flows: its backend server is there, and an entry VM knows
+// of it.
+#[get("/ready")]
+fn ready(routes: &State<SideRoutes>) -> Status {
+    match routes.shared.contact.get() {
+        EntryContact::Replied => health(routes),
+        _ => Status::ServiceUnavailable,
+    }
+}
+
 #[get("/metrics")]
 fn metrics(routes: &State<SideRoutes>) -> String {
     routes.shared.counters.text()
@@ -55,6 +66,7 @@
         name: routes.settings.name.to_compact_string(),
         service: routes.settings.service.to_compact_string(),
         state: shared.state().to_compact_string(),
+        registration: Some(shared.contact.get().as_str().into()),
         manifest: shared.manifest_version.load(Ordering::Relaxed),
         flows: shared.flows.load(Ordering::Relaxed),
         running: shared.running.load(Ordering::Relaxed),
@@ -92,5 +104,5 @@
 pub fn server(routes: SideRoutes, address: SocketAddrV4) -> Rocket<Build> {
     crate::http::server(address)
         .manage(routes)
-        .mount("/", routes![health, metrics, status, relay, cancel])
+        .mount("/", routes![health, ready, metrics, status, relay, cancel])
 }
--- a/crates/wire/src/status.rs
+++ b/crates/wire/src/status.rs
@@ -60,6 +60,10 @@
     pub service: CompactString,
     /// State of the host.
     pub state: CompactString,
+    /// Whether entry VMs know of the host: `not-registered`, `no-entry-known`, `no-reply` or
+    /// `replied`; left out by earlier releases.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub registration: Option<CompactString>,
     /// Version of the firm's manifest that is in force.
     pub manifest: u64,
     /// Number of open flows.
