--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -21,6 +21,9 @@
 const MIN_CHANGE_DEADLINE_MS: u64 = 1_500;
 const MAX_CHANGE_DEADLINE_MS: u64 = 3_600_000;
 
+/// Upper bound of times, in milliseconds: a thousand years.
+const MAX_MILLIS: f64 = 3.2e13;
+
 /// Log settings.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -72,6 +75,36 @@
     }
 }
 
+/// A time in milliseconds. Fractions are rounded, since some platforms state times with them.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[serde(try_from = "f64", into = "u64")]
+struct WireMillis(u64);
+
+impl TryFrom<f64> for WireMillis {
+    type Error = &'static str;
+
+    fn try_from(millis: f64) -> Result<Self, Self::Error> {
+        if (0.0..MAX_MILLIS).contains(&millis) {
+            Ok(Self(millis.round() as u64))
+        } else {
+            Err("not a number of milliseconds")
+        }
+    }
+}
+
+impl From<WireMillis> for u64 {
+    fn from(WireMillis(millis): WireMillis) -> Self {
+        millis
+    }
+}
+
+impl From<WireMillis> for Duration {
+    fn from(WireMillis(millis): WireMillis) -> Self {
+        Self::from_millis(millis)
+    }
+}
+
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -100,13 +133,13 @@
     #[serde(default)]
     learn_capacity: bool,
     #[serde(default = "default_change_deadline")]
-    change_deadline_ms: u64,
+    change_deadline_ms: WireMillis,
     #[serde(default = "default_hints")]
     hints: usize,
     #[serde(default = "default_flow_age")]
-    flow_age_ms: u64,
+    flow_age_ms: WireMillis,
     #[serde(default = "default_stop_linger")]
-    stop_linger_ms: u64,
+    stop_linger_ms: WireMillis,
     #[serde(default)]
     metrics: Option<CompactString>,
     #[serde(default)]
@@ -118,12 +151,12 @@
 }
 
 /// Time within which a change is in force everywhere at the target size, in milliseconds.
-fn default_change_deadline() -> u64 {
-    5_000
+fn default_change_deadline() -> WireMillis {
+    WireMillis(5_000)
 }
 
-fn default_stop_linger() -> u64 {
-    2_000
+fn default_stop_linger() -> WireMillis {
+    WireMillis(2_000)
 }
 
 #[derive(Debug, Clone, PartialEq)]
@@ -165,11 +198,11 @@
 struct WirePassthrough {
     outbound: CompactString,
     #[serde(default = "default_flow_age")]
-    flow_age_ms: u64,
+    flow_age_ms: WireMillis,
     #[serde(default = "default_flow_idle")]
-    flow_idle_ms: u64,
+    flow_idle_ms: WireMillis,
     #[serde(default)]
-    report_period_ms: Option<u64>,
+    report_period_ms: Option<WireMillis>,
     #[serde(default = "default_flow_limit")]
     flow_limit: usize,
     #[serde(default)]
@@ -178,12 +211,12 @@
 
 /// Default maximum age of a flow, in milliseconds: feeds may stay open for a
 /// day.
-fn default_flow_age() -> u64 {
-    86_400_000
+fn default_flow_age() -> WireMillis {
+    WireMillis(86_400_000)
 }
 
-fn default_flow_idle() -> u64 {
-    600_000
+fn default_flow_idle() -> WireMillis {
+    WireMillis(600_000)
 }
 
 fn default_flow_limit() -> usize {
@@ -414,9 +447,9 @@
     fn try_from(wire: &WirePassthrough) -> Result<Self, DocumentError> {
         Ok(Self {
             outbound: parse_text("passthrough.outbound", &wire.outbound, ADDRESS_FORMAT)?,
-            flow_age: Duration::from_millis(wire.flow_age_ms),
-            flow_idle: Duration::from_millis(wire.flow_idle_ms),
-            report_period: wire.report_period_ms.map(Duration::from_millis),
+            flow_age: wire.flow_age_ms.into(),
+            flow_idle: wire.flow_idle_ms.into(),
+            report_period: wire.report_period_ms.map(Duration::from),
             flow_limit: wire.flow_limit,
             first_cold_limit: wire.first_cold_limit.map(first_cold_limit),
         })
@@ -429,9 +462,10 @@
 }
 
 // Shorter deadlines can't be met by reads of the platform.
-fn parse_change_deadline(millis: u64) -> Result<Duration, DocumentError> {
+fn parse_change_deadline(time: WireMillis) -> Result<Duration, DocumentError> {
+    let WireMillis(millis) = time;
     if (MIN_CHANGE_DEADLINE_MS..=MAX_CHANGE_DEADLINE_MS).contains(&millis) {
-        return Ok(Duration::from_millis(millis));
+        return Ok(time.into());
     }
     Err(DocumentError::Value(
         "change_deadline_ms".to_owned(),
@@ -484,8 +518,8 @@
             change_deadline: parse_change_deadline(wire.change_deadline_ms)?,
             seeds: parse_seeds(&wire.seeds, wire.seeds_port)?,
             hint_limit: wire.hints,
-            flow_age: Duration::from_millis(wire.flow_age_ms),
-            stop_linger: Duration::from_millis(wire.stop_linger_ms),
+            flow_age: wire.flow_age_ms.into(),
+            stop_linger: wire.stop_linger_ms.into(),
             metrics: parse_optional_address("metrics", wire.metrics.as_ref())?,
             log: wire.log.clone(),
         })
--- a/crates/daemon/tests/seeds.rs
+++ b/crates/daemon/tests/seeds.rs
@@ -164,12 +164,9 @@
     side.set_seeds(&[]);
     side.wait_for("the reload", |side| {
         let log = side.log();
-        let reloads = log
-            .lines()
-            .filter(|line| line.contains(r#""event":"reloaded""#));
-        reloads
-            .last()
-            .is_some_and(|line| line.contains(r#""seeds":0"#))
+        let mut newest_first = log.lines().rev();
+        let reload = newest_first.find(|line| line.contains(r#""event":"reloaded""#));
+        reload.is_some_and(|line| line.contains(r#""seeds":0"#))
     });
     // The next full registration.
     entry.set_nonblocking(true).unwrap();
--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -71,6 +71,26 @@
             "deadline too short",
             ENTRY.replace("\"peers\"", "\"change_deadline_ms\": 100, \"peers\""),
         ),
+        // The users' platform states some bounds as fractions.
+        (
+            "entry times with fractions",
+            ENTRY.replace(
+                "\"peers\"",
+                "\"change_deadline_ms\": 2500.0, \"flow_age_ms\": 60.5e3, \"peers\"",
+            ),
+        ),
+        (
+            "side times with fractions",
+            SIDE.replace(
+                "\"seeds\"",
+                "\"passthrough\": {\"outbound\": \"127.0.0.1:9104\", \"flow_age_ms\": 60.5e3, \
+                 \"report_period_ms\": 1200.25}, \"seeds\"",
+            ),
+        ),
+        (
+            "negative time",
+            ENTRY.replace("\"peers\"", "\"flow_age_ms\": -1, \"peers\""),
+        ),
         ("not JSON", "role = entry".to_owned()),
     ];
     let reports: Vec<_> = cases
