--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -19,6 +19,7 @@
 use rand::rngs::StdRng;
 
 use crate::chart::HostState;
+use crate::confirmations::{Confirmations, FeedConfirmations, FeedScope};
 use crate::document::{DocumentId, DocumentItem, DocumentKind, DocumentStore};
 use crate::events::{ControlAction, ControlEvent, Heartbeat, MemberEdit, RegistrationReply};
 use crate::host_tracker::{HostRevision, HostTracker};
@@ -125,8 +126,9 @@
     pub(crate) settled_at: Option<TimePoint>,
     // Whether a view was built for which `Publish` has not been returned yet.
     pub(crate) publish_due: bool,
-    // When the platform last confirmed that the documents are current.
-    pub(crate) confirmed_at: Option<TimePoint>,
+    // What the feeds of this entry VM have confirmed, and the same with what peers told.
+    pub(crate) feeds: FeedConfirmations,
+    pub(crate) confirmations: Confirmations,
     // Versions of rosters that peers or the platform have named and that are not in force here.
     pub(crate) newer_rosters: BTreeMap<DocumentId, ObjectVersion>,
     // The same for the view: the last confirmation of documents that it was built from.
@@ -171,7 +173,8 @@
             roster_scan_due: false,
             settled_at: None,
             publish_due: false,
-            confirmed_at: None,
+            feeds: FeedConfirmations::new(&[FeedScope::All]),
+            confirmations: Confirmations::default(),
             newer_rosters: BTreeMap::new(),
             view_confirmed_at: None,
             last_in_sync: now,
@@ -191,6 +194,12 @@
         self
     }
 
+    /// Sets the feeds by which the platform brings documents. Without it, one feed brings all.
+    pub fn with_feeds(mut self, feeds: &[FeedScope]) -> Self {
+        self.feeds = FeedConfirmations::new(feeds);
+        self
+    }
+
     /// Sets the time within which a change of the operators' documents has to be in force.
     /// Without it, only the watchers of the data centres read the platform.
     pub fn with_change_deadline(mut self, deadline: Duration) -> Self {
@@ -217,7 +226,13 @@
 
     /// Returns when the platform last confirmed that the local documents are current.
     pub fn confirmed_at(&self) -> Option<TimePoint> {
-        self.confirmed_at
+        self.confirmations.of_all()
+    }
+
+    /// Returns the time since the platform last confirmed that the documents of operators are
+    /// current.
+    pub fn operators_age(&self, now: TimePoint) -> Option<Duration> {
+        self.confirmations.operators.map(|at| now.since(at))
     }
 
     /// Returns when the platform last confirmed that [`Self::view`] is current. While changed
@@ -238,7 +253,7 @@
     /// Returns the time since the platform last confirmed that the local documents
     /// are current.
     pub fn confirmation_age(&self, now: TimePoint) -> Option<Duration> {
-        self.confirmed_at.map(|at| now.since(at))
+        self.confirmed_at().map(|at| now.since(at))
     }
 
     /// Returns when the next [`ControlEvent::Tick`] or call of
@@ -253,7 +268,7 @@
     pub fn poll_view(&mut self, now: TimePoint) -> Option<ControlAction> {
         self.publish_due |= self.view_builder.poll(&self.documents, now);
         if self.view_builder.next_due().is_none() {
-            self.view_confirmed_at = self.confirmed_at;
+            self.view_confirmed_at = self.confirmed_at();
         }
         std::mem::take(&mut self.publish_due).then_some(ControlAction::Publish)
     }
@@ -385,8 +400,8 @@
                     self.on_drains_listed(version, &listed, now, &mut actions);
                 }
             }
-            ControlEvent::VersionsListed { list, stale } => {
-                self.on_listed(list, stale, now, &mut actions);
+            ControlEvent::VersionsListed { list, confirms } => {
+                self.on_listed(list, confirms, now, &mut actions);
             }
             ControlEvent::WriteFinished(id) => {
                 self.end_job(&id);
@@ -521,11 +536,10 @@
         self.silent_entries.remove(&heartbeat.entry.name);
         if heartbeat.summary == self.documents.summary() {
             self.last_in_sync = now;
-            let age = heartbeat.age.saturating_add(self.event_lag);
-            // An entry VM without a confirmation sends the largest age: no time that can have been.
-            let age_ms = u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
-            let confirmed = now.0.checked_sub(age_ms).map(TimePoint);
-            self.confirmed_at = self.confirmed_at.max(confirmed);
+            self.confirmations.merge(Confirmations {
+                operators: self.told_confirmation(heartbeat.operators_age, now),
+                fleet: self.told_confirmation(heartbeat.fleet_age, now),
+            });
             return;
         }
         for (id, version) in &heartbeat.recent {
@@ -541,6 +555,14 @@
         }
     }
 
+    // Returns when documents were confirmed whose age the current event tells. An entry VM without
+    // a confirmation sends the largest age: no time that can have been.
+    fn told_confirmation(&self, age: Duration, now: TimePoint) -> Option<TimePoint> {
+        let age = age.saturating_add(self.event_lag);
+        let age_ms = u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
+        now.0.checked_sub(age_ms).map(TimePoint)
+    }
+
     // Pulls the newer documents listed in the heartbeat, or all differing ones if
     // none of the listed is newer or the versions have differed for REPAIR_AFTER.
     fn pull_newer(
--- a/crates/core/src/control_documents.rs
+++ b/crates/core/src/control_documents.rs
@@ -5,6 +5,7 @@
 
 use rand::seq::IteratorRandom;
 
+use crate::confirmations::FeedConfirmation;
 use crate::control::{
     ControlJob, EntryControl, FAR_GOSSIP, GOSSIP_FANOUT, RECENT_LIMIT, RESTORE_SETTLE_TIME,
     find_host,
@@ -22,11 +23,11 @@
     pub(crate) fn on_listed(
         &mut self,
         list: Vec<(DocumentId, ObjectVersion)>,
-        stale: bool,
+        confirms: Option<FeedConfirmation>,
         now: TimePoint,
         actions: &mut Vec<ControlAction>,
     ) {
-        let mut up_to_date = !stale;
+        let mut up_to_date = true;
         for (id, version) in list {
             up_to_date &= version >= self.documents.version(&id);
             self.record_named_version(&id, version);
@@ -37,13 +38,14 @@
                 }
             }
         }
-        if up_to_date {
+        if let Some(confirmation) = confirms.filter(|_| up_to_date) {
+            let was_confirmed = self.confirmed_at().is_some();
+            let confirmations = self.feeds.record(confirmation);
+            self.confirmations.merge(confirmations);
             // The first view of all documents replaces that of the first roster.
-            if self.confirmed_at.is_none() {
+            if !was_confirmed && self.confirmed_at().is_some() {
                 self.view_builder.expedite();
             }
-            let confirmed = TimePoint(now.0.saturating_sub(self.event_lag.as_millis() as u64));
-            self.confirmed_at = self.confirmed_at.max(Some(confirmed));
         }
     }
 
@@ -273,10 +275,14 @@
     }
 
     pub(crate) fn heartbeat(&self, now: TimePoint) -> Heartbeat {
+        let age = |confirmed_at: Option<TimePoint>| {
+            confirmed_at.map_or(Duration::MAX, |confirmed_at| now.since(confirmed_at))
+        };
         Heartbeat {
             entry: self.me.clone(),
             summary: self.documents.summary(),
-            age: self.confirmation_age(now).unwrap_or(Duration::MAX),
+            operators_age: age(self.confirmations.operators),
+            fleet_age: age(self.confirmations.fleet),
             recent: self.recent.iter().cloned().collect(),
         }
     }
--- a/crates/core/src/control_duties.rs
+++ b/crates/core/src/control_duties.rs
@@ -42,7 +42,7 @@
             .into_iter()
             .map(|entry| entry.peers)
             .collect();
-        if targets.is_empty() || self.confirmed_at.is_none() {
+        if targets.is_empty() || self.confirmed_at().is_none() {
             targets.extend(self.seeds.iter().copied());
         } else if !self.seeds.is_empty() {
             // A random seed in each round lets partitioned groups of entry VMs find
@@ -99,8 +99,9 @@
             .retain(|_, progress| now.since(progress.last_seen) < SUSPECT_AFTER * 5);
         let stands_in = self.stand_in.is_watching(now);
         let watching = !self.stopping && (self.rings.is_watcher() || stands_in);
-        let is_probe_due = self.stand_in.is_probe_due(self.confirmed_at, now);
-        if is_probe_due && !self.stopping && !watching {
+        let operators_confirmed_at = self.confirmations.operators;
+        // A watcher reads too: its watch may wait on a connection that is lost.
+        if self.stand_in.is_probe_due(operators_confirmed_at, now) && !self.stopping {
             self.stand_in.record_probe(&mut self.random, now);
             actions.push(ControlAction::ProbeStore);
         }
--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
+use crate::confirmations::FeedConfirmation;
 use crate::document::{DocumentId, DocumentItem, DocumentPatch};
 use crate::host_tracker::{HostRevision, RosterEdit};
 use crate::ids::{HostName, Incarnation, ObjectVersion, StoreEra};
@@ -28,8 +29,10 @@
     pub entry: EntryRecord,
     /// Hash of the versions of all documents held by the sender.
     pub summary: u64,
-    /// Time since the platform confirmed that the sender's documents are current.
-    pub age: Duration,
+    /// Time since the platform confirmed that the sender's documents of operators are current.
+    pub operators_age: Duration,
+    /// The same for its rosters and members.
+    pub fleet_age: Duration,
     /// Recently changed documents with their versions.
     pub recent: Vec<(DocumentId, ObjectVersion)>,
 }
@@ -143,8 +146,9 @@
     VersionsListed {
         /// Versions of all documents or of those that changed.
         list: Vec<(DocumentId, ObjectVersion)>,
-        /// Whether the platform appears to respond from an outdated replica.
-        stale: bool,
+        /// What the answer confirms; `None` if the platform appears to respond from an outdated
+        /// replica.
+        confirms: Option<FeedConfirmation>,
     },
     /// A write has succeeded or failed.
     WriteFinished(DocumentId),
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod budget;
 pub mod capacity_estimate;
 pub mod chart;
+mod confirmations;
 pub mod control;
 mod control_documents;
 mod control_duties;
@@ -67,6 +68,7 @@
 pub use chart::{
     FlowEvent, FlowState, HostEvent, HostState, RequestEvent, RequestState, check_charts,
 };
+pub use confirmations::{Confirmations, FeedConfirmation, FeedConfirmations, FeedIndex, FeedScope};
 pub use control::EntryControl;
 pub use document::{
     DocumentId, DocumentItem, DocumentKind, DocumentPatch, DocumentStore, DrainNotice,
--- a/crates/core/src/watch_stand_in.rs
+++ b/crates/core/src/watch_stand_in.rs
@@ -64,7 +64,7 @@
     }
 
     /// Returns whether a read is due. `confirmed_at` is when the platform last confirmed the
-    /// documents, directly or through peers.
+    /// operators' documents, directly or through peers.
     pub fn is_probe_due(&self, confirmed_at: Option<TimePoint>, now: TimePoint) -> bool {
         let Some(probe_age) = self.probe_age else {
             return false;
--- a/crates/core/tests/common/fleet.rs
+++ b/crates/core/tests/common/fleet.rs
@@ -11,7 +11,8 @@
 
 use chestnutlb_core::{
     ControlAction, ControlEvent, DocumentId, DocumentItem, DocumentKind, DocumentPatch,
-    EntryControl, EntryRecord, Heartbeat, HostState, Incarnation, ObjectVersion, TimePoint,
+    EntryControl, EntryRecord, FeedConfirmation, FeedIndex, FeedScope, Heartbeat, HostState,
+    Incarnation, ObjectVersion, TimePoint,
 };
 
 use super::{entry, host};
@@ -24,17 +25,42 @@
 const START_STEP_MS: u64 = 7;
 /// Time of a call of the store.
 const STORE_MS: u64 = 4;
-/// Longest wait of a watch, after which the store confirms the documents.
-const WATCH_MS: u64 = 2_000;
+/// Longest wait of a watch of the fleet's documents, after which the store confirms them.
+const FLEET_WATCH_MS: u64 = 2_000;
+/// Longest wait of a watch of operators' documents, and the number of watches in a change deadline.
+const OPERATORS_WATCH_MS: u64 = 2_000;
+const WATCHES_PER_DEADLINE: u64 = 3;
+/// Time after which a watch that is not answered has failed, and delay before the next one.
+const WATCH_MARGIN_MS: u64 = 1_000;
+const WATCH_RETRY_MS: u64 = 500;
+/// Interval at which a feed that is not watched is checked.
+const UNWATCHED_MS: u64 = 100;
+
+/// The feeds of the store.
+pub const OPERATORS: FeedIndex = FeedIndex(0);
+pub const FLEET: FeedIndex = FeedIndex(1);
+const FEEDS: [FeedScope; 2] = [FeedScope::Operators, FeedScope::Fleet];
 
 #[derive(Debug, PartialEq, Eq)]
 enum Message {
     Heartbeat(Box<Heartbeat>),
     Pull(usize, Vec<(DocumentId, ObjectVersion)>),
     Patches(Vec<DocumentPatch>),
-    // The store answers a watch, or a read by an entry VM that does not watch.
-    Watched,
-    Probed,
+    // A watch ends, and a feed that is not watched is looked at again.
+    Watched(Watch),
+    // The store has read the operators' documents.
+    Probed {
+        asked_at: u64,
+        version: ObjectVersion,
+    },
+}
+
+// A watch of a feed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Watch {
+    feed: FeedIndex,
+    // When the call was sent; `None` if the feed was not watched.
+    asked_at: Option<u64>,
 }
 
 pub struct Fleet {
@@ -54,10 +80,15 @@
     version: u64,
     // The configuration in the store.
     configuration: ObjectVersion,
-    // Which entry VMs run, reach the store and watch it.
+    // Longest wait of the watches of each feed.
+    waits: [u64; 2],
+    // Which entry VMs run, reach the store, get the answers of each feed, and watch.
     pub runs: Vec<bool>,
     pub reaches_store: Vec<bool>,
+    pub answers: Vec<[bool; 2]>,
     pub watches: Vec<bool>,
+    // When the open watches of each feed were sent.
+    open_watches: Vec<[Option<u64>; 2]>,
     // Calls of the store that were answered, by watchers and by others, and those that were not.
     pub watch_calls: u64,
     pub probe_calls: u64,
@@ -78,7 +109,7 @@
 impl Fleet {
     /// Starts entry VMs of some data centres, all at the same time.
     pub fn start(entries: usize, datacenters: usize) -> Self {
-        Self::of(entries, datacenters, |control| control, 0)
+        Self::of(entries, datacenters, |control| control, 0, u64::MAX)
     }
 
     /// Starts entry VMs within `spread_ms`, which read the store themselves if nobody confirms
@@ -90,7 +121,8 @@
         spread_ms: u64,
     ) -> Self {
         let with_deadline = |control: EntryControl| control.with_change_deadline(deadline);
-        Self::of(entries, datacenters, with_deadline, spread_ms)
+        let deadline_ms = deadline.as_millis() as u64;
+        Self::of(entries, datacenters, with_deadline, spread_ms, deadline_ms)
     }
 
     fn of(
@@ -98,11 +130,13 @@
         datacenters: usize,
         configure: impl Fn(EntryControl) -> EntryControl,
         spread_ms: u64,
+        deadline_ms: u64,
     ) -> Self {
         let control = |number| {
             let me = record(number, datacenters);
             let started_at = TimePoint(number as u64 * START_STEP_MS % (spread_ms + 1));
-            configure(EntryControl::new(me, Vec::new(), number as u64, started_at))
+            let control = EntryControl::new(me, Vec::new(), number as u64, started_at);
+            configure(control.with_feeds(&FEEDS))
         };
         let by_address = (0..entries).flat_map(|number| {
             let record = record(number, datacenters);
@@ -121,13 +155,28 @@
             now: 0,
             version: 0,
             configuration: ObjectVersion(0),
+            waits: [
+                OPERATORS_WATCH_MS.min(deadline_ms / WATCHES_PER_DEADLINE),
+                FLEET_WATCH_MS,
+            ],
             runs: vec![true; entries],
             reaches_store: vec![true; entries],
+            answers: vec![[true; 2]; entries],
             watches: vec![false; entries],
+            open_watches: vec![[None; 2]; entries],
             watch_calls: 0,
             probe_calls: 0,
             failed_calls: 0,
         };
+        for number in 0..entries {
+            for feed in [OPERATORS, FLEET] {
+                let idle = Watch {
+                    feed,
+                    asked_at: None,
+                };
+                fleet.call(number, UNWATCHED_MS, Message::Watched(idle));
+            }
+        }
         for group in 0..datacenters {
             let members = (0..entries).filter(|number| number % datacenters == group);
             let items = members.map(|number| DocumentItem::Entry(record(number, datacenters)));
@@ -153,8 +202,11 @@
         self.version += 1;
         self.configuration = ObjectVersion(self.version);
         for number in 0..self.controls.len() {
-            if self.watches[number] && self.reaches_store[number] {
-                self.call(number, STORE_MS, Message::Watched);
+            let watch = self.open_watches[number][OPERATORS.0];
+            if let Some(asked_at) = watch.filter(|_| self.is_answered(number, OPERATORS)) {
+                let asked_at = Some(asked_at);
+                let feed = OPERATORS;
+                self.call(number, STORE_MS, Message::Watched(Watch { feed, asked_at }));
             }
         }
         self.configuration
@@ -168,19 +220,25 @@
         self.due.push(Reverse(key));
     }
 
-    // Answers a call of the store, which confirms the documents or not.
-    fn answer(&mut self, number: usize, stale: bool) {
-        if self.configuration > ObjectVersion(0) {
-            let service = DocumentItem::Service(Arc::new(super::spec()));
+    fn is_answered(&self, number: usize, feed: FeedIndex) -> bool {
+        self.reaches_store[number] && self.answers[number][feed.0]
+    }
+
+    // The store answers a call of a feed with the version of the configuration that it had then.
+    fn answer(&mut self, number: usize, confirms: FeedConfirmation, version: ObjectVersion) {
+        if confirms.feed == OPERATORS && version > ObjectVersion(0) {
             let event = ControlEvent::Loaded {
                 id: configuration(),
-                version: self.configuration,
-                items: vec![service],
+                version,
+                items: vec![DocumentItem::Service(Arc::new(super::spec()))],
             };
             self.handle(number, event);
         }
-        let list = Vec::new();
-        self.handle(number, ControlEvent::VersionsListed { list, stale });
+        let event = ControlEvent::VersionsListed {
+            list: Vec::new(),
+            confirms: Some(confirms),
+        };
+        self.handle(number, event);
     }
 
     fn handle(&mut self, number: usize, event: ControlEvent) {
@@ -243,13 +301,14 @@
                     self.pulled_at[number] = begins + PULL_MS;
                     self.send(number, to, begins - self.now, Message::Pull(number, wanted));
                 }
-                ControlAction::Watch(watches) => {
-                    if watches && !self.watches[number] {
-                        self.call(number, STORE_MS, Message::Watched);
-                    }
-                    self.watches[number] = watches;
+                ControlAction::Watch(watches) => self.watches[number] = watches,
+                ControlAction::ProbeStore => {
+                    let probe = Message::Probed {
+                        asked_at: self.now,
+                        version: self.configuration,
+                    };
+                    self.call(number, STORE_MS, probe);
                 }
-                ControlAction::ProbeStore => self.call(number, STORE_MS, Message::Probed),
                 _ => {}
             }
         }
@@ -302,13 +361,14 @@
             return;
         }
         let event = match message {
-            Message::Watched => return self.on_watched(to),
-            Message::Probed if self.reaches_store[to] => {
+            Message::Watched(watch) => return self.on_watched(to, watch),
+            Message::Probed { asked_at, version } if self.is_answered(to, OPERATORS) => {
                 self.probe_calls += 1;
-                self.answer(to, true);
+                let (feed, at) = (OPERATORS, TimePoint(asked_at));
+                self.answer(to, FeedConfirmation { feed, at }, version);
                 ControlEvent::StoreAnswered
             }
-            Message::Probed => {
+            Message::Probed { .. } => {
                 self.failed_calls += 1;
                 return;
             }
@@ -323,18 +383,50 @@
         self.execute(to, actions);
     }
 
-    // A watch ends, and the next one begins.
-    fn on_watched(&mut self, number: usize) {
+    // A watch ends, and the next one begins. One that was open when its entry VM stopped to watch
+    // is still answered.
+    fn on_watched(&mut self, number: usize, watch: Watch) {
+        let Watch { feed, asked_at } = watch;
+        let mut delay = 0;
+        if let Some(asked_at) = asked_at {
+            if self.open_watches[number][feed.0] != Some(asked_at) {
+                return;
+            }
+            self.open_watches[number][feed.0] = None;
+            if self.is_answered(number, feed) {
+                self.watch_calls += 1;
+                let wait = Duration::from_millis(self.waits[feed.0]);
+                let [asked_at, answered_at] = [asked_at, self.now].map(TimePoint);
+                let has_changes = answered_at.since(asked_at) < wait;
+                let confirms =
+                    FeedConfirmation::of_answer(feed, asked_at, answered_at, wait, has_changes);
+                self.answer(number, confirms, self.configuration);
+            } else {
+                self.failed_calls += 1;
+                delay = WATCH_MARGIN_MS + WATCH_RETRY_MS;
+            }
+        }
         if !self.watches[number] {
-            return;
+            let idle = Watch {
+                feed,
+                asked_at: None,
+            };
+            return self.call(number, UNWATCHED_MS, Message::Watched(idle));
         }
-        if self.reaches_store[number] {
-            self.watch_calls += 1;
-            self.answer(number, false);
+        // The first answer after a failure or a start is a list.
+        let is_list = asked_at.is_none() || delay > 0;
+        let wait = if is_list {
+            STORE_MS
         } else {
-            self.failed_calls += 1;
-        }
-        self.call(number, WATCH_MS, Message::Watched);
+            self.waits[feed.0]
+        };
+        let asked_at = self.now + delay;
+        self.open_watches[number][feed.0] = Some(asked_at);
+        let watch = Watch {
+            feed,
+            asked_at: Some(asked_at),
+        };
+        self.call(number, delay + wait, Message::Watched(watch));
     }
 
     /// Returns whether all entry VMs that run have this version of the configuration.
--- a/crates/core/tests/control.rs
+++ b/crates/core/tests/control.rs
@@ -9,7 +9,8 @@
 use chestnutlb_core::document::{HELD_VERSION_LIMIT, TOMBSTONE_LIMIT, VersionedDocument};
 use chestnutlb_core::{
     ControlAction, ControlEvent, DocumentId, DocumentItem, DocumentKind, DocumentPatch,
-    EntryControl, Heartbeat, HostRecord, HostState, ObjectVersion, ServiceKind, TimePoint,
+    EntryControl, FeedConfirmation, FeedIndex, Heartbeat, HostRecord, HostState, ObjectVersion,
+    ServiceKind, TimePoint,
 };
 use common::{SEED, entry, host, quickcheck};
 use rand::rngs::StdRng;
@@ -323,11 +324,23 @@
 }
 
 // Returns the heartbeat of a peer whose versions differ from those of `control`.
+// The platform confirms all documents.
+fn confirmed(at: TimePoint) -> ControlEvent {
+    ControlEvent::VersionsListed {
+        list: Vec::new(),
+        confirms: Some(FeedConfirmation {
+            feed: FeedIndex(0),
+            at,
+        }),
+    }
+}
+
 fn heartbeat(control: &EntryControl, recent: Vec<(DocumentId, ObjectVersion)>) -> Heartbeat {
     Heartbeat {
         entry: entry(2, "honam-1"),
         summary: control.documents().summary() ^ 1,
-        age: Duration::ZERO,
+        operators_age: Duration::ZERO,
+        fleet_age: Duration::ZERO,
         recent,
     }
 }
@@ -420,7 +433,7 @@
         "the peer has other versions"
     );
     update.summary = control.documents().summary();
-    update.age = Duration::from_secs(2);
+    (update.operators_age, update.fleet_age) = (Duration::from_secs(2), Duration::from_secs(2));
     control.handle(ControlEvent::HeartbeatReceived(update), TimePoint(10_000));
     assert_eq!(
         control.confirmation_age(TimePoint(10_000)),
@@ -428,18 +441,14 @@
     );
     let stale = ControlEvent::VersionsListed {
         list: Vec::new(),
-        stale: true,
+        confirms: None,
     };
     control.handle(stale, TimePoint(12_000));
     assert_eq!(
         control.confirmation_age(TimePoint(12_000)),
         Some(Duration::from_secs(4))
     );
-    let list = ControlEvent::VersionsListed {
-        list: Vec::new(),
-        stale: false,
-    };
-    control.handle(list, TimePoint(12_000));
+    control.handle(confirmed(TimePoint(12_000)), TimePoint(12_000));
     assert_eq!(
         control.confirmation_age(TimePoint(12_000)),
         Some(Duration::ZERO)
@@ -504,11 +513,7 @@
     control.handle(manifest, at(0));
     control.handle(roster("honam-1", 3, &[1]), at(1));
     control.handle(roster("honam-2", 5, &[2, 3]), at(2));
-    let list = ControlEvent::VersionsListed {
-        list: Vec::new(),
-        stale: false,
-    };
-    control.handle(list, at(3));
+    control.handle(confirmed(at(3)), at(3));
     assert_eq!(control.confirmed_at(), Some(at(3)));
     let hosts = |control: &EntryControl| -> usize {
         let view = control.view();
@@ -522,11 +527,7 @@
     assert_eq!(control.view_confirmed_at(), Some(at(3)));
     // A later change waits for the next view, which is confirmed only then.
     control.handle(roster("honam-1", 7, &[1, 4]), at(4));
-    let list = ControlEvent::VersionsListed {
-        list: Vec::new(),
-        stale: false,
-    };
-    control.handle(list, at(5));
+    control.handle(confirmed(at(5)), at(5));
     assert_eq!(
         (hosts(&control), control.view_confirmed_at()),
         (3, Some(at(3)))
@@ -780,28 +781,21 @@
     };
     let (arrived_at, now) = (TimePoint(10_000), TimePoint(16_000));
     let mut listed = start();
-    let list = ControlEvent::VersionsListed {
-        list: Vec::new(),
-        stale: false,
-    };
-    listed.handle_arrived(list, arrived_at, now);
+    listed.handle_arrived(confirmed(arrived_at), arrived_at, now);
     assert_eq!(listed.confirmation_age(now), Some(Duration::from_secs(6)));
     let mut told = start();
     let heartbeat = Heartbeat {
         entry: entry(2, "honam-1"),
         summary: told.documents().summary(),
-        age: Duration::from_secs(1),
+        operators_age: Duration::from_secs(1),
+        fleet_age: Duration::from_secs(1),
         recent: Vec::new(),
     };
     let event = ControlEvent::HeartbeatReceived(heartbeat);
     told.handle_arrived(event, arrived_at, now);
     assert_eq!(told.confirmation_age(now), Some(Duration::from_secs(7)));
     // The next event has not waited.
-    let list = ControlEvent::VersionsListed {
-        list: Vec::new(),
-        stale: false,
-    };
-    told.handle(list, now);
+    told.handle(confirmed(now), now);
     assert_eq!(told.confirmation_age(now), Some(Duration::ZERO));
 }
 
@@ -814,7 +808,8 @@
         for lag_ms in [0, 1, 2, 700] {
             let mut control = control();
             let heartbeat = Heartbeat {
-                age,
+                operators_age: age,
+                fleet_age: age,
                 summary: control.documents().summary(),
                 ..heartbeat(&control, Vec::new())
             };
--- a/crates/core/tests/drained_datacenters.rs
+++ b/crates/core/tests/drained_datacenters.rs
@@ -11,9 +11,9 @@
 use chestnutlb_core::opening_rules::{OpeningGate, RulesChange};
 use chestnutlb_core::{
     ControlAction, ControlEvent, DatacenterName, DocumentId, DocumentItem, DocumentKind,
-    DrainNotice, EntryControl, EntryRouter, HostRecord, HostRevision, HostState, ObjectVersion,
-    OpeningRules, PassthroughRouter, RegistrationReply, RouteDecision, RouteDrop, RoutingView,
-    ServiceKind, StoreEra, StoreRevision, TimePoint,
+    DrainNotice, EntryControl, EntryRouter, FeedConfirmation, FeedIndex, HostRecord, HostRevision,
+    HostState, ObjectVersion, OpeningRules, PassthroughRouter, RegistrationReply, RouteDecision,
+    RouteDrop, RoutingView, ServiceKind, StoreEra, StoreRevision, TimePoint,
 };
 use common::{data, entry, host, quickcheck, syn};
 
@@ -75,7 +75,11 @@
 }
 
 fn listed(list: Vec<(DocumentId, ObjectVersion)>) -> ControlEvent {
-    ControlEvent::VersionsListed { list, stale: false }
+    let confirms = Some(FeedConfirmation {
+        feed: FeedIndex(0),
+        at: START,
+    });
+    ControlEvent::VersionsListed { list, confirms }
 }
 
 fn drain_id(group: usize) -> DocumentId {
--- a/crates/core/tests/possible_owners.rs
+++ b/crates/core/tests/possible_owners.rs
@@ -16,10 +16,10 @@
 use chestnutlb_core::members::FULL_MESH_FLEET;
 use chestnutlb_core::view::RosterCoverage;
 use chestnutlb_core::{
-    ControlAction, ControlEvent, DocumentId, DocumentItem, DocumentKind, EntryControl, Heartbeat,
-    HostRecord, HostRevision, HostState, LookupVerdict, ObjectVersion, OwnershipReply,
-    PassthroughRouter, RerouteDecision, RouteDrop, RoutingView, ServiceKind, StoreEra,
-    StoreRevision, TimePoint, UnreadableItems,
+    ControlAction, ControlEvent, DocumentId, DocumentItem, DocumentKind, EntryControl,
+    FeedConfirmation, FeedIndex, Heartbeat, HostRecord, HostRevision, HostState, LookupVerdict,
+    ObjectVersion, OwnershipReply, PassthroughRouter, RerouteDecision, RouteDrop, RoutingView,
+    ServiceKind, StoreEra, StoreRevision, TimePoint, UnreadableItems,
 };
 use common::{data, entry, host, key, syn};
 
@@ -383,7 +383,10 @@
     let mut run = EntryRun::start();
     run.handle(ControlEvent::VersionsListed {
         list: Vec::new(),
-        stale: false,
+        confirms: Some(FeedConfirmation {
+            feed: FeedIndex(0),
+            at: run.now,
+        }),
     });
     run.advance(STEP_MS);
     assert!(run.control.view_confirmed_at().is_some());
@@ -391,7 +394,8 @@
     run.handle(ControlEvent::HeartbeatReceived(Heartbeat {
         entry: entry(2, DATACENTER),
         summary: 1,
-        age: Duration::ZERO,
+        operators_age: Duration::ZERO,
+        fleet_age: Duration::ZERO,
         recent: vec![(roster, ObjectVersion(run.version + 1))],
     }));
     assert_eq!(run.control.view_confirmed_at(), None);
--- a/crates/core/tests/restored_store.rs
+++ b/crates/core/tests/restored_store.rs
@@ -10,9 +10,9 @@
 use chestnutlb_core::events::ListScope;
 use chestnutlb_core::members::{ENTRY_SILENCE, RANK_DELAY};
 use chestnutlb_core::{
-    ControlAction, ControlEvent, DocumentId, DocumentItem, DocumentKind, EntryControl, HostRecord,
-    HostRevision, HostState, MemberEdit, ObjectVersion, RosterEdit, ServiceKind, StoreEra,
-    StoreRevision, TimePoint,
+    ControlAction, ControlEvent, DocumentId, DocumentItem, DocumentKind, EntryControl,
+    FeedConfirmation, FeedIndex, HostRecord, HostRevision, HostState, MemberEdit, ObjectVersion,
+    RosterEdit, ServiceKind, StoreEra, StoreRevision, TimePoint,
 };
 use common::{entry, host};
 
@@ -315,8 +315,11 @@
             );
         }
         let list = Vec::new();
-        let stale = false;
-        self.handle(index, ControlEvent::VersionsListed { list, stale });
+        let confirms = Some(FeedConfirmation {
+            feed: FeedIndex(0),
+            at: TimePoint(self.now),
+        });
+        self.handle(index, ControlEvent::VersionsListed { list, confirms });
     }
 
     fn send_host(&mut self, index: usize) {
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -3,20 +3,20 @@
 
 use std::net::UdpSocket;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread::Builder;
 use std::time::Duration;
 
 use crossbeam_channel::{Receiver, bounded};
 
-use chestnutlb_core::{ControlEvent, EntryControl, EntryRecord};
+use chestnutlb_core::{ControlEvent, EntryControl, EntryRecord, FeedIndex};
 use chestnutlb_platform::PlatformStore;
-use chestnutlb_store::{FeedIndex, StoreCalls, StoreClient};
+use chestnutlb_store::{StoreCalls, StoreClient};
 
 use crate::entry_control::{ControlLoop, ControlRings, receive_peers};
 use crate::entry_http::{EntryShared, server};
 use crate::entry_packets::PacketLoop;
-use crate::entry_store::{WatchState, run_pulls, run_store, run_watch};
+use crate::entry_store::{WatchedFeed, run_probes, run_pulls, run_store, run_watch};
 use crate::event_ring::EventRing;
 use crate::flow_questions::FlowQuestions;
 use crate::metrics::CounterSet;
@@ -65,6 +65,7 @@
     let shared = Arc::new(EntryShared::new(own_record.clone(), Arc::clone(&counters)));
     let (event_ring, events) = EventRing::new(Arc::clone(&counters));
     let (store_ring, store_jobs) = bounded(JOB_RING);
+    let (probe_ring, probe_jobs) = bounded(JOB_RING);
     let (pull_ring, pull_jobs) = bounded(JOB_RING);
     let (view_ring, views) = bounded(VIEW_RING);
     // Until other entry VMs are known, this one watches the platform.
@@ -91,24 +92,21 @@
             .name("store".to_owned())
             .spawn(move || run_store(client.as_ref(), &store_jobs, &ring, &thread_counters))?;
     }
-    let watch_state = Arc::new(WatchState {
-        enabled: Arc::clone(&watching),
-        unread_feeds: AtomicUsize::new(clients.len()),
-    });
-    for (feed, client) in clients.enumerate() {
+    if let Some(client) = clients.next() {
+        let (ring, thread_counters) = (event_ring.clone(), Arc::clone(&counters));
+        Builder::new()
+            .name("probes".to_owned())
+            .spawn(move || run_probes(client.as_ref(), &probe_jobs, &ring, &thread_counters))?;
+    }
+    let mut feed_scopes = Vec::new();
+    for (index, client) in clients.enumerate() {
         let (ring, thread_counters) = (event_ring.clone(), Arc::clone(&counters));
-        let state = Arc::clone(&watch_state);
+        let feed = FeedIndex(index);
+        feed_scopes.push(client.feed_scope(feed));
+        let watched = WatchedFeed::new(client.as_ref(), feed, settings.change_deadline, &watching);
         Builder::new()
-            .name(format!("watch-{feed}"))
-            .spawn(move || {
-                run_watch(
-                    client.as_ref(),
-                    FeedIndex(feed),
-                    &state,
-                    &ring,
-                    &thread_counters,
-                );
-            })?;
+            .name(format!("watch-{index}"))
+            .spawn(move || run_watch(client.as_ref(), &watched, &ring, &thread_counters))?;
     }
 
     let (ring, thread_shared) = (event_ring.clone(), Arc::clone(&shared));
@@ -122,6 +120,7 @@
         own_record.incarnation.0,
         clock::now(),
     )
+    .with_feeds(&feed_scopes)
     .with_flow_age(settings.flow_age)
     .with_change_deadline(settings.change_deadline);
     let ring = event_ring.clone();
@@ -132,6 +131,7 @@
     })?;
     let rings = ControlRings {
         store: store_ring,
+        probes: probe_ring,
         pulls: pull_ring,
         views: view_ring,
     };
@@ -162,7 +162,7 @@
 }
 
 // Returns one store client for each thread that calls the store: one for reads and
-// writes, then one for each feed.
+// writes, one for probes, then one for each feed.
 fn store_clients(settings: &EntrySettings) -> Vec<Box<dyn StoreCalls>> {
     match settings.dialect {
         Dialect::Own => clone_client(&StoreClient::new(&settings.platform)),
@@ -177,7 +177,7 @@
 
 // Clones of a client share its connections and any cached objects.
 fn clone_client<T: StoreCalls + Clone + 'static>(client: &T) -> Vec<Box<dyn StoreCalls>> {
-    let threads = client.feeds() + 1;
+    let threads = client.feeds() + 2;
     (0..threads)
         .map(|_| Box::new(client.clone()) as Box<dyn StoreCalls>)
         .collect()
--- a/crates/daemon/src/entry_control.rs
+++ b/crates/daemon/src/entry_control.rs
@@ -48,10 +48,12 @@
     RemoveUnreadable(DocumentId, ObjectVersion),
     /// Records the era in which the first roster is written.
     RecordFirstEra(StoreEra),
-    /// Reads all objects of the operators.
-    Probe,
 }
 
+/// A read of all objects of the operators.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ProbeJob;
+
 /// A pull of documents from a peer.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct PullJob {
@@ -67,6 +69,8 @@
 pub struct ControlRings {
     /// Calls to the platform's store.
     pub store: Sender<StoreJob>,
+    /// Reads of the operators' objects.
+    pub probes: Sender<ProbeJob>,
     /// Pulls from peers.
     pub pulls: Sender<PullJob>,
     /// Routing views for the packet thread.
@@ -226,11 +230,11 @@
             ControlAction::ProbeStore => {
                 log::info!(
                     target: "platform",
-                    age_ms = self.confirmation_age_ms();
+                    age_ms = self.operators_age_ms(), watching = self.control.is_watching();
                     "unconfirmed, reading"
                 );
                 counters.add(Counter::StoreProbes);
-                try_push(&self.rings.store, StoreJob::Probe, counters);
+                try_push(&self.rings.probes, ProbeJob, counters);
             }
             ControlAction::Watch(enabled) => self.watching.store(enabled, Ordering::Relaxed),
             ControlAction::Publish => {
@@ -253,9 +257,9 @@
         }
     }
 
-    // Returns the time since the platform confirmed the documents, in milliseconds.
-    fn confirmation_age_ms(&self) -> Option<u64> {
-        let age = self.control.confirmation_age(clock::now())?;
+    // Returns the time since the platform confirmed operators' documents, in milliseconds.
+    fn operators_age_ms(&self) -> Option<u64> {
+        let age = self.control.operators_age(clock::now())?;
         Some(age.as_millis() as u64)
     }
 
--- a/crates/daemon/src/entry_store.rs
+++ b/crates/daemon/src/entry_store.rs
@@ -1,18 +1,19 @@
 //! Threads of an entry VM that make blocking calls to the platform and to peers.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use compact_str::CompactString;
 use crossbeam_channel::Receiver;
 
 use chestnutlb_core::{
-    ControlEvent, DocumentId, DocumentPatch, ListScope, ObjectVersion, StoreEra,
+    ControlEvent, DocumentId, DocumentPatch, FeedConfirmation, FeedIndex, ListScope, ObjectVersion,
+    StoreEra, TimePoint,
 };
 use chestnutlb_store::{
-    EditOutcome, FeedIndex, FeedObject, FeedPosition, FeedStep, FeedUpdate, LoadedDocument,
-    StoreCalls, objects,
+    EditOutcome, FeedObject, FeedPosition, FeedStep, FeedUpdate, LoadedDocument, StoreCalls,
+    objects,
 };
 use chestnutlb_wire::ObjectList;
 use chestnutlb_wire::peer::{
@@ -20,7 +21,8 @@
 };
 use chestnutlb_wire::records::WireVersion;
 
-use crate::entry_control::{PullJob, StoreJob};
+use crate::clock;
+use crate::entry_control::{ProbeJob, PullJob, StoreJob};
 use crate::entry_http::EntryShared;
 use crate::event_ring::EventRing;
 use crate::http::read_body;
@@ -46,6 +48,13 @@
 /// peers at once.
 const WATCH_DELAY: Duration = Duration::from_millis(500);
 
+/// Number of confirmations of operators' documents within the change deadline. With one third of
+/// it, the heartbeats of a data centre pass one on before an entry VM reads in place of a watcher.
+const CONFIRMATIONS_PER_DEADLINE: u32 = 3;
+
+/// Shortest wait of a watch.
+const MIN_WATCH_WAIT: Duration = Duration::from_millis(100);
+
 /// Interval at which a thread whose watch is disabled checks whether it was enabled.
 const DISABLED_POLL_PERIOD: Duration = Duration::from_millis(100);
 
@@ -88,10 +97,6 @@
                 record_first_era(client, era, counters);
                 continue;
             }
-            StoreJob::Probe => {
-                probe(client, events, counters);
-                continue;
-            }
         };
         let event = match loaded {
             Ok(Some(loaded)) => loaded_event(id, loaded),
@@ -160,14 +165,36 @@
     }
 }
 
+/// Runs the thread that reads the operators' objects when nobody has confirmed them for some time.
+/// No other call delays it.
+pub fn run_probes(
+    client: &dyn StoreCalls,
+    jobs: &Receiver<ProbeJob>,
+    events: &EventRing,
+    counters: &CounterSet,
+) {
+    for ProbeJob in jobs {
+        probe(client, events, counters);
+    }
+}
+
 // Reads the feeds of the operators' objects, each as a whole. A failed read is not repeated: the
 // next probe causes another one.
 fn probe(client: &dyn StoreCalls, events: &EventRing, counters: &CounterSet) {
     let feeds = (0..client.feeds()).map(FeedIndex);
-    for feed in feeds.filter(|feed| client.is_of_operators(*feed)) {
+    for feed in feeds.filter(|feed| client.feed_scope(*feed).has_operators()) {
+        counters.add(Counter::PlatformCalls);
+        let asked_at = clock::now();
         match client.fetch_updates(feed, None, Duration::ZERO) {
-            // The other feeds may have changed, so the documents are not confirmed.
-            Ok(update) => forward_update(update, true, events, counters),
+            Ok(update) => {
+                let at = asked_at;
+                forward_update(
+                    update,
+                    Some(FeedConfirmation { feed, at }),
+                    events,
+                    counters,
+                );
+            }
             Err(error) => {
                 counters.add(Counter::PlatformFailed);
                 log::warn!(target: "platform", feed = feed.0, cause:% = error; "probe failed");
@@ -187,50 +214,89 @@
     }
 }
 
-/// State shared by the threads that watch feeds.
+/// What a thread watches.
 #[derive(Debug)]
-pub struct WatchState {
+pub struct WatchedFeed {
+    /// The feed.
+    pub feed: FeedIndex,
+    /// Time within which an answer confirms the documents again.
+    pub period: Duration,
     /// Whether this entry VM watches the platform.
     pub enabled: Arc<AtomicBool>,
-    /// Number of feeds that were not read since the start of this process. Until it is zero,
-    /// an update of one feed does not confirm that the documents are current.
-    pub unread_feeds: AtomicUsize,
+}
+
+impl WatchedFeed {
+    /// Returns the feed of a client, which is watched while `enabled` holds. Operators' documents
+    /// are confirmed several times within the change deadline.
+    pub fn new(
+        client: &dyn StoreCalls,
+        feed: FeedIndex,
+        change_deadline: Duration,
+        enabled: &Arc<AtomicBool>,
+    ) -> Self {
+        let wait = client.watch_wait(feed);
+        let period = if client.feed_scope(feed).has_operators() {
+            wait.min(change_deadline / CONFIRMATIONS_PER_DEADLINE)
+        } else {
+            wait
+        };
+        Self {
+            feed,
+            period,
+            enabled: Arc::clone(enabled),
+        }
+    }
+
+    // Returns how long the platform may wait for changes, so that its answer comes a period after
+    // what was confirmed last.
+    fn wait(&self, confirmed_at: Option<TimePoint>, now: TimePoint) -> Duration {
+        let due = confirmed_at.map_or(now, |confirmed_at| confirmed_at + self.period);
+        due.since(now).clamp(MIN_WATCH_WAIT, self.period)
+    }
 }
 
 /// Runs the thread that watches a feed of the platform while this is enabled.
 pub fn run_watch(
     client: &dyn StoreCalls,
-    feed: FeedIndex,
-    state: &WatchState,
+    watched: &WatchedFeed,
     events: &EventRing,
     counters: &CounterSet,
 ) {
+    let feed = watched.feed;
     let mut position = FeedPosition::default();
+    let mut confirmed_at = None;
     let mut retry_delay = FIRST_RETRY_DELAY;
     let mut has_succeeded = false;
-    let wait = client.watch_wait(feed);
     loop {
-        if !state.enabled.load(Ordering::Relaxed) {
+        if !watched.enabled.load(Ordering::Relaxed) {
             position.reset();
             std::thread::sleep(DISABLED_POLL_PERIOD);
             continue;
         }
         counters.add(Counter::PlatformCalls);
         let after = position.after();
+        let asked_at = clock::now();
+        let wait = after.map_or(Duration::ZERO, |_| watched.wait(confirmed_at, asked_at));
         match client.fetch_updates(feed, after, wait) {
             Ok(update) => {
                 retry_delay = FIRST_RETRY_DELAY;
-                if !std::mem::replace(&mut has_succeeded, true) {
-                    state.unread_feeds.fetch_sub(1, Ordering::SeqCst);
-                }
-                let all_read = state.unread_feeds.load(Ordering::SeqCst) == 0;
+                has_succeeded = true;
+                let answered_at = clock::now();
+                let has_changes = update.has_changes();
+                let confirmation =
+                    FeedConfirmation::of_answer(feed, asked_at, answered_at, wait, has_changes);
                 let step = position.advance(update.version());
                 if let FeedStep::Restored(earlier_era) = step {
                     log_restore(earlier_era, update.version().era(), feed);
                 }
                 let is_stale = step == FeedStep::Stale;
-                forward_update(update, is_stale || !all_read, events, counters);
-                if !client.is_of_operators(feed) {
+                let confirms = (!is_stale).then_some(confirmation);
+                if forward_update(update, confirms, events, counters) {
+                    confirmed_at = confirms.map(|confirmation| confirmation.at);
+                } else {
+                    position.reset();
+                }
+                if !client.feed_scope(feed).has_operators() {
                     let watch_delay = if after.is_none() {
                         FIRST_WATCH_DELAY
                     } else {
@@ -263,10 +329,16 @@
     );
 }
 
-// Sends the content of a feed update to the control thread; `stale` states whether it does not
-// confirm the documents.
-fn forward_update(update: FeedUpdate, stale: bool, events: &EventRing, counters: &CounterSet) {
+// Sends the content of a feed update to the control thread, with what it confirms. Returns whether
+// the ring had room for all of it; if not, it confirms nothing.
+fn forward_update(
+    update: FeedUpdate,
+    confirms: Option<FeedConfirmation>,
+    events: &EventRing,
+    counters: &CounterSet,
+) -> bool {
     let version = update.version();
+    let mut is_whole = true;
     let all_listed = |scope, listed: Vec<DocumentId>, first_era: Option<StoreEra>| {
         let event = ControlEvent::AllListed {
             scope,
@@ -274,7 +346,7 @@
             listed,
             first_era,
         };
-        events.push(event);
+        events.push(event)
     };
     let list = match update {
         FeedUpdate::Versions {
@@ -286,7 +358,7 @@
             let list = document_versions(&list);
             if has_all {
                 let listed = list.iter().map(|(id, _)| id.clone());
-                all_listed(ListScope::All, listed.collect(), None);
+                is_whole &= all_listed(ListScope::All, listed.collect(), None);
             }
             list
         }
@@ -300,15 +372,16 @@
             report_unreadable(unreadable, counters);
             if let Some(scope) = scope {
                 let listed = objects.iter().map(|object| object.id.clone());
-                all_listed(scope, listed.collect(), first_era);
+                is_whole &= all_listed(scope, listed.collect(), first_era);
             }
             for object in objects {
-                load_object(object, events, counters);
+                is_whole &= load_object(object, events, counters);
             }
             Vec::new()
         }
     };
-    events.push(ControlEvent::VersionsListed { list, stale });
+    let confirms = confirms.filter(|_| is_whole);
+    is_whole & events.push(ControlEvent::VersionsListed { list, confirms })
 }
 
 // Counts and logs the objects of an update that were left out.
@@ -319,17 +392,19 @@
     }
 }
 
-// Parses an object of a feed and sends its document to the control thread.
-fn load_object(object: FeedObject, events: &EventRing, counters: &CounterSet) {
+// Parses an object of a feed and sends its document to the control thread. Returns false if the
+// ring was full.
+fn load_object(object: FeedObject, events: &EventRing, counters: &CounterSet) -> bool {
     let id = object.id.clone();
     match objects::parse_feed_object(object) {
         Ok(loaded) => {
             report_unreadable_items(&id, &loaded, counters);
-            events.push(loaded_event(id, loaded));
+            events.push(loaded_event(id, loaded))
         }
         Err(error) => {
             counters.add(Counter::BodiesBad);
             log::warn!(target: "platform", document:% = id, cause:% = error; "malformed document");
+            true
         }
     }
 }
--- a/crates/daemon/src/event_ring.rs
+++ b/crates/daemon/src/event_ring.rs
@@ -37,9 +37,10 @@
     }
 
     /// Sends an event without blocking. If the ring is full, the event is dropped and counted.
-    pub fn push(&self, event: ControlEvent) {
+    /// Returns whether it was sent.
+    pub fn push(&self, event: ControlEvent) -> bool {
         let arrived_at = clock::now();
         let arrived = ArrivedEvent { event, arrived_at };
-        try_push(&self.sender, arrived, &self.counters);
+        try_push(&self.sender, arrived, &self.counters)
     }
 }
--- a/crates/standin/src/capacity.rs
+++ b/crates/standin/src/capacity.rs
@@ -314,7 +314,8 @@
     let heartbeat = Heartbeat {
         entry: entry_record(1),
         summary: control.documents().summary(),
-        age: Duration::ZERO,
+        operators_age: Duration::ZERO,
+        fleet_age: Duration::ZERO,
         recent: Vec::new(),
     };
     let received = median_ns(20, |_| {
@@ -392,7 +393,8 @@
         PeerMessage::Heartbeat(PeerHeartbeat::from(&Heartbeat {
             entry: entry_record(5_000),
             summary: u64::MAX / 3,
-            age: Duration::from_millis(1500),
+            operators_age: Duration::from_millis(1500),
+            fleet_age: Duration::from_millis(1500),
             recent,
         }))
     };
--- a/crates/store/src/calls.rs
+++ b/crates/store/src/calls.rs
@@ -6,15 +6,11 @@
 
 use serde_json::Value;
 
-use chestnutlb_core::{DocumentId, ListScope, ObjectVersion, StoreEra};
+use chestnutlb_core::{DocumentId, FeedIndex, FeedScope, ListScope, ObjectVersion, StoreEra};
 use chestnutlb_wire::{ObjectList, ObjectReply};
 
 use crate::client::{StoreError, WriteOutcome};
 
-/// Index of a feed, less than [`StoreCalls::feeds`].
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct FeedIndex(pub usize);
-
 /// An object in an update of a feed.
 #[derive(Debug, Clone, PartialEq)]
 pub struct FeedObject {
@@ -57,6 +53,20 @@
 }
 
 impl FeedUpdate {
+    /// Returns whether it contains any object.
+    pub fn has_changes(&self) -> bool {
+        match self {
+            Self::Versions {
+                list, unreadable, ..
+            } => !list.objects.is_empty() || *unreadable > 0,
+            Self::Objects {
+                objects,
+                unreadable,
+                ..
+            } => !objects.is_empty() || *unreadable > 0,
+        }
+    }
+
     /// Returns the version of the store after this update.
     pub fn version(&self) -> ObjectVersion {
         match self {
@@ -136,9 +146,9 @@
         None
     }
 
-    /// Returns whether a feed holds objects that operators write. Their changes are read at once.
-    fn is_of_operators(&self, _feed: FeedIndex) -> bool {
-        true
+    /// Returns which documents a feed brings. Changes of operators' documents are read at once.
+    fn feed_scope(&self, _feed: FeedIndex) -> FeedScope {
+        FeedScope::All
     }
 
     /// Returns the longest wait of a watch of a feed.
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -10,13 +10,13 @@
 use serde::Deserialize;
 use serde_json::value::RawValue;
 
-use chestnutlb_core::{DocumentId, ObjectVersion};
+use chestnutlb_core::{DocumentId, FeedIndex, ObjectVersion};
 use chestnutlb_wire::object::ERA_HEADER;
 use chestnutlb_wire::object::ObjectListEntry;
 use chestnutlb_wire::{ObjectList, ObjectReply, WriteReply};
 
 use crate::answer::{EraReader, StoreAnswer};
-use crate::calls::{FeedIndex, FeedUpdate, StoreCalls};
+use crate::calls::{FeedUpdate, StoreCalls};
 
 /// Timeout of a call other than a watch.
 pub const CALL_TIMEOUT: Duration = Duration::from_secs(3);
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -21,7 +21,8 @@
 mod stored_list;
 
 pub use answer::{AnswerBody, EraReader, StoreAnswer};
-pub use calls::{FeedIndex, FeedObject, FeedPosition, FeedStep, FeedUpdate, StoreCalls};
+pub use calls::{FeedObject, FeedPosition, FeedStep, FeedUpdate, StoreCalls};
+pub use chestnutlb_core::FeedIndex;
 pub use client::{StoreClient, StoreError, WriteOutcome};
 pub use commit::{CommitOutcome, CommitPlan, CurrentManifest};
 pub use objects::{EditOutcome, LoadedDocument};
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -190,6 +190,56 @@
     }
 }
 
+/// Times since the platform confirmed operators' documents and those of the fleet, in one number.
+///
+/// The low half is the age of the fleet's documents in milliseconds, the high half is zero if both
+/// ages are the same, otherwise the other age plus one. An earlier release takes the number for
+/// one age, so large that it confirms nothing, and sends numbers whose high half is zero.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct WireAges(u64);
+
+impl WireAges {
+    const HALF_BITS: u32 = 32;
+    /// Age of documents that were never confirmed.
+    const NEVER: u64 = u32::MAX as u64;
+
+    /// Encodes the two ages.
+    pub fn new(operators: Duration, fleet: Duration) -> Self {
+        let [operators, fleet] = [operators, fleet].map(|age| {
+            let millis = u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
+            millis.min(Self::NEVER)
+        });
+        if operators == fleet {
+            return Self(if fleet == Self::NEVER {
+                u64::MAX
+            } else {
+                fleet
+            });
+        }
+        let high = (operators + 1).min(Self::NEVER);
+        Self(high << Self::HALF_BITS | fleet)
+    }
+
+    /// Returns the age of operators' documents; the largest duration if never confirmed.
+    pub fn operators(self) -> Duration {
+        match self.0 >> Self::HALF_BITS {
+            0 => self.fleet(),
+            Self::NEVER => Duration::MAX,
+            high => Duration::from_millis(high - 1),
+        }
+    }
+
+    /// Returns the age of rosters and members; the largest duration if never confirmed.
+    pub fn fleet(self) -> Duration {
+        match self.0 & Self::NEVER {
+            Self::NEVER => Duration::MAX,
+            low => Duration::from_millis(low),
+        }
+    }
+}
+
 /// A heartbeat between entry VMs.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -198,8 +248,8 @@
     pub entry: WireEntry,
     /// Hash of all document versions that the sender has.
     pub summary: u64,
-    /// Time since the platform confirmed these versions, in milliseconds.
-    pub age_ms: u64,
+    /// Times since the platform confirmed these versions.
+    pub ages: WireAges,
     /// Documents that changed recently.
     pub recent: Vec<WireVersion>,
 }
@@ -209,7 +259,7 @@
         Self {
             entry: (&heartbeat.entry).into(),
             summary: heartbeat.summary,
-            age_ms: u64::try_from(heartbeat.age.as_millis()).unwrap_or(u64::MAX),
+            ages: WireAges::new(heartbeat.operators_age, heartbeat.fleet_age),
             recent: wire_versions(&heartbeat.recent),
         }
     }
@@ -222,7 +272,8 @@
         Ok(Self {
             entry: (&wire.entry).try_into()?,
             summary: wire.summary,
-            age: Duration::from_millis(wire.age_ms),
+            operators_age: wire.ages.operators(),
+            fleet_age: wire.ages.fleet(),
             recent: core_versions(&wire.recent)?,
         })
     }
--- a/crates/wire/tests/datagrams.rs
+++ b/crates/wire/tests/datagrams.rs
@@ -1,5 +1,7 @@
 //! Decoding of datagrams: invalid input yields an error and never a panic.
 
+use std::time::Duration;
+
 use std::net::SocketAddrV4;
 
 use chestnutlb_core::owner_lookup::MAX_FLOWS_PER_QUERY;
@@ -8,7 +10,7 @@
     MAX_DATAGRAM_BYTES, WireFlow, WireLookupQuery, WireLookupReply, advance, write_data,
     write_lookup_query, write_lookup_reply, write_reset,
 };
-use chestnutlb_wire::peer::{PeerHeartbeat, PullQuery};
+use chestnutlb_wire::peer::{PeerHeartbeat, PullQuery, WireAges};
 use chestnutlb_wire::{
     PacketError, PacketFrame, PacketHeader, PeerError, PeerMessage, WireEntry, WireHop, scan_frame,
     scan_message, scan_segment, write_message,
@@ -148,7 +150,7 @@
     let message = PeerMessage::Heartbeat(PeerHeartbeat {
         entry,
         summary: 1,
-        age_ms: 2,
+        ages: WireAges::new(Duration::from_millis(2), Duration::from_millis(7)),
         recent: Vec::new(),
     });
     let mut bytes = write_message(&message);
@@ -199,3 +201,28 @@
         other => panic!("not a lookup reply: {other:?}"),
     }
 }
+
+// An earlier release reads the two ages as one, which must not confirm what is not current.
+#[test]
+fn ages_of_a_heartbeat_are_read_as_written_and_never_younger_by_an_earlier_release() {
+    // Seven weeks.
+    const LARGE_AGE: Duration = Duration::from_millis(1 << 32);
+    let never = Duration::MAX;
+    let ages = [0, 1, 2_500, 4_000_000_000].map(Duration::from_millis);
+    let ages: Vec<_> = ages.into_iter().chain([never]).collect();
+    for operators in &ages {
+        for fleet in &ages {
+            let ages = WireAges::new(*operators, *fleet);
+            assert_eq!((ages.operators(), ages.fleet()), (*operators, *fleet));
+            let number: u64 = serde_json::from_value(serde_json::to_value(ages).unwrap()).unwrap();
+            let oldest = (*operators).max(*fleet);
+            assert!(Duration::from_millis(number) >= oldest.min(LARGE_AGE));
+        }
+    }
+    let of_earlier_release = |age: u64| -> WireAges { serde_json::from_value(age.into()).unwrap() };
+    let same = of_earlier_release(1_700);
+    assert_eq!(same.operators(), Duration::from_millis(1_700));
+    assert_eq!(same.fleet(), Duration::from_millis(1_700));
+    assert_eq!(of_earlier_release(u64::MAX).operators(), never);
+    assert_eq!(of_earlier_release(u64::MAX).fleet(), never);
+}
--- a/crates/wire/tests/versions.rs
+++ b/crates/wire/tests/versions.rs
@@ -72,7 +72,8 @@
                 incarnation: Incarnation(1_780_000_000_000),
             },
             summary: u64::MAX,
-            age: Duration::from_millis(300),
+            operators_age: Duration::from_millis(300),
+            fleet_age: Duration::from_millis(900),
             recent: vec![(id, version(era, 4_000)); 8],
         };
         write_message(&PeerHeartbeat::from(&heartbeat)).len()
