--- a/crates/core/src/passthrough_lookups.rs
+++ b/crates/core/src/passthrough_lookups.rs
@@ -167,8 +167,12 @@
         unknown: &[SocketAddrV4],
         now: TimePoint,
     ) -> LookupVerdict {
+        let firm = view
+            .service_at(key.service)
+            .map(|service| &service.id().firm);
         let plans: Vec<_> = view
             .services()
+            .filter(|service| Some(&service.id().firm) == firm)
             .flat_map(|service| query_plans(service, unknown))
             .collect();
         match self.walks.get_mut(&key) {
--- a/crates/daemon/src/entry_store.rs
+++ b/crates/daemon/src/entry_store.rs
@@ -8,8 +8,8 @@
 use crossbeam_channel::Receiver;
 
 use chestnutlb_core::{
-    ControlEvent, DocumentId, DocumentPatch, FeedConfirmation, FeedIndex, ListScope, ObjectVersion,
-    StoreEra, TimePoint,
+    ControlEvent, DocumentId, DocumentPatch, FeedConfirmation, FeedIndex, FeedScope, ListScope,
+    ObjectVersion, StoreEra, TimePoint,
 };
 use chestnutlb_store::{
     EditOutcome, FeedObject, FeedPosition, FeedStep, FeedUpdate, LoadedDocument, StoreCalls,
@@ -188,12 +188,8 @@
         match client.fetch_updates(feed, None, Duration::ZERO) {
             Ok(update) => {
                 let at = asked_at;
-                forward_update(
-                    update,
-                    Some(FeedConfirmation { feed, at }),
-                    events,
-                    counters,
-                );
+                let confirms = Some(FeedConfirmation { feed, at });
+                forward_update(update, confirms, events, counters);
             }
             Err(error) => {
                 counters.add(Counter::PlatformFailed);
@@ -219,6 +215,8 @@
 pub struct WatchedFeed {
     /// The feed.
     pub feed: FeedIndex,
+    /// The documents that it brings.
+    pub scope: FeedScope,
     /// Time within which an answer confirms the documents again.
     pub period: Duration,
     /// Whether this entry VM watches the platform.
@@ -235,13 +233,15 @@
         enabled: &Arc<AtomicBool>,
     ) -> Self {
         let wait = client.watch_wait(feed);
-        let period = if client.feed_scope(feed).has_operators() {
+        let scope = client.feed_scope(feed);
+        let period = if scope.has_operators() {
             wait.min(change_deadline / CONFIRMATIONS_PER_DEADLINE)
         } else {
             wait
         };
         Self {
             feed,
+            scope,
             period,
             enabled: Arc::clone(enabled),
         }
@@ -253,6 +253,16 @@
         let due = confirmed_at.map_or(now, |confirmed_at| confirmed_at + self.period);
         due.since(now).clamp(MIN_WATCH_WAIT, self.period)
     }
+
+    // Returns the delay after an answer, which is a list of all objects or not. Changes of operators
+    // are read at once.
+    fn delay(&self, is_list: bool) -> Duration {
+        match (self.scope.has_operators(), is_list) {
+            (true, _) => Duration::ZERO,
+            (false, true) => FIRST_WATCH_DELAY,
+            (false, false) => WATCH_DELAY,
+        }
+    }
 }
 
 /// Runs the thread that watches a feed of the platform while this is enabled.
@@ -296,14 +306,7 @@
                 } else {
                     position.reset();
                 }
-                if !client.feed_scope(feed).has_operators() {
-                    let watch_delay = if after.is_none() {
-                        FIRST_WATCH_DELAY
-                    } else {
-                        WATCH_DELAY
-                    };
-                    std::thread::sleep(watch_delay);
-                }
+                std::thread::sleep(watched.delay(after.is_none()));
                 if is_stale {
                     std::thread::sleep(RETRY_DELAY);
                 }
