A side process asks a limited number of times whether its backend server listens

Sixteen attempts for each process. Without a proof by then its answers stay "unknown" until the maximum age of a flow, as before.

Measured: daemon tests as before.

--- a/crates/daemon/src/backend_presence.rs
+++ b/crates/daemon/src/backend_presence.rs
@@ -19,15 +19,20 @@
 /// Timeout of an attempt, and least time between two of them.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// Maximum number of attempts of a process, for a backend server that listens for no connections or
+/// hangs.
+const MAX_ATTEMPTS: u32 = 16;
+
 /// Time without a report, in tenths of the report period, after which the backend server may have
 /// ended.
 const OVERDUE_TENTHS: u32 = 12;
 
 /// Runs until it is known that the backend server started after this process, or this process
-/// has run for `flow_age` and has seen all flows anyway.
+/// has run for `flow_age` and has seen all flows anyway, or after [`MAX_ATTEMPTS`].
 pub fn run(shared: &Arc<PassthroughShared>, flow_age: Duration) {
     let mut last_attempt = None;
-    while clock::uptime() < flow_age {
+    let mut attempts = 0;
+    while clock::uptime() < flow_age && attempts < MAX_ATTEMPTS {
         let now = clock::now();
         let observer = shared.backend().start_observer();
         if observer.proof().is_some() {
@@ -35,6 +40,7 @@
         }
         if is_attempt_due(shared, observer, last_attempt, now) {
             last_attempt = Some(now);
+            attempts += 1;
             attempt(shared);
         }
         sleep(CHECK_PERIOD);
