Feeds and times of settings have modules of their own

Watches and reads in place of watchers are in entry_feeds.rs, the type of times in wire_millis.rs; nothing else but three functions that both files need.

--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -14,9 +14,10 @@
 use chestnutlb_store::{StoreCalls, StoreClient};
 
 use crate::entry_control::{ControlLoop, ControlRings, receive_peers};
+use crate::entry_feeds::{WatchedFeed, run_probes, run_watch};
 use crate::entry_http::{EntryShared, server};
 use crate::entry_packets::PacketLoop;
-use crate::entry_store::{WatchedFeed, run_probes, run_pulls, run_store, run_watch};
+use crate::entry_store::{run_pulls, run_store};
 use crate::event_ring::EventRing;
 use crate::flow_questions::FlowQuestions;
 use crate::metrics::CounterSet;
--- a/crates/daemon/src/entry_store.rs
+++ b/crates/daemon/src/entry_store.rs
@@ -1,28 +1,19 @@
-//! Threads of an entry VM that make blocking calls to the platform and to peers.
+//! Threads of an entry VM that read and write documents in the platform's store, and pull them from
+//! peers.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use compact_str::CompactString;
 use crossbeam_channel::Receiver;
 
-use chestnutlb_core::{
-    ControlEvent, DocumentId, DocumentPatch, FeedConfirmation, FeedIndex, FeedScope, ListScope,
-    ObjectVersion, StoreEra, TimePoint,
-};
-use chestnutlb_store::{
-    EditOutcome, FeedObject, FeedPosition, FeedStep, FeedUpdate, LoadedDocument, StoreCalls,
-    objects,
-};
-use chestnutlb_wire::ObjectList;
+use chestnutlb_core::{ControlEvent, DocumentId, DocumentPatch, ObjectVersion, StoreEra};
+use chestnutlb_store::{EditOutcome, LoadedDocument, StoreCalls, objects};
 use chestnutlb_wire::peer::{
     PullQuery, PullReply, core_versions, scan_message, wire_versions, write_message,
 };
-use chestnutlb_wire::records::WireVersion;
 
-use crate::clock;
-use crate::entry_control::{ProbeJob, PullJob, StoreJob};
+use crate::entry_control::{PullJob, StoreJob};
 use crate::entry_http::EntryShared;
 use crate::event_ring::EventRing;
 use crate::http::read_body;
@@ -30,33 +21,7 @@
 use crate::metrics::{Counter, CounterSet};
 
 /// Delay after a failed call to the platform or a stale reply.
-const RETRY_DELAY: Duration = Duration::from_millis(500);
-
-/// Delay after the first failed call of a watch. A single failure is usually a
-/// lost connection, and changes may have been missed in the meantime. Until the
-/// first successful call every retry uses this delay, since all requests wait for
-/// the result of that call.
-const FIRST_RETRY_DELAY: Duration = Duration::from_millis(150);
-
-/// Delay between a full listing of the project's own objects and their first watch.
-/// When all entry VMs start at once, each of them writes to these objects, and only
-/// then is it settled which of them watch. Until then peers exchange changes directly.
-const FIRST_WATCH_DELAY: Duration = Duration::from_secs(2);
-
-/// Delay between two watches of the project's own objects, in which changes
-/// accumulate. Every change ends a watch, and the entry VM that wrote it notifies its
-/// peers at once.
-const WATCH_DELAY: Duration = Duration::from_millis(500);
-
-/// Number of confirmations of operators' documents within the change deadline. With one third of
-/// it, the heartbeats of a data centre pass one on before an entry VM reads in place of a watcher.
-const CONFIRMATIONS_PER_DEADLINE: u32 = 3;
-
-/// Shortest wait of a watch.
-const MIN_WATCH_WAIT: Duration = Duration::from_millis(100);
-
-/// Interval at which a thread whose watch is disabled checks whether it was enabled.
-const DISABLED_POLL_PERIOD: Duration = Duration::from_millis(100);
+pub const RETRY_DELAY: Duration = Duration::from_millis(500);
 
 /// Maximum number of names of unreadable items in one log line.
 const MAX_LOGGED_NAMES: usize = 8;
@@ -112,7 +77,8 @@
     }
 }
 
-fn loaded_event(id: DocumentId, loaded: LoadedDocument) -> ControlEvent {
+/// Returns the event of a document that was read.
+pub fn loaded_event(id: DocumentId, loaded: LoadedDocument) -> ControlEvent {
     let LoadedDocument {
         version,
         items,
@@ -130,8 +96,8 @@
     }
 }
 
-// Counts and logs the items of a document that were left out.
-fn report_unreadable_items(id: &DocumentId, loaded: &LoadedDocument, counters: &CounterSet) {
+/// Counts and logs the items of a document that were left out.
+pub fn report_unreadable_items(id: &DocumentId, loaded: &LoadedDocument, counters: &CounterSet) {
     let unreadable = &loaded.unreadable;
     if unreadable.is_empty() {
         return;
@@ -165,42 +131,6 @@
     }
 }
 
-/// Runs the thread that reads the operators' objects when nobody has confirmed them for some time.
-/// No other call delays it.
-pub fn run_probes(
-    client: &dyn StoreCalls,
-    jobs: &Receiver<ProbeJob>,
-    events: &EventRing,
-    counters: &CounterSet,
-) {
-    for ProbeJob in jobs {
-        probe(client, events, counters);
-    }
-}
-
-// Reads the feeds of the operators' objects, each as a whole. A failed read is not repeated: the
-// next probe causes another one.
-fn probe(client: &dyn StoreCalls, events: &EventRing, counters: &CounterSet) {
-    let feeds = (0..client.feeds()).map(FeedIndex);
-    for feed in feeds.filter(|feed| client.feed_scope(*feed).has_operators()) {
-        counters.add(Counter::PlatformCalls);
-        let asked_at = clock::now();
-        match client.fetch_updates(feed, None, Duration::ZERO) {
-            Ok(update) => {
-                let at = asked_at;
-                let confirms = Some(FeedConfirmation { feed, at });
-                forward_update(update, confirms, events, counters);
-            }
-            Err(error) => {
-                counters.add(Counter::PlatformFailed);
-                log::warn!(target: "platform", feed = feed.0, cause:% = error; "probe failed");
-                return;
-            }
-        }
-    }
-    events.push(ControlEvent::StoreAnswered);
-}
-
 fn edit_result(outcome: EditOutcome) -> JobResult {
     match outcome {
         EditOutcome::Done(loaded) => Ok(Some(loaded)),
@@ -210,225 +140,6 @@
     }
 }
 
-/// What a thread watches.
-#[derive(Debug)]
-pub struct WatchedFeed {
-    /// The feed.
-    pub feed: FeedIndex,
-    /// The documents that it brings.
-    pub scope: FeedScope,
-    /// Time within which an answer confirms the documents again.
-    pub period: Duration,
-    /// Whether this entry VM watches the platform.
-    pub enabled: Arc<AtomicBool>,
-}
-
-impl WatchedFeed {
-    /// Returns the feed of a client, which is watched while `enabled` holds. Operators' documents
-    /// are confirmed several times within the change deadline.
-    pub fn new(
-        client: &dyn StoreCalls,
-        feed: FeedIndex,
-        change_deadline: Duration,
-        enabled: &Arc<AtomicBool>,
-    ) -> Self {
-        let wait = client.watch_wait(feed);
-        let scope = client.feed_scope(feed);
-        let period = if scope.has_operators() {
-            wait.min(change_deadline / CONFIRMATIONS_PER_DEADLINE)
-        } else {
-            wait
-        };
-        Self {
-            feed,
-            scope,
-            period,
-            enabled: Arc::clone(enabled),
-        }
-    }
-
-    // Returns how long the platform may wait for changes, so that its answer comes a period after
-    // what was confirmed last.
-    fn wait(&self, confirmed_at: Option<TimePoint>, now: TimePoint) -> Duration {
-        let due = confirmed_at.map_or(now, |confirmed_at| confirmed_at + self.period);
-        due.since(now).clamp(MIN_WATCH_WAIT, self.period)
-    }
-
-    // Returns the delay after an answer, which is a list of all objects or not. Changes of operators
-    // are read at once.
-    fn delay(&self, is_list: bool) -> Duration {
-        match (self.scope.has_operators(), is_list) {
-            (true, _) => Duration::ZERO,
-            (false, true) => FIRST_WATCH_DELAY,
-            (false, false) => WATCH_DELAY,
-        }
-    }
-}
-
-/// Runs the thread that watches a feed of the platform while this is enabled.
-pub fn run_watch(
-    client: &dyn StoreCalls,
-    watched: &WatchedFeed,
-    events: &EventRing,
-    counters: &CounterSet,
-) {
-    let feed = watched.feed;
-    let mut position = FeedPosition::default();
-    let mut confirmed_at = None;
-    let mut retry_delay = FIRST_RETRY_DELAY;
-    let mut has_succeeded = false;
-    loop {
-        if !watched.enabled.load(Ordering::Relaxed) {
-            position.reset();
-            std::thread::sleep(DISABLED_POLL_PERIOD);
-            continue;
-        }
-        counters.add(Counter::PlatformCalls);
-        let after = position.after();
-        let asked_at = clock::now();
-        let wait = after.map_or(Duration::ZERO, |_| watched.wait(confirmed_at, asked_at));
-        match client.fetch_updates(feed, after, wait) {
-            Ok(update) => {
-                retry_delay = FIRST_RETRY_DELAY;
-                has_succeeded = true;
-                let answered_at = clock::now();
-                let has_changes = update.has_changes();
-                let confirmation =
-                    FeedConfirmation::of_answer(feed, asked_at, answered_at, wait, has_changes);
-                let step = position.advance(update.version());
-                if let FeedStep::Restored(earlier_era) = step {
-                    log_restore(earlier_era, update.version().era(), feed);
-                }
-                let is_stale = step == FeedStep::Stale;
-                let confirms = (!is_stale).then_some(confirmation);
-                if forward_update(update, confirms, events, counters) {
-                    confirmed_at = confirms.map(|confirmation| confirmation.at);
-                } else {
-                    position.reset();
-                }
-                std::thread::sleep(watched.delay(after.is_none()));
-                if is_stale {
-                    std::thread::sleep(RETRY_DELAY);
-                }
-            }
-            Err(error) => {
-                counters.add(Counter::PlatformFailed);
-                log::warn!(target: "platform", feed = feed.0, cause:% = error; "watch failed");
-                position.reset();
-                std::thread::sleep(retry_delay);
-                if has_succeeded {
-                    retry_delay = RETRY_DELAY;
-                }
-            }
-        }
-    }
-}
-
-fn log_restore(earlier_era: StoreEra, era: StoreEra, feed: FeedIndex) {
-    log::warn!(
-        target: "platform",
-        feed = feed.0, from = earlier_era.0, era = era.0;
-        "store restored from an older copy"
-    );
-}
-
-// Sends the content of a feed update to the control thread, with what it confirms. Returns whether
-// the ring had room for all of it; if not, it confirms nothing.
-fn forward_update(
-    update: FeedUpdate,
-    confirms: Option<FeedConfirmation>,
-    events: &EventRing,
-    counters: &CounterSet,
-) -> bool {
-    let version = update.version();
-    let mut is_whole = true;
-    let all_listed = |scope, listed: Vec<DocumentId>, first_era: Option<StoreEra>| {
-        let event = ControlEvent::AllListed {
-            scope,
-            version,
-            listed,
-            first_era,
-        };
-        events.push(event)
-    };
-    let list = match update {
-        FeedUpdate::Versions {
-            list,
-            has_all,
-            unreadable,
-        } => {
-            report_unreadable(unreadable, counters);
-            let list = document_versions(&list);
-            if has_all {
-                let listed = list.iter().map(|(id, _)| id.clone());
-                is_whole &= all_listed(ListScope::All, listed.collect(), None);
-            }
-            list
-        }
-        FeedUpdate::Objects {
-            objects,
-            scope,
-            first_era,
-            unreadable,
-            ..
-        } => {
-            report_unreadable(unreadable, counters);
-            if let Some(scope) = scope {
-                let listed = objects.iter().map(|object| object.id.clone());
-                is_whole &= all_listed(scope, listed.collect(), first_era);
-            }
-            for object in objects {
-                is_whole &= load_object(object, events, counters);
-            }
-            Vec::new()
-        }
-    };
-    let confirms = confirms.filter(|_| is_whole);
-    is_whole & events.push(ControlEvent::VersionsListed { list, confirms })
-}
-
-// Counts and logs the objects of an update that were left out.
-fn report_unreadable(objects: usize, counters: &CounterSet) {
-    if objects > 0 {
-        counters.add_many(Counter::BodiesBad, objects as u64);
-        log::warn!(target: "platform", objects = objects; "unreadable objects left out");
-    }
-}
-
-// Parses an object of a feed and sends its document to the control thread. Returns false if the
-// ring was full.
-fn load_object(object: FeedObject, events: &EventRing, counters: &CounterSet) -> bool {
-    let id = object.id.clone();
-    match objects::parse_feed_object(object) {
-        Ok(loaded) => {
-            report_unreadable_items(&id, &loaded, counters);
-            events.push(loaded_event(id, loaded))
-        }
-        Err(error) => {
-            counters.add(Counter::BodiesBad);
-            log::warn!(target: "platform", document:% = id, cause:% = error; "malformed document");
-            true
-        }
-    }
-}
-
-// Returns the listed documents with their versions. Objects that are not documents of the
-// project are skipped.
-fn document_versions(object_list: &ObjectList) -> Vec<(DocumentId, ObjectVersion)> {
-    let objects = object_list.objects.iter();
-    objects
-        .filter_map(|object| {
-            let wire = WireVersion {
-                kind: object.kind.clone(),
-                name: object.name.clone(),
-                version: object.version,
-            };
-            let id = DocumentId::try_from(&wire).ok()?;
-            Some((id, ObjectVersion(object.version)))
-        })
-        .collect()
-}
-
 /// Runs the thread that pulls documents from peers.
 pub fn run_pulls(jobs: &Receiver<PullJob>, events: &EventRing, shared: &Arc<EntryShared>) {
     // Connections are not kept: pulls are rare, and an idle connection may have been
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -18,6 +18,7 @@
 mod entry;
 mod entry_control;
 mod entry_explain;
+mod entry_feeds;
 mod entry_http;
 mod entry_packets;
 mod entry_store;
@@ -45,6 +46,7 @@
 mod side_link;
 mod side_relay;
 mod side_requests;
+mod wire_millis;
 
 use metrics::CounterSet;
 use reload::{ReloadSignal, SettingsFile};
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -14,6 +14,8 @@
 };
 use chestnutlb_wire::{DocumentError, parse_json, parse_text};
 
+use crate::wire_millis::WireMillis;
+
 const NAME_FORMAT: &str = "1 to 63 of a-z, 0-9 and '-'";
 const ADDRESS_FORMAT: &str = "an IPv4 address and port";
 
@@ -21,9 +23,6 @@
 const MIN_CHANGE_DEADLINE_MS: u64 = 1_500;
 const MAX_CHANGE_DEADLINE_MS: u64 = 3_600_000;
 
-/// Upper bound of times, in milliseconds: a thousand years.
-const MAX_MILLIS: f64 = 3.2e13;
-
 /// Log settings.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -75,36 +74,6 @@
     }
 }
 
-/// A time in milliseconds. Fractions are rounded, since some platforms state times with them.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
-#[serde(try_from = "f64", into = "u64")]
-struct WireMillis(u64);
-
-impl TryFrom<f64> for WireMillis {
-    type Error = &'static str;
-
-    fn try_from(millis: f64) -> Result<Self, Self::Error> {
-        if (0.0..MAX_MILLIS).contains(&millis) {
-            Ok(Self(millis.round() as u64))
-        } else {
-            Err("not a number of milliseconds")
-        }
-    }
-}
-
-impl From<WireMillis> for u64 {
-    fn from(WireMillis(millis): WireMillis) -> Self {
-        millis
-    }
-}
-
-impl From<WireMillis> for Duration {
-    fn from(WireMillis(millis): WireMillis) -> Self {
-        Self::from_millis(millis)
-    }
-}
-
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
