--- a/crates/core/tests/observed_flows.rs
+++ b/crates/core/tests/observed_flows.rs
@@ -21,7 +21,7 @@
 const EPOCH_MS: i64 = 1_700_000_000_000;
 
 #[derive(Clone)]
-struct Ping {
+struct SentReport {
     arrives_at: u64,
     report: BackendReport,
 }
@@ -40,12 +40,12 @@
     // When the backend server starts; while this is in the future, it is down.
     server_up_at: u64,
     server_runs: bool,
-    next_ping_at: u64,
+    next_report_at: u64,
     // When the process starts; while this is in the future, it is down.
     process_up_at: u64,
     tracker: BackendTracker,
     connected_at: Option<u64>,
-    pings: Vec<Ping>,
+    reports: Vec<SentReport>,
 }
 
 impl Machine {
@@ -60,11 +60,11 @@
             sequence: 0,
             server_up_at: 0,
             server_runs: false,
-            next_ping_at: 0,
+            next_report_at: 0,
             process_up_at: 0,
             tracker: BackendTracker::default(),
             connected_at: None,
-            pings: Vec::new(),
+            reports: Vec::new(),
         };
         // Either may be first.
         machine.restart_server();
@@ -82,7 +82,7 @@
         self.born_ms = self.time_of_day() as u64;
         self.sequence = 0;
         // The pages do not say when the first report is sent.
-        self.next_ping_at = self.now + self.random.random_range(0..=REPORT_PERIOD_MS);
+        self.next_report_at = self.now + self.random.random_range(0..=REPORT_PERIOD_MS);
     }
 
     fn restart_server(&mut self) {
@@ -103,9 +103,9 @@
         };
     }
 
-    fn send_ping(&mut self) {
+    fn send_report(&mut self) {
         self.sequence += 1;
-        self.next_ping_at = self.now + REPORT_PERIOD_MS;
+        self.next_report_at = self.now + REPORT_PERIOD_MS;
         let lateness = match self.random.random_range(0..8) {
             0 => self.random.random_range(0..MAX_LATENESS_MS),
             _ => 1,
@@ -122,26 +122,26 @@
             state: BackendState::Ready,
             cold_ms: 0,
         };
-        let ping = Ping {
+        let sent = SentReport {
             arrives_at: self.now + lateness,
             report,
         };
         // Some arrive twice.
         if self.random.random_range(0..16) == 0 {
             let again = self.now + self.random.random_range(0..MAX_LATENESS_MS);
-            self.pings.push(Ping {
+            self.reports.push(SentReport {
                 arrives_at: again,
-                ..ping.clone()
+                ..sent.clone()
             });
         }
-        self.pings.push(ping);
+        self.reports.push(sent);
     }
 
-    fn receive_pings(&mut self) {
-        let arrives = |ping: &Ping| ping.arrives_at <= self.now;
-        let (arrived, pending) = self.pings.iter().cloned().partition(arrives);
-        self.pings = pending;
-        for ping in Vec::<Ping>::into_iter(arrived) {
+    fn receive_reports(&mut self) {
+        let arrives = |sent: &SentReport| sent.arrives_at <= self.now;
+        let (arrived, pending): (Vec<_>, Vec<_>) = self.reports.iter().cloned().partition(arrives);
+        self.reports = pending;
+        for sent in arrived {
             if !self.process_runs() {
                 continue;
             }
@@ -149,7 +149,7 @@
                 now: TimePoint(self.now),
                 report_period: Some(Duration::from_millis(REPORT_PERIOD_MS)),
             };
-            self.tracker.record_report(ping.report, timing);
+            self.tracker.record_report(sent.report, timing);
         }
     }
 
@@ -199,10 +199,10 @@
             self.tracker = BackendTracker::default();
             self.connected_at = None;
         }
-        if self.server_runs && self.next_ping_at <= self.now {
-            self.send_ping();
+        if self.server_runs && self.next_report_at <= self.now {
+            self.send_report();
         }
-        self.receive_pings();
+        self.receive_reports();
         self.connect();
     }
 
