--- a/review/standins-3/case_12.rs
+++ b/review/standins-3/case_12.rs
@@ -45,7 +45,7 @@
     sleep(ms(8000));
     let later = (serves(dropped), serves(added));
     record.note(&format!(
-        "fronts that serve (the dropped route, the added route): before {before:?}, 4 s after the ack {after:?}, 20 s and more after it {later:?}"
+        "fronts that serve (the dropped route, the added route): before {before:?}, 4 s after the ack {after:?}, and again later {later:?}"
     ));
     let crashed = deployment.ended_by_itself();
     record.note(&format!("ended by itself {crashed:?}"));
