--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-3
-rustc --edition 2024 -O -o target/review-3/review-3 review/standins-3/main.rs
+rustc --edition 2024 -O -D warnings -o target/review-3/review-3 review/standins-3/main.rs
--- a/review/standins-3/world.rs
+++ b/review/standins-3/world.rs
@@ -688,13 +688,14 @@
 }
 
 impl Ports {
-    /// Finds seven consecutive ports that are free on every loopback address.
-    pub fn free() -> Self {
+    /// Finds seven consecutive ports that are free on the addresses of all machines.
+    pub fn free(ips: &[Ipv4Addr]) -> Self {
         let mut base = 21_000 + (random() % 3_000) as u16 * 8;
         loop {
             let is_free = (base..base + 7).all(|port| {
-                TcpListener::bind((Ipv4Addr::UNSPECIFIED, port)).is_ok()
-                    && UdpSocket::bind((Ipv4Addr::UNSPECIFIED, port)).is_ok()
+                ips.iter().all(|ip| {
+                    TcpListener::bind((*ip, port)).is_ok() && UdpSocket::bind((*ip, port)).is_ok()
+                })
             });
             if is_free {
                 break;
@@ -747,10 +748,13 @@
         let mut zones: Vec<&'static str> = fronts.iter().map(|front| front.zone).collect();
         zones.sort_unstable();
         zones.dedup();
+        let store_ip = Ipv4Addr::new(127, 61, 0, 1);
+        let mut ips = vec![Ipv4Addr::LOCALHOST, store_ip];
+        ips.extend(fronts.iter().chain(&sides).map(|machine| machine.ip));
         Arc::new(Self {
-            ports: Ports::free(),
+            ports: Ports::free(&ips),
             zones,
-            store_ip: Ipv4Addr::new(127, 61, 0, 1),
+            store_ip,
             folder,
             record: Arc::clone(record),
             fronts,
