Hosts of services without a route stay possible owners of flows

Cause: the view had the services of the manifest only, and the hosts that may own flows were taken from the view. A process that started after the change asked the three hosts of the other service, and their denials counted as a proof.

Change: a view has ServiceView, what may get new flows, and ServiceHosts, what may own flows: the hosts of every service that rosters or registrations name. Lookups, verdicts, walks of hosts that can't tell and the cache of owners use the latter. Related: a leaving host of a service without a route no longer counts as vanished; hosts are not new again when their service gets its route back; drains reach hosts without a route; a reply of an entry VM that does not know the service leaves the limit of cold hosts alone, also where the data centre was ever drained. A log line tells which services have hosts and no route.

--- a/crates/core/src/known_hosts.rs
+++ b/crates/core/src/known_hosts.rs
@@ -16,7 +16,7 @@
 use crate::possible_owners::PossibleOwners;
 pub use crate::possible_owners::{MAX_VANISHED_HOSTS, VANISHED_HOST_MEMORY};
 use crate::units::TimePoint;
-use crate::view::{RegistrationReach, RosterCoverage, RoutingView, ServiceView};
+use crate::view::{RegistrationReach, RosterCoverage, RoutingView, ServiceHosts};
 
 /// Time for which an entry VM offers no flows to a host that has appeared in the roster.
 /// Within this time all entry VMs know it: one that did not would take its flows for flows
@@ -111,7 +111,7 @@
     fn new_hosts(
         &self,
         view: &RoutingView,
-        changed: &[Arc<ServiceView>],
+        changed: &[Arc<ServiceHosts>],
         now: TimePoint,
     ) -> HashMap<SocketAddrV4, NewHost> {
         let hosts = changed
--- a/crates/core/src/opening_rules.rs
+++ b/crates/core/src/opening_rules.rs
@@ -43,6 +43,11 @@
     pub fn is_empty(&self) -> bool {
         *self == Self::default()
     }
+
+    /// Returns whether the manifest demands nothing.
+    pub fn has_none_of_manifest(&self) -> bool {
+        self.cold.is_none() && !self.learns_capacity
+    }
 }
 
 /// The limit of a cold host, as far as it is known.
@@ -142,19 +147,26 @@
             RulesChange::Same => self.record_learning(rules.learns_capacity, now),
             change => change,
         };
-        match rules.drain {
-            Some(notice) if notice.version > self.drain.version => {
-                let before = std::mem::replace(&mut self.drain, notice);
-                match (before.drained, notice.drained) {
-                    (false, true) => RulesChange::Drained,
-                    (true, false) => {
-                        self.undrained_at = Some(now);
-                        RulesChange::Undrained
-                    }
-                    _ => manifest_change,
-                }
+        match self.record_drain(rules.drain, now) {
+            RulesChange::Same => manifest_change,
+            change => change,
+        }
+    }
+
+    /// Records the drain in a reply of an entry VM that does not know the service, and so does
+    /// not know what the manifest demands either.
+    pub fn record_drain(&mut self, drain: Option<DrainNotice>, now: TimePoint) -> RulesChange {
+        let Some(notice) = drain.filter(|notice| notice.version > self.drain.version) else {
+            return RulesChange::Same;
+        };
+        let before = std::mem::replace(&mut self.drain, notice);
+        match (before.drained, notice.drained) {
+            (false, true) => RulesChange::Drained,
+            (true, false) => {
+                self.undrained_at = Some(now);
+                RulesChange::Undrained
             }
-            _ => manifest_change,
+            _ => RulesChange::Same,
         }
     }
 
--- a/crates/core/src/passthrough_lookups.rs
+++ b/crates/core/src/passthrough_lookups.rs
@@ -12,7 +12,7 @@
 use crate::passthrough_plan::{LookupVerdict, PassthroughPlan};
 use crate::passthrough_routes::{FlowWalk, LOOKUPS_PER_INTERVAL, PassthroughRouter};
 use crate::units::TimePoint;
-use crate::view::{RoutingView, ServiceView};
+use crate::view::{RoutingView, ServiceHosts, ServiceView};
 
 /// Time for which a lookup that found no owner waits for a confirmation of the view, which
 /// follows each new view a moment later.
@@ -171,7 +171,7 @@
             .service_at(key.service)
             .map(|service| &service.id().firm);
         let plans: Vec<_> = view
-            .services()
+            .service_hosts()
             .filter(|service| Some(&service.id().firm) == firm)
             .flat_map(|service| query_plans(service, unknown))
             .collect();
@@ -214,7 +214,7 @@
 }
 
 // Returns walks that visit the hosts of a service which are among `unknown`.
-fn query_plans(service: &ServiceView, unknown: &[SocketAddrV4]) -> Vec<PassthroughPlan> {
+fn query_plans(service: &ServiceHosts, unknown: &[SocketAddrV4]) -> Vec<PassthroughPlan> {
     let hosts = service.hosts().iter().map(|host| host.record.packets);
     let hosts: Vec<_> = hosts.filter(|host| unknown.contains(host)).collect();
     let walks = hosts.chunks(PLAN_HOPS);
--- a/crates/core/src/possible_owners.rs
+++ b/crates/core/src/possible_owners.rs
@@ -1,5 +1,5 @@
-//! The hosts that may own flows of each firm: those in the view, and those that left it
-//! without having announced their departure.
+//! The hosts that may own flows of each firm: those in the view, of services with and without a
+//! route, and those that left it without having announced their departure.
 //!
 //! Two records may have one address, such as that of a host that no longer runs and that of
 //! its successor. So hosts are told apart by name, and an address may have several services.
@@ -14,7 +14,7 @@
 use crate::owner_lookup::MAX_LOOKUP_HOSTS;
 use crate::roster::HostRecord;
 use crate::units::TimePoint;
-use crate::view::{RoutingView, ServiceView, ViewHost};
+use crate::view::{RoutingView, ServiceHosts, ViewHost};
 
 /// Time for which a host that left the view counts as a possible owner of flows. A host that
 /// lives is listed again by then.
@@ -88,7 +88,7 @@
 #[derive(Debug, Default)]
 pub struct PossibleOwners {
     // Services of the view.
-    services: HashMap<ServiceId, Arc<ServiceView>>,
+    services: HashMap<ServiceId, Arc<ServiceHosts>>,
     unlisted_leaving_hosts: BTreeSet<HostName>,
     vanished: HashMap<ServiceId, HashMap<HostKey, VanishedHost>>,
     viewed_tags: TagIndex,
@@ -141,8 +141,8 @@
     }
 
     /// Returns the services of a view whose hosts may differ from those of the last one.
-    pub fn changed_services(&self, view: &RoutingView) -> Vec<Arc<ServiceView>> {
-        view.shared_services()
+    pub fn changed_services(&self, view: &RoutingView) -> Vec<Arc<ServiceHosts>> {
+        view.service_hosts()
             .filter(|service| {
                 let before = self.services.get(service.id());
                 before.is_none_or(|before| !Arc::ptr_eq(before, service))
@@ -152,13 +152,13 @@
     }
 
     /// Returns whether a service of a later view has the same hosts as in the last one.
-    pub fn has_same_hosts(&self, service: &ServiceView) -> bool {
+    pub fn has_same_hosts(&self, service: &ServiceHosts) -> bool {
         let before = self.services.get(service.id());
-        before.is_some_and(|before| has_same_hosts(before, service))
+        before.is_some_and(|before| before.has_same_hosts(service))
     }
 
     /// Records a new view, of which these services have changed.
-    pub fn update(&mut self, view: &RoutingView, changed: &[Arc<ServiceView>], now: TimePoint) {
+    pub fn update(&mut self, view: &RoutingView, changed: &[Arc<ServiceHosts>], now: TimePoint) {
         let mut firms = HashSet::new();
         for service in changed {
             if self.replace_service(service, now) {
@@ -175,11 +175,11 @@
     }
 
     // Returns whether the hosts of the service have changed.
-    fn replace_service(&mut self, service: &Arc<ServiceView>, now: TimePoint) -> bool {
+    fn replace_service(&mut self, service: &Arc<ServiceHosts>, now: TimePoint) -> bool {
         let id = service.id();
         let before = self.services.insert(id.clone(), Arc::clone(service));
         if let Some(before) = before {
-            if has_same_hosts(&before, service) {
+            if before.has_same_hosts(service) {
                 return false;
             }
             self.record_vanished(&before, Some(service), now);
@@ -207,7 +207,7 @@
         let removed: Vec<ServiceId> = self
             .services
             .keys()
-            .filter(|id| view.service(id).is_none())
+            .filter(|id| view.hosts_of(id).is_none())
             .cloned()
             .collect();
         for id in removed {
@@ -222,21 +222,20 @@
     // lacks, except those that are known to have left.
     fn record_vanished(
         &mut self,
-        before: &ServiceView,
-        after: Option<&ServiceView>,
+        before: &ServiceHosts,
+        after: Option<&ServiceHosts>,
         now: TimePoint,
     ) {
         let present: HashSet<_> = after
-            .map_or(&[][..], ServiceView::hosts)
+            .map_or(&[][..], ServiceHosts::hosts)
             .iter()
             .map(|host| (&host.record.name, host.record.packets))
             .collect();
         for host in before.hosts() {
             let record = &host.record;
             self.viewed_tags.remove(record.packets, before.tag);
-            // The roster drops a leaving host once it has announced its departure. The hosts
-            // of a service that is not in the view may still be listed.
-            let has_left = after.is_some() && self.is_listed_as_leaving(host);
+            // The roster drops a leaving host once it has announced its departure.
+            let has_left = self.is_listed_as_leaving(host);
             if !present.contains(&(&record.name, record.packets)) && !has_left {
                 let vanished = VanishedHost {
                     incarnation: record.incarnation,
@@ -336,12 +335,3 @@
             .collect()
     }
 }
-
-// Returns whether two views of a service have the same hosts at the same addresses.
-fn has_same_hosts(service: &ServiceView, other: &ServiceView) -> bool {
-    let is_same = |(host, other): (&ViewHost, &ViewHost)| {
-        host.record.packets == other.record.packets && host.record.name == other.record.name
-    };
-    let (hosts, others) = (service.hosts(), other.hosts());
-    hosts.len() == others.len() && hosts.iter().zip(others).all(is_same)
-}
--- a/crates/core/src/view.rs
+++ b/crates/core/src/view.rs
@@ -3,6 +3,11 @@
 //!
 //! A change rebuilds only the services that it affects; the old and the new view
 //! share all others.
+//!
+//! What a view says of a service has two parts. A [`ServiceView`] tells where flows to its
+//! addresses go; only a service with a route has one. [`ServiceHosts`] tells which hosts may own
+//! flows; every service has them that the rosters list hosts of, since a configuration that
+//! moves or removes a route leaves open flows where they are.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddrV4;
@@ -59,7 +64,55 @@
     pub drained: BTreeSet<DatacenterName>,
 }
 
-/// A service and the hosts that may hold its flows.
+/// The hosts of a service that may own flows, whether or not the service has a route.
+#[derive(Debug)]
+pub struct ServiceHosts {
+    /// Hash of the firm and service name, contained in every packet.
+    pub tag: ServiceTag,
+    id: ServiceId,
+    hosts: Vec<ViewHost>,
+}
+
+impl ServiceHosts {
+    /// Builds the hosts of a service from their records, without those that hold no flows.
+    pub fn build(id: ServiceId, records: &[Arc<HostRecord>], limits: &PlacementLimits) -> Self {
+        let flow_hosts = records.iter().filter(|record| record.holds_flows());
+        let hosts = flow_hosts.map(|record| ViewHost {
+            state: if limits.suspects.contains(&record.name) {
+                HostState::Suspect
+            } else {
+                record.state
+            },
+            drained: limits.drained.contains(&record.datacenter),
+            record: Arc::clone(record),
+        });
+        Self {
+            tag: id.tag(),
+            hosts: hosts.collect(),
+            id,
+        }
+    }
+
+    /// Returns the firm and name of the service.
+    pub fn id(&self) -> &ServiceId {
+        &self.id
+    }
+
+    /// Returns the hosts, in the order of their names.
+    pub fn hosts(&self) -> &[ViewHost] {
+        &self.hosts
+    }
+
+    /// Returns whether another version has the same hosts at the same addresses.
+    pub fn has_same_hosts(&self, other: &Self) -> bool {
+        let is_same = |(host, other): (&ViewHost, &ViewHost)| {
+            host.record.packets == other.record.packets && host.record.name == other.record.name
+        };
+        self.hosts.len() == other.hosts.len() && self.hosts.iter().zip(&other.hosts).all(is_same)
+    }
+}
+
+/// A service with a route, and its hosts.
 #[derive(Debug)]
 pub struct ServiceView {
     /// Hash of the firm and service name, contained in every packet.
@@ -69,7 +122,7 @@
     /// Hash of the manifest version and the hosts, by which a host detects that its
     /// copy of the service is outdated.
     pub slice_hash: u64,
-    hosts: Vec<ViewHost>,
+    owners: Arc<ServiceHosts>,
     ranking: HostRanking,
     // Rankings of the hosts of each data centre, if a chain does not contain all hosts.
     near_rankings: BTreeMap<DatacenterName, HostRanking>,
@@ -87,19 +140,9 @@
         records: &[Arc<HostRecord>],
         limits: &PlacementLimits,
     ) -> Self {
-        let flow_hosts = records.iter().filter(|record| record.holds_flows());
-        let mut hosts: Vec<ViewHost> = flow_hosts
-            .map(|record| ViewHost {
-                state: if limits.suspects.contains(&record.name) {
-                    HostState::Suspect
-                } else {
-                    record.state
-                },
-                drained: limits.drained.contains(&record.datacenter),
-                record: Arc::clone(record),
-            })
-            .collect();
-        apply_eject_limit(&spec, &mut hosts);
+        let mut owners = ServiceHosts::build(spec.id.clone(), records, limits);
+        apply_eject_limit(&spec, &mut owners.hosts);
+        let hosts = &owners.hosts;
         let mut holders: HashMap<BucketIndex, Vec<HostIndex>> = HashMap::new();
         let mut ranked = Vec::with_capacity(hosts.len());
         for (index, host) in hosts.iter().enumerate() {
@@ -113,17 +156,15 @@
                 holders.entry(*bucket).or_default().push(index);
             }
         }
-        let near_rankings = rank_by_datacenter(&hosts, &ranked);
-        let undrained_ranking = rank_undrained(&hosts, &ranked);
         Self {
-            tag: spec.id.tag(),
-            slice_hash: slice_hash(version, &hosts),
+            tag: owners.tag,
+            slice_hash: slice_hash(version, hosts),
             spec,
-            hosts,
+            near_rankings: rank_by_datacenter(hosts, &ranked),
+            undrained_ranking: rank_undrained(hosts, &ranked),
             ranking: HostRanking::new(ranked),
-            near_rankings,
-            undrained_ranking,
             holders,
+            owners: Arc::new(owners),
         }
     }
 
@@ -188,10 +229,10 @@
     /// drained.
     pub fn is_wholly_drained(&self) -> bool {
         let has_drained_host = self
-            .hosts
+            .hosts()
             .iter()
             .any(|host| host.drained && host.record.accepts_flows());
-        has_drained_host && !self.hosts.iter().any(ViewHost::accepts_flows)
+        has_drained_host && !self.hosts().iter().any(ViewHost::accepts_flows)
     }
 
     /// Returns the hosts that hold flows of a bucket without being candidates for it.
@@ -201,16 +242,16 @@
 
     /// Returns the host at `index`.
     pub fn host(&self, index: HostIndex) -> &ViewHost {
-        &self.hosts[index.0 as usize]
+        &self.hosts()[index.0 as usize]
     }
 
     // Returns whether a host of this view that was not leaving is missing from `later`. A
     // restarted host counts as a different one.
     fn has_lost_hosts(&self, later: &ServiceView) -> bool {
-        self.hosts.iter().any(|host| {
+        self.hosts().iter().any(|host| {
             host.record.state != HostState::Leaving
                 && later
-                    .hosts
+                    .hosts()
                     .iter()
                     .all(|other| other.record.incarnation != host.record.incarnation)
         })
@@ -218,7 +259,7 @@
 
     /// Returns all hosts that may hold flows.
     pub fn hosts(&self) -> &[ViewHost] {
-        &self.hosts
+        self.owners.hosts()
     }
 }
 
@@ -283,8 +324,8 @@
     hash.digest()
 }
 
-fn hosts_by_name(service: Option<&ServiceView>) -> HashMap<&HostName, &ViewHost> {
-    let hosts = service.map_or(&[][..], ServiceView::hosts);
+fn hosts_by_name(service: Option<&ServiceHosts>) -> HashMap<&HostName, &ViewHost> {
+    let hosts = service.map_or(&[][..], ServiceHosts::hosts);
     hosts.iter().map(|host| (&host.record.name, host)).collect()
 }
 
@@ -347,12 +388,16 @@
     pub drained: BTreeSet<DatacenterName>,
     by_address: HashMap<SocketAddrV4, Arc<ServiceView>>,
     by_id: HashMap<ServiceId, Arc<ServiceView>>,
+    // The hosts of all services, with and without a route.
+    hosts: HashMap<ServiceId, Arc<ServiceHosts>>,
 }
 
 impl RoutingView {
-    /// Adds or replaces a service.
+    /// Adds or replaces a service with a route.
     pub fn put(&mut self, service: ServiceView) {
         self.remove(&service.spec.id);
+        let owners = Arc::clone(&service.owners);
+        self.hosts.insert(owners.id.clone(), owners);
         let service = Arc::new(service);
         for address in service.spec.addresses() {
             self.by_address.insert(address, Arc::clone(&service));
@@ -360,8 +405,17 @@
         self.by_id.insert(service.spec.id.clone(), service);
     }
 
+    /// Adds or replaces the hosts of a service without a route. One without hosts is removed.
+    pub fn put_unrouted(&mut self, hosts: ServiceHosts) {
+        self.remove(&hosts.id);
+        if !hosts.hosts.is_empty() {
+            self.hosts.insert(hosts.id.clone(), Arc::new(hosts));
+        }
+    }
+
     /// Removes a service.
     pub fn remove(&mut self, id: &ServiceId) {
+        self.hosts.remove(id);
         if let Some(old) = self.by_id.remove(id) {
             for address in old.spec.addresses() {
                 // The address may have been assigned to another service meanwhile.
@@ -404,8 +458,8 @@
     /// Returns the hosts that were added, removed or changed their state since `old`.
     pub fn host_changes(&self, old: &RoutingView) -> Vec<HostChange> {
         let mut changes = Vec::new();
-        for (id, service) in &self.by_id {
-            let earlier = old.by_id.get(id);
+        for (id, service) in &self.hosts {
+            let earlier = old.hosts.get(id);
             if earlier.is_some_and(|earlier| Arc::ptr_eq(earlier, service)) {
                 continue;
             }
@@ -420,9 +474,9 @@
             changes.extend(removed.map(|host| old.host_change(host, Some(host.state), None)));
         }
         let removed_services = old
-            .by_id
+            .hosts
             .iter()
-            .filter(|(id, _)| !self.by_id.contains_key(*id));
+            .filter(|(id, _)| !self.hosts.contains_key(*id));
         for host in removed_services.flat_map(|(_, service)| service.hosts()) {
             changes.push(old.host_change(host, Some(host.state), None));
         }
@@ -445,18 +499,29 @@
         }
     }
 
-    /// Returns all services.
+    /// Returns all services with a route.
     pub fn services(&self) -> impl Iterator<Item = &ServiceView> {
         self.by_id.values().map(Arc::as_ref)
     }
 
-    /// Returns all services. Views share the services that are equal in them.
-    pub fn shared_services(&self) -> impl Iterator<Item = &Arc<ServiceView>> {
-        self.by_id.values()
-    }
-
-    /// Returns the ids of all services.
+    /// Returns the ids of all services with a route.
     pub fn ids(&self) -> impl Iterator<Item = &ServiceId> {
         self.by_id.keys()
     }
+
+    /// Returns the hosts of a service, which may have no route.
+    pub fn hosts_of(&self, id: &ServiceId) -> Option<&Arc<ServiceHosts>> {
+        self.hosts.get(id)
+    }
+
+    /// Returns the hosts of each service, with and without a route. Views share those that are
+    /// equal in them.
+    pub fn service_hosts(&self) -> impl Iterator<Item = &Arc<ServiceHosts>> {
+        self.hosts.values()
+    }
+
+    /// Returns the number of services that have hosts and no route.
+    pub fn unrouted_services(&self) -> usize {
+        self.hosts.len() - self.by_id.len()
+    }
 }
--- a/crates/core/src/view_builder.rs
+++ b/crates/core/src/view_builder.rs
@@ -14,7 +14,9 @@
 use crate::manifest::ServiceKind;
 use crate::roster::HostRecord;
 use crate::units::TimePoint;
-use crate::view::{PlacementLimits, RegistrationReach, RosterCoverage, RoutingView, ServiceView};
+use crate::view::{
+    PlacementLimits, RegistrationReach, RosterCoverage, RoutingView, ServiceHosts, ServiceView,
+};
 
 /// Minimum interval between two views unless a change is urgent. Each costs CPU time in
 /// proportion to the hosts of the changed services, which small entry VMs need for packets.
@@ -79,7 +81,10 @@
                 self.grants = GrantIndex::build(documents.items(DocumentKind::Grants));
                 changed_services.extend(service_ids(documents, None));
             }
-            DocumentKind::Drain => changed_services.extend(service_ids(documents, None)),
+            DocumentKind::Drain => {
+                changed_services.extend(service_ids(documents, None));
+                changed_services.extend(self.viewed_services());
+            }
             DocumentKind::Roster | DocumentKind::Members => {}
         }
         self.mark_changed(changed_services);
@@ -154,10 +159,16 @@
     }
 
     fn mark_all_changed(&mut self) {
-        let services: Vec<_> = self.view.ids().cloned().collect();
+        let services = self.viewed_services();
         self.mark_changed(services);
     }
 
+    // Returns the services of the view, with and without a route.
+    fn viewed_services(&self) -> Vec<ServiceId> {
+        let hosts = self.view.service_hosts();
+        hosts.map(|hosts| hosts.id().clone()).collect()
+    }
+
     /// Replaces the suspected hosts.
     pub fn set_suspects(&mut self, suspects: BTreeMap<HostName, ServiceId>) {
         if suspects == self.suspects {
@@ -186,12 +197,13 @@
                 let mut addresses = spec.addresses();
                 addresses.all(|address| self.grants.owns(&id.firm, *address.ip()))
             });
+            let hosts = self.service_hosts(id);
             match granted {
                 Some((spec, version)) => {
-                    let hosts = self.service_hosts(id);
                     view.put(ServiceView::build(spec, version, &hosts, &limits));
                 }
-                None => view.remove(id),
+                // Its hosts may still own flows of routes that it had.
+                None => view.put_unrouted(ServiceHosts::build(id.clone(), &hosts, &limits)),
             }
         }
         view.drained = limits.drained;
--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code)]
 
+pub mod entry_run;
 pub mod fleet;
 
 use std::num::NonZeroUsize;
--- a/crates/daemon/src/entry_control.rs
+++ b/crates/daemon/src/entry_control.rs
@@ -11,7 +11,7 @@
 use chestnutlb_core::{
     ControlAction, ControlEvent, DatacenterName, DocumentId, EntryControl, HostRecord,
     HostRevision, HostState, Incarnation, MemberEdit, ObjectVersion, RegistrationReply, RosterEdit,
-    RoutingView, StoreEra, TimePoint,
+    RoutingView, ServiceId, StoreEra, TimePoint,
 };
 use chestnutlb_wire::peer::{
     MAX_PEER_DATAGRAM_BYTES, PeerMessage, scan_message, write_message, write_registration_reply,
@@ -240,6 +240,7 @@
             ControlAction::Publish => {
                 let view = Arc::clone(self.control.view());
                 log_host_changes(&view, &self.logged_view);
+                log_unrouted_services(&view, &self.logged_view);
                 log_drains(&view, &self.logged_view);
                 self.logged_view = Arc::clone(&view);
                 self.shared.publish_view(&view, self.control.documents());
@@ -315,6 +316,27 @@
     }
 }
 
+// Logs which services have lost their last route or were found without one, and which of those
+// have one again. Their hosts may own flows all the while.
+fn log_unrouted_services(view: &RoutingView, old: &RoutingView) {
+    let is_unrouted = |view: &RoutingView, id: &ServiceId| {
+        view.hosts_of(id).is_some() && view.service(id).is_none()
+    };
+    for service in view.service_hosts() {
+        let (before, after) = (
+            is_unrouted(old, service.id()),
+            is_unrouted(view, service.id()),
+        );
+        if before != after {
+            log::info!(
+                target: "placement",
+                service:% = service.id(), routed = !after, hosts = service.hosts().len();
+                "hosts kept as owners"
+            );
+        }
+    }
+}
+
 // Logs which data centres are drained if that has changed.
 fn log_drains(view: &RoutingView, old: &RoutingView) {
     if view.drained != old.drained {
--- a/crates/daemon/src/passthrough_control.rs
+++ b/crates/daemon/src/passthrough_control.rs
@@ -60,14 +60,15 @@
         }
     }
 
-    // Puts the rules of a reply in force. An entry VM that does not know the service yet does
-    // not know its rules either.
+    // Puts the rules of a reply in force. An entry VM that does not know the service, or knows no
+    // route of it, does not know its rules either.
     fn record_rules(&self, reply: &RegistrationReply, now: TimePoint) {
-        if reply.slice_hash == 0 && reply.opening.is_empty() {
-            return;
-        }
         let mut gate = self.shared.opening();
-        let change = gate.record_rules(&reply.opening, now);
+        let change = if reply.slice_hash == 0 && reply.opening.has_none_of_manifest() {
+            gate.record_drain(reply.opening.drain, now)
+        } else {
+            gate.record_rules(&reply.opening, now)
+        };
         if change != RulesChange::Same {
             log::info!(
                 target: "host",
