--- a/crates/client/src/entry_commands.rs
+++ b/crates/client/src/entry_commands.rs
@@ -108,7 +108,7 @@
     let mut versions: BTreeMap<String, ObjectVersion> = BTreeMap::new();
     for host in hosts {
         let version = versions.entry(host.name.to_string()).or_default();
-        *version = ObjectVersion(host.manifest).max(*version);
+        *version = host.manifest.0.max(*version);
     }
     versions
 }
@@ -219,7 +219,7 @@
         let versions = |status: &EntryStatus| {
             let documents = status.documents.iter().map(|document| {
                 let document_path = format!("{}/{}", document.kind, document.name);
-                (document_path, ObjectVersion(document.version).into())
+                (document_path, document.version.0.into())
             });
             documents.collect()
         };
@@ -331,7 +331,7 @@
         let mut documents = status.documents.iter();
         let document = documents
             .find(|document| document.kind == "manifest" && document.name == self.firm.as_str())?;
-        Some(ObjectVersion(document.version))
+        Some(document.version.0)
     }
 
     // Returns the entry VMs and hosts on which the manifest version is not in force, including
--- a/crates/client/tests/commands.rs
+++ b/crates/client/tests/commands.rs
@@ -74,8 +74,9 @@
     assert!(other_flow.ends_with("exit 1\n"), "{other_flow}");
 }
 
-// Starts an entry VM's status server that reports this version of a manifest in force.
-fn start_entry(version: u64) -> SocketAddr {
+// Starts an entry VM's status server that reports this version of a manifest in force, a number or
+// quoted text.
+fn start_entry(version: impl std::fmt::Display) -> SocketAddr {
     let status = format!(
         r#"{{"name":"entry-1","datacenter":"honam-1","stopping":false,"watching":true,
         "age_ms":1,"documents":[{{"kind":"manifest","name":"dalbit","version":{version}}}],
@@ -126,3 +127,31 @@
     assert_eq!(wait(ERA + 18, "1.19"), ('1', false));
     assert_eq!(wait(ERA + 18, "2.1"), ('1', false));
 }
+
+// The numbers that operators give their configurations may be longer than a store's revisions.
+#[test]
+fn wait_and_status_take_versions_of_any_length() {
+    let wait = |in_force: &str, version: &str| {
+        let entry = start_entry(in_force).to_string();
+        let arguments = [
+            "wait",
+            "--firm",
+            "dalbit",
+            "--seconds",
+            "0",
+            "--entry",
+            &entry,
+        ];
+        let output = run(&[&arguments[..], &["--manifest", version]].concat());
+        output.trim_end().chars().last().unwrap()
+    };
+    let in_force = "\"1.20261207153000\"";
+    assert_eq!(wait(in_force, "1.20261207153000"), '0');
+    assert_eq!(wait(in_force, "1.20261207152959"), '0');
+    assert_ne!(wait(in_force, "1.20261207153001"), '0');
+    assert_ne!(wait(in_force, "1.18446744073709551615"), '0');
+    assert_ne!(wait("17592186044423", "1.20261207153000"), '0');
+    let entry = start_entry(in_force).to_string();
+    let status = run(&["status", "--json", "--entry", &entry]);
+    assert!(status.contains("1.20261207153000"), "{status}");
+}
--- a/crates/core/benches/changes.rs
+++ b/crates/core/benches/changes.rs
@@ -99,17 +99,17 @@
     }
 
     fn load(&mut self, id: DocumentId, items: Vec<DocumentItem>) {
-        let version = ObjectVersion(self.version);
+        let version = ObjectVersion(self.version.into());
         let event = ControlEvent::Loaded { id, version, items };
         self.control.handle(event, self.now);
     }
 
     // Takes a patch that changes the state of one host, and routes a packet by the new view.
     fn change_host(&mut self, number: u32) {
-        let since = ObjectVersion(self.version);
+        let since = ObjectVersion(self.version.into());
         self.version += 1;
         self.now = self.now + VIEW_PERIOD;
-        let changed_in = ObjectVersion(self.version);
+        let changed_in = ObjectVersion(self.version.into());
         let state = if self.version.is_multiple_of(2) {
             HostState::Leaving
         } else {
--- a/crates/core/src/document.rs
+++ b/crates/core/src/document.rs
@@ -410,8 +410,11 @@
     pub fn summary(&self) -> u64 {
         let mut summary = 0u64;
         for (id, document) in &self.documents {
-            // The number, not the text: earlier releases know no eras.
-            let line = format!("{id}@{}", document.version.0);
+            // The number, not the text, where it fits: earlier releases know no eras.
+            let line = match document.version.compact() {
+                Some(number) => format!("{id}@{number}"),
+                None => format!("{id}@{}", document.version),
+            };
             summary ^= xxhash_rust::xxh3::xxh3_64(line.as_bytes());
         }
         summary
--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -25,7 +25,7 @@
             display("contains {:?}, allowed are a-z, 0-9 and '-'", found)
         }
         /// A part of an object version does not fit.
-        Version(part: &'static str, found: u64) {
+        Version(part: &'static str, found: u128) {
             display("{} {} of a version is too large", part, found)
         }
         /// The text is not a whole number.
@@ -85,9 +85,12 @@
 
 macro_rules! number_type {
     ($(#[$doc:meta])* $name:ident) => {
+        number_type!($(#[$doc])* $name, u64);
+    };
+    ($(#[$doc:meta])* $name:ident, $number:ty) => {
         $(#[$doc])*
         #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
-        pub struct $name(pub u64);
+        pub struct $name(pub $number);
 
         impl fmt::Display for $name {
             fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
@@ -139,9 +142,11 @@
     StoreEra
 );
 number_type!(
-    /// Revision that the platform's store assigned to a change. After a restore, the store
-    /// assigns revisions again that it had assigned before.
-    StoreRevision
+    /// Number of a version within an era: the revision that the platform's store assigned to a
+    /// change, or a number that operators gave their document. After a restore, the store assigns
+    /// revisions again that it had assigned before.
+    StoreRevision,
+    u128
 );
 number_type!(
     /// Identifies a request within the system.
@@ -152,30 +157,49 @@
     ServiceTag
 );
 
-/// Number of bits of the revision in an [`ObjectVersion`]; the era has the others.
-pub const REVISION_BITS: u32 = 44;
+/// Number of bits of the revision in an [`ObjectVersion`]; the era has the others. Operators may
+/// number their documents as they like, by date and time for one.
+pub const REVISION_BITS: u32 = 108;
 
-const MAX_ERA: StoreEra = StoreEra(u64::MAX >> REVISION_BITS);
+const MAX_ERA: StoreEra = StoreEra((u128::MAX >> REVISION_BITS) as u64);
 const MAX_REVISION: StoreRevision = StoreRevision((1 << REVISION_BITS) - 1);
 
+/// Number of bits of the revision in the compact form of a version.
+const COMPACT_REVISION_BITS: u32 = 44;
+
 /// Version of an object of the platform: the era of the store, then the revision within it.
 ///
 /// The era is in the upper bits of the number, so that versions are ordered by era first and
 /// versions of era zero are plain revisions. The text is `REVISION` in era zero and
 /// `ERA.REVISION` in later eras.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct ObjectVersion(pub u64);
+pub struct ObjectVersion(pub u128);
 
 impl ObjectVersion {
     /// Creates the version of this revision in this era.
     pub fn new(era: StoreEra, revision: StoreRevision) -> Result<Self, IdError> {
         if era > MAX_ERA {
-            return Err(IdError::Version("era", era.0));
+            return Err(IdError::Version("era", era.0.into()));
         }
         if revision > MAX_REVISION {
             return Err(IdError::Version("revision", revision.0));
         }
-        Ok(Self(era.0 << REVISION_BITS | revision.0))
+        Ok(Self(u128::from(era.0) << REVISION_BITS | revision.0))
+    }
+
+    /// Returns the version of this compact form.
+    pub fn from_compact(compact: u64) -> Self {
+        let era = u128::from(compact >> COMPACT_REVISION_BITS);
+        let revision = u128::from(compact) & ((1 << COMPACT_REVISION_BITS) - 1);
+        Self(era << REVISION_BITS | revision)
+    }
+
+    /// Returns the compact form: era and revision in one number of 64 bits, which earlier
+    /// releases know. `None` if the revision does not fit.
+    pub fn compact(self) -> Option<u64> {
+        let revision = u64::try_from(self.revision().0).ok()?;
+        let fits = revision >> COMPACT_REVISION_BITS == 0;
+        fits.then_some(self.era().0 << COMPACT_REVISION_BITS | revision)
     }
 
     /// Returns the version of an object that does not exist in the era of this version. It is
@@ -191,7 +215,13 @@
 
     /// Returns the era of the store.
     pub fn era(self) -> StoreEra {
-        StoreEra(self.0 >> REVISION_BITS)
+        StoreEra((self.0 >> REVISION_BITS) as u64)
+    }
+
+    /// Returns the revision within the era as stores count it, in 64 bits; the largest number if
+    /// it does not fit.
+    pub fn revision_u64(self) -> u64 {
+        u64::try_from(self.revision().0).unwrap_or(u64::MAX)
     }
 
     /// Returns the revision within the era.
--- a/crates/core/src/view.rs
+++ b/crates/core/src/view.rs
@@ -309,7 +309,10 @@
 // disagree on which hosts they suspect.
 fn slice_hash(version: ObjectVersion, hosts: &[ViewHost]) -> u64 {
     let mut hash = xxhash_rust::xxh3::Xxh3::new();
-    hash.update(&version.0.to_le_bytes());
+    match version.compact() {
+        Some(number) => hash.update(&number.to_le_bytes()),
+        None => hash.update(&version.0.to_le_bytes()),
+    }
     for host in hosts {
         let record = &host.record;
         let state = match host.shared_state() {
--- a/crates/core/tests/common/entry_run.rs
+++ b/crates/core/tests/common/entry_run.rs
@@ -72,7 +72,7 @@
         self.version += 1;
         self.handle(ControlEvent::Loaded {
             id: DocumentId::new(kind, name),
-            version: ObjectVersion(self.version),
+            version: ObjectVersion(self.version.into()),
             items,
         });
         self.advance(STEP_MS);
--- a/crates/core/tests/common/fleet.rs
+++ b/crates/core/tests/common/fleet.rs
@@ -200,7 +200,7 @@
     /// Operators write a new configuration, of which the watchers that reach the store learn.
     pub fn commit(&mut self) -> ObjectVersion {
         self.version += 1;
-        self.configuration = ObjectVersion(self.version);
+        self.configuration = ObjectVersion(self.version.into());
         for number in 0..self.controls.len() {
             let watch = self.open_watches[number][OPERATORS.0];
             if let Some(asked_at) = watch.filter(|_| self.is_answered(number, OPERATORS)) {
@@ -248,7 +248,7 @@
 
     // Loads the current version of a document from the store.
     fn load(&mut self, number: usize, id: DocumentId, items: Vec<DocumentItem>) {
-        let version = ObjectVersion(self.version);
+        let version = ObjectVersion(self.version.into());
         let event = ControlEvent::Loaded { id, version, items };
         let actions = self.controls[number].handle(event, TimePoint(self.now));
         self.execute(number, actions);
@@ -272,7 +272,7 @@
         self.version += 1;
         let service = DocumentItem::Service(Arc::new(super::spec()));
         self.load(number, configuration(), vec![service]);
-        ObjectVersion(self.version)
+        ObjectVersion(self.version.into())
     }
 
     fn send(&mut self, from: usize, to: usize, delay: u64, message: Message) {
--- a/crates/core/tests/control.rs
+++ b/crates/core/tests/control.rs
@@ -46,7 +46,7 @@
         let mut outdated = VersionedDocument::default();
         let received = received_seed % (history.len() + 1);
         for (index, numbers) in history.iter().enumerate() {
-            let version = ObjectVersion(index as u64 + 1);
+            let version = ObjectVersion(u128::from(index as u64 + 1));
             newer.replace(version, items(numbers));
             if index < received {
                 outdated.replace(version, items(numbers));
@@ -84,13 +84,15 @@
 fn document(versions: &[(u64, &[u8])]) -> VersionedDocument {
     let mut document = VersionedDocument::default();
     for (version, numbers) in versions {
-        document.replace(ObjectVersion(*version), items(numbers));
+        document.replace(ObjectVersion(u128::from(*version)), items(numbers));
     }
     document
 }
 
 fn patch(document: &VersionedDocument, since: u64) -> DocumentPatch {
-    document.patch(&roster_id(), ObjectVersion(since)).unwrap()
+    document
+        .patch(&roster_id(), ObjectVersion(since.into()))
+        .unwrap()
 }
 
 #[test]
@@ -106,13 +108,11 @@
 #[test]
 fn peer_at_version_that_was_held_gets_only_the_difference() {
     let mut newer = document(&[(3, &[1, 2, 3, 4]), (5, &[1, 2, 3]), (7, &[1, 2, 5])]);
-    newer.apply(patch(
-        &document(&[(7, &[1, 2, 5]), (9, &[1, 2, 6])]),
-        newer.version().0,
-    ));
+    let held = newer.version().revision_u64();
+    newer.apply(patch(&document(&[(7, &[1, 2, 5]), (9, &[1, 2, 6])]), held));
     let difference = |since: u64| {
         let difference = patch(&newer, since);
-        assert_eq!(difference.since, Some(ObjectVersion(since)));
+        assert_eq!(difference.since, Some(ObjectVersion(since.into())));
         let removed = difference.removed.into_iter().map(|(key, _)| key);
         (difference.items.len(), removed.collect::<Vec<_>>())
     };
@@ -138,7 +138,7 @@
     let last = HELD_VERSION_LIMIT as u64 + 1;
     let mut newer = VersionedDocument::default();
     for version in 1..=last {
-        newer.replace(ObjectVersion(version), items(&[version as u8]));
+        newer.replace(ObjectVersion(version.into()), items(&[version as u8]));
     }
     let bases = [1, 2].map(|since| patch(&newer, since).since);
     assert_eq!(bases, [None, Some(ObjectVersion(2))]);
@@ -203,7 +203,10 @@
             10..18 => {
                 let lag = random.random_range(0..=READ_LAG);
                 let version = (contents.len() - 1).saturating_sub(lag);
-                document.replace(ObjectVersion(version as u64), contents[version].clone());
+                document.replace(
+                    ObjectVersion(u128::from(version as u64)),
+                    contents[version].clone(),
+                );
             }
             18..26 => replies.extend(peer.patch(&roster_id(), document.version())),
             26..31 => {
@@ -287,7 +290,7 @@
         let mut last_in_force = 0;
         for (step, (kind, version, numbers)) in events.iter().enumerate() {
             let now = TimePoint(step as u64 * 50);
-            let version = ObjectVersion(u64::from(*version));
+            let version = ObjectVersion(u64::from(*version).into());
             let event = if kind % 2 == 0 {
                 ControlEvent::Loaded {
                     id: roster_id(),
@@ -391,16 +394,16 @@
     let mut control = control();
     let load = |version: u64, numbers: &[u8]| ControlEvent::Loaded {
         id: roster_id(),
-        version: ObjectVersion(version),
+        version: ObjectVersion(version.into()),
         items: items(numbers),
     };
     control.handle(load(5, &[1]), TimePoint(0));
     let peer = document(&[(5, &[1]), (9, &[1])]);
     let update = heartbeat(&control, vec![(roster_id(), ObjectVersion(9))]);
-    for (now, since, loaded) in [(0, 5, Some(7)), (500, 7, None)] {
+    for (now, since, loaded) in [(0, 5_u64, Some(7)), (500, 7, None)] {
         let now = TimePoint(now);
         let actions = control.handle(ControlEvent::HeartbeatReceived(update.clone()), now);
-        let wanted = vec![(roster_id(), ObjectVersion(since))];
+        let wanted = vec![(roster_id(), ObjectVersion(since.into()))];
         let pull = ControlAction::Pull(update.entry.status, wanted);
         assert!(actions.contains(&pull), "{actions:?}");
         if let Some(version) = loaded {
@@ -482,7 +485,7 @@
     let mut control = control();
     let load = |version: u64| ControlEvent::Loaded {
         id: roster_id(),
-        version: ObjectVersion(version),
+        version: ObjectVersion(version.into()),
         items: items(&[1]),
     };
     control.handle(load(7), TimePoint(0));
@@ -593,7 +596,7 @@
         .collect();
     ControlEvent::Loaded {
         id: DocumentId::new(DocumentKind::Roster, datacenter),
-        version: ObjectVersion(version),
+        version: ObjectVersion(version.into()),
         items,
     }
 }
@@ -614,7 +617,7 @@
     };
     ControlEvent::Loaded {
         id: DocumentId::new(DocumentKind::Manifest, "dalbit"),
-        version: ObjectVersion(version),
+        version: ObjectVersion(version.into()),
         items,
     }
 }
@@ -630,7 +633,7 @@
     }
     ControlEvent::Loaded {
         id: DocumentId::new(DocumentKind::Grants, "all"),
-        version: ObjectVersion(version),
+        version: ObjectVersion(version.into()),
         items,
     }
 }
@@ -707,7 +710,7 @@
     let mut outdated = EntryControl::new(entry(2, "honam-1"), Vec::new(), 2, TimePoint(0));
     let load = |id: DocumentId, version: u64| ControlEvent::Loaded {
         id,
-        version: ObjectVersion(version),
+        version: ObjectVersion(version.into()),
         items: Vec::new(),
     };
     newer.handle(load(manifest.clone(), 1), TimePoint(0));
--- a/crates/core/tests/damaged_documents.rs
+++ b/crates/core/tests/damaged_documents.rs
@@ -42,7 +42,7 @@
         self.version += 1;
         let event = ControlEvent::Loaded {
             id: DocumentId::new(kind, DATACENTER),
-            version: ObjectVersion(self.version),
+            version: ObjectVersion(self.version.into()),
             items,
         };
         self.control.handle(event, self.now);
@@ -57,7 +57,7 @@
         self.version += 1;
         let event = ControlEvent::LoadedPartly {
             id: DocumentId::new(kind, DATACENTER),
-            version: ObjectVersion(self.version),
+            version: ObjectVersion(self.version.into()),
             items,
             unreadable,
         };
--- a/crates/core/tests/departed_hosts.rs
+++ b/crates/core/tests/departed_hosts.rs
@@ -53,7 +53,7 @@
         self.version += 1;
         let event = ControlEvent::Loaded {
             id,
-            version: ObjectVersion(self.version),
+            version: ObjectVersion(self.version.into()),
             items,
         };
         self.control.handle(event, TimePoint(self.now));
--- a/crates/core/tests/drained_datacenters.rs
+++ b/crates/core/tests/drained_datacenters.rs
@@ -277,12 +277,12 @@
             match drained_since[at] {
                 Some(since) => {
                     let id = drain_id(0);
-                    list_drains(&mut control, &[0], ObjectVersion(at as u64));
-                    if control.documents().version(&id) < ObjectVersion(since) {
-                        drain(&mut control, 0, ObjectVersion(since));
+                    list_drains(&mut control, &[0], ObjectVersion(u128::from(at as u64)));
+                    if control.documents().version(&id) < ObjectVersion(since.into()) {
+                        drain(&mut control, 0, ObjectVersion(since.into()));
                     }
                 }
-                None => list_drains(&mut control, &[], ObjectVersion(at as u64)),
+                None => list_drains(&mut control, &[], ObjectVersion(u128::from(at as u64))),
             }
         }
         drained(&control).is_empty() == drained_since[newest].is_none()
--- a/crates/core/tests/possible_owners.rs
+++ b/crates/core/tests/possible_owners.rs
@@ -198,7 +198,7 @@
         summary: 1,
         operators_age: Duration::ZERO,
         fleet_age: Duration::ZERO,
-        recent: vec![(roster, ObjectVersion(run.version + 1))],
+        recent: vec![(roster, ObjectVersion(u128::from(run.version + 1)))],
     }));
     assert_eq!(run.control.view_confirmed_at(), None);
     run.load_roster(&listed_hosts());
@@ -416,7 +416,7 @@
     run.load_members(FULL_MESH_FLEET + 1);
     run.handle(ControlEvent::AllListed {
         scope: ListScope::Fleet,
-        version: ObjectVersion(run.version),
+        version: ObjectVersion(run.version.into()),
         listed: vec![DocumentId::new(DocumentKind::Roster, DATACENTER)],
         first_era,
     });
@@ -480,7 +480,7 @@
     let hosts = listed_hosts().into_iter().map(Arc::new);
     run.handle(ControlEvent::LoadedPartly {
         id: DocumentId::new(DocumentKind::Roster, DATACENTER),
-        version: ObjectVersion(run.version + 1),
+        version: ObjectVersion(u128::from(run.version + 1)),
         items: hosts.map(DocumentItem::Host).collect(),
         unreadable: UnreadableItems {
             unnamed: 1,
@@ -489,7 +489,7 @@
     });
     run.handle(ControlEvent::AllListed {
         scope: ListScope::Fleet,
-        version: ObjectVersion(run.version + 1),
+        version: ObjectVersion(u128::from(run.version + 1)),
         listed: vec![DocumentId::new(DocumentKind::Roster, DATACENTER)],
         first_era: Some(StoreEra(0)),
     });
--- a/crates/core/tests/restored_store.rs
+++ b/crates/core/tests/restored_store.rs
@@ -38,7 +38,7 @@
 
 impl Store {
     fn version(&self, revision: u64) -> ObjectVersion {
-        ObjectVersion::new(StoreEra(self.era), StoreRevision(revision)).unwrap()
+        ObjectVersion::new(StoreEra(self.era), StoreRevision(revision.into())).unwrap()
     }
 
     fn read(&self, id: &DocumentId) -> (ObjectVersion, Vec<DocumentItem>) {
--- a/crates/core/tests/versions.rs
+++ b/crates/core/tests/versions.rs
@@ -13,7 +13,7 @@
 use common::{entry, host, quickcheck};
 
 fn version(era: u64, revision: u64) -> ObjectVersion {
-    ObjectVersion::new(StoreEra(era), StoreRevision(revision)).unwrap()
+    ObjectVersion::new(StoreEra(era), StoreRevision(revision.into())).unwrap()
 }
 
 fn roster_id() -> DocumentId {
@@ -59,10 +59,10 @@
 
 #[test]
 fn era_or_revision_that_does_not_fit_is_rejected() {
-    let max_era = u64::MAX >> REVISION_BITS;
+    let max_era = (u128::MAX >> REVISION_BITS) as u64;
     let max_revision = (1 << REVISION_BITS) - 1;
-    let highest = version(max_era, max_revision);
-    assert_eq!(highest, ObjectVersion(u64::MAX));
+    let highest = ObjectVersion::new(StoreEra(max_era), StoreRevision(max_revision));
+    assert_eq!(highest, Ok(ObjectVersion(u128::MAX)));
     for (era, revision) in [(max_era + 1, 0), (0, max_revision + 1)] {
         assert!(ObjectVersion::new(StoreEra(era), StoreRevision(revision)).is_err());
         let parsed: Result<ObjectVersion, IdError> = format!("{era}.{revision}").parse();
@@ -98,7 +98,7 @@
     let mut documents = DocumentStore::default();
     let held = version(1, 20);
     documents.replace(&roster_id(), held, hosts(&[1]));
-    let line = format!("{}@{}", roster_id(), held.0);
+    let line = format!("{}@{}", roster_id(), held.compact().unwrap());
     assert_eq!(
         documents.summary(),
         xxhash_rust::xxh3::xxh3_64(line.as_bytes())
--- a/crates/core/tests/view_builder.rs
+++ b/crates/core/tests/view_builder.rs
@@ -24,7 +24,7 @@
 fn load(kind: DocumentKind, name: &str, version: u64, items: Vec<DocumentItem>) -> ControlEvent {
     ControlEvent::Loaded {
         id: DocumentId::new(kind, name),
-        version: ObjectVersion(version),
+        version: ObjectVersion(version.into()),
         items,
     }
 }
--- a/crates/daemon/src/entry_control.rs
+++ b/crates/daemon/src/entry_control.rs
@@ -397,7 +397,7 @@
             Some(ControlEvent::HostRegistered {
                 record,
                 revision: HostRevision(registration.revision),
-                manifest: ObjectVersion(registration.manifest),
+                manifest: registration.manifest.into(),
                 from,
             })
         }
@@ -405,7 +405,7 @@
             name: keep_alive.name.parse().ok()?,
             incarnation: Incarnation(keep_alive.incarnation),
             revision: HostRevision(keep_alive.revision),
-            manifest: ObjectVersion(keep_alive.manifest),
+            manifest: keep_alive.manifest.into(),
             from,
         }),
         PeerMessage::Heartbeat(heartbeat) => Some(ControlEvent::HeartbeatReceived(
--- a/crates/daemon/src/entry_feeds.rs
+++ b/crates/daemon/src/entry_feeds.rs
@@ -11,8 +11,9 @@
     ControlEvent, DocumentId, FeedConfirmation, FeedIndex, FeedScope, ListScope, ObjectVersion,
     StoreEra, TimePoint,
 };
-use chestnutlb_store::{FeedObject, FeedPosition, FeedStep, FeedUpdate, StoreCalls, objects};
-use chestnutlb_wire::ObjectList;
+use chestnutlb_store::{
+    FeedObject, FeedPosition, FeedStep, FeedUpdate, StoreCalls, VersionList, objects,
+};
 use chestnutlb_wire::records::WireVersion;
 
 use crate::clock;
@@ -225,12 +226,8 @@
         events.push(event)
     };
     let list = match update {
-        FeedUpdate::Versions {
-            list,
-            has_all,
-            unreadable,
-        } => {
-            report_unreadable(unreadable, counters);
+        FeedUpdate::Versions { list, has_all } => {
+            report_unreadable(list.unreadable, counters);
             let list = document_versions(&list);
             if has_all {
                 let listed = list.iter().map(|(id, _)| id.clone());
@@ -287,17 +284,16 @@
 
 // Returns the listed documents with their versions. Objects that are not documents of the
 // project are skipped.
-fn document_versions(object_list: &ObjectList) -> Vec<(DocumentId, ObjectVersion)> {
-    let objects = object_list.objects.iter();
+fn document_versions(list: &VersionList) -> Vec<(DocumentId, ObjectVersion)> {
+    let objects = list.objects.iter();
     objects
         .filter_map(|object| {
             let wire = WireVersion {
                 kind: object.kind.clone(),
                 name: object.name.clone(),
-                version: object.version,
+                version: object.version.into(),
             };
-            let id = DocumentId::try_from(&wire).ok()?;
-            Some((id, ObjectVersion(object.version)))
+            Some((DocumentId::try_from(&wire).ok()?, object.version))
         })
         .collect()
 }
--- a/crates/daemon/src/entry_http.rs
+++ b/crates/daemon/src/entry_http.rs
@@ -125,7 +125,7 @@
         let hosts = control.host_progress().map(|(name, progress)| HostStatus {
             name: name.to_compact_string(),
             service: progress.service.to_compact_string(),
-            manifest: progress.manifest.0,
+            manifest: progress.manifest.into(),
         });
         let control_snapshot = ControlSnapshot {
             watching: control.is_watching(),
@@ -218,7 +218,7 @@
     let manifest = documents.version(&DocumentId::new(DocumentKind::Manifest, firm));
     let service = view.service(&id);
     let slice = ServiceSlice {
-        manifest: manifest.0,
+        manifest: manifest.into(),
         slice: service.map_or(0, |service| service.slice_hash),
         service: service.map(|service| service.spec.as_ref().into()),
         hosts: service.map_or_else(Vec::new, |service| {
--- a/crates/daemon/src/entry_packets.rs
+++ b/crates/daemon/src/entry_packets.rs
@@ -375,7 +375,7 @@
     fn send_plan(&mut self, view: &RoutingView, plan: &PassthroughPlan, packet: &[u8]) {
         let header = PacketHeader {
             tag: plan.tag.0,
-            generation: view.generation.revision().0,
+            generation: view.generation.revision_u64(),
             complete: plan.complete,
             entry: (u32::from(*self.own_address.ip()), self.own_address.port()),
             hops: plan.hops.iter().copied().map(WireHop::from).collect(),
@@ -409,7 +409,7 @@
             .collect();
         let header = PacketHeader {
             tag: service.tag.0,
-            generation: view.generation.revision().0,
+            generation: view.generation.revision_u64(),
             complete: plan.complete,
             entry: (u32::from(*self.own_address.ip()), self.own_address.port()),
             hops,
--- a/crates/daemon/src/passthrough_side.rs
+++ b/crates/daemon/src/passthrough_side.rs
@@ -156,7 +156,7 @@
             service: self.settings.service.to_compact_string(),
             state: self.state(clock::now()).to_compact_string(),
             registration: Some(self.contact.get().as_str().into()),
-            manifest: 0,
+            manifest: Default::default(),
             flows: self.flows.load(Ordering::Relaxed),
             running: self.at_work.load(Ordering::Relaxed),
             waiting: 0,
--- a/crates/daemon/src/registration.rs
+++ b/crates/daemon/src/registration.rs
@@ -155,14 +155,14 @@
             PeerMessage::Announce(WireRegistration {
                 host: (&record).into(),
                 revision: self.revision.0,
-                manifest: manifest.0,
+                manifest: manifest.into(),
             })
         } else {
             PeerMessage::Alive(WireKeepAlive {
                 name: record.name.into(),
                 incarnation: record.incarnation.0,
                 revision: self.revision.0,
-                manifest: manifest.0,
+                manifest: manifest.into(),
             })
         };
         let bytes = write_message(&message);
--- a/crates/daemon/src/side_control.rs
+++ b/crates/daemon/src/side_control.rs
@@ -9,8 +9,8 @@
 use std::time::Duration;
 
 use chestnutlb_core::{
-    HostEvent, HostRecord, HostState, Incarnation, ObjectVersion, RegistrationReply, ServiceSpec,
-    TimePoint, TimerKind, TimerService,
+    HostEvent, HostRecord, HostState, Incarnation, RegistrationReply, ServiceSpec, TimePoint,
+    TimerKind, TimerService,
 };
 use chestnutlb_wire::peer::{ServiceSlice, scan_message};
 
@@ -223,7 +223,7 @@
             state: self.state,
             held_buckets: self.shared.held_buckets(),
         };
-        let manifest = ObjectVersion(self.shared.manifest_version.load(Ordering::Relaxed));
+        let manifest = self.shared.manifest_version();
         self.registration.send(record, manifest, now);
     }
 
@@ -271,9 +271,7 @@
             }
         };
         // An older manifest is never accepted, from any entry VM.
-        if slice.slice != wanted_hash
-            || slice.manifest < self.shared.manifest_version.load(Ordering::Relaxed)
-        {
+        if slice.slice != wanted_hash || slice.manifest.0 < self.shared.manifest_version() {
             return false;
         }
         match self.read_slice(&slice) {
@@ -285,12 +283,10 @@
                 self.slice_hash = Some(slice.slice);
                 self.record_leaving_shown(&update.hosts, clock::now());
                 self.events.push(SideEvent::ServiceChanged(update));
-                self.shared
-                    .manifest_version
-                    .store(slice.manifest, Ordering::Relaxed);
+                self.shared.set_manifest_version(slice.manifest.0);
                 log::info!(
                     target: "document",
-                    service:% = self.settings.service, version = LoggedVersion::from(ObjectVersion(slice.manifest));
+                    service:% = self.settings.service, version = LoggedVersion::from(slice.manifest.0);
                     "in force"
                 );
                 true
--- a/crates/daemon/src/side_events.rs
+++ b/crates/daemon/src/side_events.rs
@@ -9,7 +9,7 @@
 use mio::Waker;
 use rocket::tokio::sync::oneshot;
 
-use chestnutlb_core::{BucketIndex, HostRecord, HostState, RequestId, ServiceSpec};
+use chestnutlb_core::{BucketIndex, HostRecord, HostState, ObjectVersion, RequestId, ServiceSpec};
 use chestnutlb_wire::peer::{CancelQuery, CancelReply, RelayQuery, RelayReply};
 
 use crate::metrics::{CounterSet, try_push};
@@ -100,8 +100,7 @@
     pub waiting: AtomicU64,
     /// Whether entry VMs know of the host.
     pub contact: SharedContact,
-    /// Version of the manifest in force.
-    pub manifest_version: AtomicU64,
+    manifest: RwLock<ObjectVersion>,
     state: RwLock<HostState>,
     held_buckets: RwLock<Vec<BucketIndex>>,
 }
@@ -117,12 +116,25 @@
             running: AtomicU64::new(0),
             waiting: AtomicU64::new(0),
             contact: SharedContact::default(),
-            manifest_version: AtomicU64::new(0),
+            manifest: RwLock::default(),
             state: RwLock::new(HostState::Joining),
             held_buckets: RwLock::default(),
         }
     }
 
+    /// Returns the version of the manifest in force.
+    pub fn manifest_version(&self) -> ObjectVersion {
+        *self.manifest.read().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Sets the version of the manifest in force.
+    pub fn set_manifest_version(&self, version: ObjectVersion) {
+        *self
+            .manifest
+            .write()
+            .unwrap_or_else(PoisonError::into_inner) = version;
+    }
+
     /// Returns the host's state.
     pub fn state(&self) -> HostState {
         *self.state.read().unwrap_or_else(PoisonError::into_inner)
--- a/crates/daemon/src/side_http.rs
+++ b/crates/daemon/src/side_http.rs
@@ -67,7 +67,7 @@
         service: routes.settings.service.to_compact_string(),
         state: shared.state().to_compact_string(),
         registration: Some(shared.contact.get().as_str().into()),
-        manifest: shared.manifest_version.load(Ordering::Relaxed),
+        manifest: shared.manifest_version().into(),
         flows: shared.flows.load(Ordering::Relaxed),
         running: shared.running.load(Ordering::Relaxed),
         waiting: shared.waiting.load(Ordering::Relaxed),
--- a/crates/standin/src/capacity.rs
+++ b/crates/standin/src/capacity.rs
@@ -253,7 +253,7 @@
         }
         let event = ControlEvent::Loaded {
             id: roster.clone(),
-            version: ObjectVersion(version),
+            version: ObjectVersion(version.into()),
             items,
         };
         let start = Instant::now();
@@ -357,13 +357,13 @@
     let registration = PeerMessage::Announce(WireRegistration {
         host: wire_host.clone(),
         revision: 300,
-        manifest: 1_000_000,
+        manifest: ObjectVersion(1_000_000).into(),
     });
     let keep_alive = PeerMessage::Alive(WireKeepAlive {
         name: wire_host.name.clone(),
         incarnation: wire_host.incarnation,
         revision: 300,
-        manifest: 1_000_000,
+        manifest: ObjectVersion(1_000_000).into(),
     });
     let short_reply = PeerMessage::Welcome(WireRegistrationReply {
         keepers: Vec::new(),
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -283,7 +283,7 @@
     }
 
     /// Commits a manifest through the client and returns its version.
-    pub fn commit(&self, manifest: &Path) -> FleetResult<u64> {
+    pub fn commit(&self, manifest: &Path) -> FleetResult<ObjectVersion> {
         let platform = format!("http://{}", self.platform);
         let path = manifest.to_string_lossy();
         let output = self.run_client(&["commit", "--json", "--platform", &platform, &path])?;
@@ -298,7 +298,7 @@
 
     /// Returns what the client plans for a commit of a manifest: the version that it would
     /// replace, and the number of changes.
-    pub fn plan(&self, manifest: &Path) -> FleetResult<(u64, usize)> {
+    pub fn plan(&self, manifest: &Path) -> FleetResult<(ObjectVersion, usize)> {
         let platform = format!("http://{}", self.platform);
         let path = manifest.to_string_lossy();
         let output = self.run_client(&["plan", "--json", "--platform", &platform, &path])?;
@@ -325,14 +325,14 @@
 
     /// Waits through the client until a manifest version is in force everywhere; returns
     /// the time in milliseconds that the client reports for it.
-    pub fn wait_in_force(&self, firm: &str, version: u64) -> FleetResult<u64> {
+    pub fn wait_in_force(&self, firm: &str, version: ObjectVersion) -> FleetResult<u64> {
         let entry = self
             .entries
             .values()
             .next()
             .ok_or(FleetError::Failed("the fleet has no entry VM".to_owned()))?;
         let entry = entry.status.to_string();
-        let version = ObjectVersion(version).to_string();
+        let version = version.to_string();
         let output = self.run_client(&[
             "wait",
             "--json",
@@ -569,7 +569,7 @@
                 status.documents.iter().any(|document| {
                     document.kind == id.kind.as_str()
                         && document.name == id.name
-                        && document.version == *version
+                        && document.version.0 == *version
                 })
             })
     }
@@ -598,7 +598,7 @@
 
     /// Returns the id and version of each document on the platform; the list is empty if
     /// the platform does not answer.
-    pub fn document_versions(&self) -> Vec<(DocumentId, u64)> {
+    pub fn document_versions(&self) -> Vec<(DocumentId, ObjectVersion)> {
         let list = self.client().list().unwrap_or_default();
         list.objects
             .iter()
@@ -711,10 +711,12 @@
 }
 
 // Parses a version as the client prints it: a number, or text with an era.
-fn parse_version(printed: &serde_json::Value) -> Option<u64> {
+fn parse_version(printed: &serde_json::Value) -> Option<ObjectVersion> {
     match printed.as_str() {
-        Some(text) => text.parse::<ObjectVersion>().ok().map(|version| version.0),
-        None => printed.as_u64(),
+        Some(text) => text.parse().ok(),
+        None => printed
+            .as_u64()
+            .map(|revision| ObjectVersion(revision.into())),
     }
 }
 
--- a/crates/standin/src/soak.rs
+++ b/crates/standin/src/soak.rs
@@ -15,7 +15,7 @@
 use signal_hook::consts::{SIGCONT, SIGHUP, SIGKILL, SIGSTOP, SIGTERM};
 
 use chestnutlb_core::placement::CHAIN_HOPS;
-use chestnutlb_core::{DocumentId, DocumentKind, ObjectVersion};
+use chestnutlb_core::{DocumentId, DocumentKind};
 use chestnutlb_store::{EditOutcome, StoreCalls, WriteOutcome, objects};
 use serde_json::{Value, json};
 
@@ -574,7 +574,7 @@
         let object = client.read(&id).map_err(|error| failed(&error))?;
         let mut object = object.ok_or_else(|| failed(&"not stored"))?;
         apply_odd_change(change, &mut object.value);
-        match client.write(&id, ObjectVersion(object.version), &object.value) {
+        match client.write(&id, object.version, &object.value) {
             WriteOutcome::Written(_) => Ok(()),
             outcome => Err(failed(&format!("{outcome:?}"))),
         }
--- a/crates/standin/tests/control_faults.rs
+++ b/crates/standin/tests/control_faults.rs
@@ -210,10 +210,9 @@
         fleet
             .wait_for("the version in force", || {
                 fleet.entry_status(entry).is_some_and(|status| {
-                    status
-                        .documents
-                        .iter()
-                        .any(|d| d.kind == "manifest" && d.name == "dalbit" && d.version >= version)
+                    status.documents.iter().any(|d| {
+                        d.kind == "manifest" && d.name == "dalbit" && d.version.0 >= version
+                    })
                 })
             })
             .unwrap();
--- a/crates/standin/tests/odd_records.rs
+++ b/crates/standin/tests/odd_records.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use chestnutlb_core::{DocumentId, DocumentKind, ObjectVersion};
+use chestnutlb_core::{DocumentId, DocumentKind};
 use chestnutlb_standin::fleet::{Fleet, HostPlan};
 use chestnutlb_store::{StoreCalls, WriteOutcome};
 use common::{end_name, find_host_of_order, new_caller, open_feeds, order_task, start_fleet};
@@ -20,8 +20,7 @@
                 return false;
             };
             change(&mut object.value);
-            let version = ObjectVersion(object.version);
-            let outcome = client.write(&id, version, &object.value);
+            let outcome = client.write(&id, object.version, &object.value);
             matches!(outcome, WriteOutcome::Written(_))
         })
         .unwrap();
--- a/crates/standin/tests/passthrough.rs
+++ b/crates/standin/tests/passthrough.rs
@@ -474,7 +474,7 @@
             resend: false,
             opening: OpeningRules {
                 drain: Some(DrainNotice {
-                    version: ObjectVersion(version),
+                    version: ObjectVersion(version.into()),
                     drained,
                 }),
                 ..OpeningRules::default()
--- a/crates/store/src/answer.rs
+++ b/crates/store/src/answer.rs
@@ -41,7 +41,7 @@
 
     /// Returns the version that a revision in this answer stands for.
     pub fn version(era: StoreEra, revision: u64) -> Result<ObjectVersion, StoreError> {
-        ObjectVersion::new(era, StoreRevision(revision)).map_err(format_error)
+        ObjectVersion::new(era, StoreRevision(revision.into())).map_err(format_error)
     }
 
     /// Reads the body of a successful answer; any other status is an error.
--- a/crates/store/src/calls.rs
+++ b/crates/store/src/calls.rs
@@ -4,13 +4,44 @@
 use std::fmt::Debug;
 use std::time::Duration;
 
+use compact_str::CompactString;
 use serde_json::Value;
 
 use chestnutlb_core::{DocumentId, FeedIndex, FeedScope, ListScope, ObjectVersion, StoreEra};
-use chestnutlb_wire::{ObjectList, ObjectReply};
 
 use crate::client::{StoreError, WriteOutcome};
 
+/// An object that was read from a store or written to it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ReadObject {
+    /// Version of the object.
+    pub version: ObjectVersion,
+    /// Content in the format of the project's object API.
+    pub value: Value,
+}
+
+/// An object in a list, without its content.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ListedObject {
+    /// Kind of the object.
+    pub kind: CompactString,
+    /// Name of the object.
+    pub name: CompactString,
+    /// Version of the object.
+    pub version: ObjectVersion,
+}
+
+/// A list of objects with their versions.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct VersionList {
+    /// Version of the store.
+    pub revision: ObjectVersion,
+    /// The objects.
+    pub objects: Vec<ListedObject>,
+    /// Number of entries that can't be read and were left out.
+    pub unreadable: usize,
+}
+
 /// An object in an update of a feed.
 #[derive(Debug, Clone, PartialEq)]
 pub struct FeedObject {
@@ -29,11 +60,9 @@
     /// Versions of objects; the changed objects have to be read separately.
     Versions {
         /// The objects with their versions.
-        list: ObjectList,
+        list: VersionList,
         /// Whether these are all objects of the store.
         has_all: bool,
-        /// Number of entries that can't be read and were left out.
-        unreadable: usize,
     },
     /// The objects themselves.
     Objects {
@@ -56,9 +85,7 @@
     /// Returns whether it contains any object.
     pub fn has_changes(&self) -> bool {
         match self {
-            Self::Versions {
-                list, unreadable, ..
-            } => !list.objects.is_empty() || *unreadable > 0,
+            Self::Versions { list, .. } => !list.objects.is_empty() || list.unreadable > 0,
             Self::Objects {
                 objects,
                 unreadable,
@@ -70,7 +97,7 @@
     /// Returns the version of the store after this update.
     pub fn version(&self) -> ObjectVersion {
         match self {
-            Self::Versions { list, .. } => ObjectVersion(list.revision),
+            Self::Versions { list, .. } => list.revision,
             Self::Objects { revision, .. } => *revision,
         }
     }
@@ -142,7 +169,7 @@
 
     /// Returns the object as last received from a feed or written, without a
     /// call. It may be outdated, in which case a conditional write conflicts.
-    fn cached_object(&self, _id: &DocumentId) -> Option<ObjectReply> {
+    fn cached_object(&self, _id: &DocumentId) -> Option<ReadObject> {
         None
     }
 
@@ -155,7 +182,7 @@
     fn watch_wait(&self, feed: FeedIndex) -> Duration;
 
     /// Reads an object; returns `None` if it does not exist.
-    fn read(&self, id: &DocumentId) -> Result<Option<ObjectReply>, StoreError>;
+    fn read(&self, id: &DocumentId) -> Result<Option<ReadObject>, StoreError>;
 
     /// Writes an object if its version is `expected`; zero stands for an object
     /// that does not exist.
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -12,11 +12,10 @@
 
 use chestnutlb_core::{DocumentId, FeedIndex, ObjectVersion};
 use chestnutlb_wire::object::ERA_HEADER;
-use chestnutlb_wire::object::ObjectListEntry;
-use chestnutlb_wire::{ObjectList, ObjectReply, WriteReply};
+use chestnutlb_wire::{ObjectListEntry, WriteReply};
 
 use crate::answer::{EraReader, StoreAnswer};
-use crate::calls::{FeedUpdate, StoreCalls};
+use crate::calls::{FeedUpdate, ListedObject, ReadObject, StoreCalls, VersionList};
 
 /// Timeout of a call other than a watch.
 pub const CALL_TIMEOUT: Duration = Duration::from_secs(3);
@@ -107,14 +106,10 @@
     }
 
     /// Lists all objects with their versions.
-    pub fn list(&self) -> Result<ObjectList, StoreError> {
-        self.read_list().map(|(list, _)| list)
-    }
-
-    fn read_list(&self) -> Result<(ObjectList, usize), StoreError> {
+    pub fn list(&self) -> Result<VersionList, StoreError> {
         let call = self.agent.get(&format!("{}/v1/objects", self.base));
         let answer = self.eras.read(call.timeout(CALL_TIMEOUT).call())?;
-        read_object_list(answer)
+        read_version_list(answer)
     }
 
     // Waits up to `wait` for a version above `after`. Returns `None` if the platform was
@@ -123,7 +118,7 @@
         &self,
         after: ObjectVersion,
         wait: Duration,
-    ) -> Result<Option<(ObjectList, usize)>, StoreError> {
+    ) -> Result<Option<VersionList>, StoreError> {
         if after.era() < self.eras.latest() {
             return Ok(None);
         }
@@ -136,7 +131,7 @@
         if answer.era != after.era() {
             return Ok(None);
         }
-        read_object_list(answer).map(Some)
+        read_version_list(answer).map(Some)
     }
 
     fn write_outcome(
@@ -182,18 +177,14 @@
             Some(after) => self.watch(after, wait)?,
         };
         let has_all = changes.is_none();
-        let (list, unreadable) = match changes {
+        let list = match changes {
             Some(changes) => changes,
-            None => self.read_list()?,
+            None => self.list()?,
         };
-        Ok(FeedUpdate::Versions {
-            list,
-            has_all,
-            unreadable,
-        })
+        Ok(FeedUpdate::Versions { list, has_all })
     }
 
-    fn read(&self, id: &DocumentId) -> Result<Option<ObjectReply>, StoreError> {
+    fn read(&self, id: &DocumentId) -> Result<Option<ReadObject>, StoreError> {
         let call = self.agent.get(&self.object_url(id)).timeout(CALL_TIMEOUT);
         let answer = self.eras.read(call.call())?;
         if answer.status() == 404 {
@@ -202,8 +193,8 @@
         let era = answer.era;
         let body = answer.read()?;
         let reply: ReplyBody = body.decode()?;
-        Ok(Some(ObjectReply {
-            version: StoreAnswer::version(era, reply.version)?.0,
+        Ok(Some(ReadObject {
+            version: StoreAnswer::version(era, reply.version)?,
             value: match (id.kind, reply.value) {
                 // Valid as a whole.
                 (kind, Some(value)) if kind.is_of_operators() => body.part(value)?,
@@ -233,20 +224,24 @@
     }
 }
 
-// Reads a list, with the era in all its versions, and the number of entries that can't be read.
-fn read_object_list(answer: StoreAnswer) -> Result<(ObjectList, usize), StoreError> {
+// Reads a list, with the era in all its versions.
+fn read_version_list(answer: StoreAnswer) -> Result<VersionList, StoreError> {
     let era = answer.era;
     let body = answer.read()?;
     let list: ListBody = body.decode()?;
-    let (mut objects, unreadable): (Vec<ObjectListEntry>, usize) = body.parts(&list.objects);
-    for object in &mut objects {
-        object.version = StoreAnswer::version(era, object.version)?.0;
-    }
-    let list = ObjectList {
-        revision: StoreAnswer::version(era, list.revision)?.0,
-        objects,
-    };
-    Ok((list, unreadable))
+    let (entries, unreadable): (Vec<ObjectListEntry>, usize) = body.parts(&list.objects);
+    let objects = entries.into_iter().map(|entry| {
+        Ok(ListedObject {
+            version: StoreAnswer::version(era, entry.version)?,
+            kind: entry.kind,
+            name: entry.name,
+        })
+    });
+    Ok(VersionList {
+        revision: StoreAnswer::version(era, list.revision)?,
+        objects: objects.collect::<Result<_, StoreError>>()?,
+        unreadable,
+    })
 }
 
 impl From<ureq::Error> for StoreError {
--- a/crates/store/src/commit.rs
+++ b/crates/store/src/commit.rs
@@ -76,7 +76,7 @@
             let object = serde_json::from_value(reply.value)
                 .map_err(|error| StoreError::Format(error.to_string()))?;
             Ok(CurrentManifest {
-                version: ObjectVersion(reply.version),
+                version: reply.version,
                 object: Some(object),
             })
         }
--- a/crates/store/src/objects.rs
+++ b/crates/store/src/objects.rs
@@ -12,9 +12,9 @@
     ObjectVersion, RosterEdit, UnreadableItems,
 };
 use chestnutlb_wire::manifest::shared_services;
-use chestnutlb_wire::{ManifestObject, ObjectReply, WireDrain, WireGrants, WireItem};
+use chestnutlb_wire::{ManifestObject, WireDrain, WireGrants, WireItem};
 
-use crate::calls::{FeedObject, StoreCalls};
+use crate::calls::{FeedObject, ReadObject, StoreCalls};
 use crate::client::{StoreError, WriteOutcome};
 use crate::stored_list::StoredList;
 
@@ -93,7 +93,7 @@
     let Some(reply) = client.read(id)? else {
         return Ok(None);
     };
-    parse_document(id, ObjectVersion(reply.version), reply.value).map(Some)
+    parse_document(id, reply.version, reply.value).map(Some)
 }
 
 /// The outcome of an edit of a roster or of members.
@@ -195,7 +195,7 @@
     // next attempt takes the object of that answer, or reads it.
     let mut known = client
         .cached_object(id)
-        .filter(|object| object.version >= oldest.0);
+        .filter(|object| object.version >= oldest);
     let mut is_cached = known.is_some();
     for _ in 0..MAX_CONFLICTS {
         let current = match known.take() {
@@ -206,7 +206,7 @@
             },
         };
         let (version, value) = match current {
-            Some(ObjectReply { version, value }) => (ObjectVersion(version), Some(value)),
+            Some(ReadObject { version, value }) => (version, Some(value)),
             None => (ObjectVersion(0), None),
         };
         let next = match apply(version, value.clone()) {
@@ -229,8 +229,8 @@
                     Err(error) => EditOutcome::Unknown(error),
                 };
             }
-            WriteOutcome::Conflict(ObjectVersion(version), content) => {
-                known = content.map(|value| ObjectReply { version, value });
+            WriteOutcome::Conflict(version, content) => {
+                known = content.map(|value| ReadObject { version, value });
             }
             // A write of which the revision may have matched by accident is read back.
             WriteOutcome::Unknown(StoreError::Restored) => {}
--- a/crates/store/tests/eras.rs
+++ b/crates/store/tests/eras.rs
@@ -132,8 +132,8 @@
             .unwrap()
         {
             FeedUpdate::Versions { list, has_all, .. } => {
-                let versions = list.objects.iter().map(|o| ObjectVersion(o.version));
-                (ObjectVersion(list.revision), versions.collect(), has_all)
+                let versions = list.objects.iter().map(|object| object.version);
+                (list.revision, versions.collect(), has_all)
             }
             FeedUpdate::Objects { .. } => panic!("objects"),
         }
@@ -153,7 +153,7 @@
 }
 
 fn version(era: u64, revision: u64) -> ObjectVersion {
-    ObjectVersion::new(StoreEra(era), StoreRevision(revision)).unwrap()
+    ObjectVersion::new(StoreEra(era), StoreRevision(revision.into())).unwrap()
 }
 
 fn roster(name: &str) -> DocumentId {
@@ -205,7 +205,7 @@
     assert_eq!(outdated, WriteOutcome::Conflict(version(2, 0), None));
     assert!(platform.take_calls().is_empty());
     let reply = client.read(&id).unwrap().unwrap();
-    assert_eq!(ObjectVersion(reply.version), version(2, 16));
+    assert_eq!(reply.version, version(2, 16));
     let written = client.write(&id, version(2, 16), &json!(4));
     assert_eq!(written, WriteOutcome::Written(version(2, 17)));
     let conflict = client.write(&id, version(2, 16), &json!(5));
--- a/crates/store/tests/feed_positions.rs
+++ b/crates/store/tests/feed_positions.rs
@@ -4,7 +4,7 @@
 use chestnutlb_store::{FeedPosition, FeedStep};
 
 fn version(era: u64, revision: u64) -> ObjectVersion {
-    ObjectVersion::new(StoreEra(era), StoreRevision(revision)).unwrap()
+    ObjectVersion::new(StoreEra(era), StoreRevision(revision.into())).unwrap()
 }
 
 #[test]
--- a/crates/store/tests/odd_entries.rs
+++ b/crates/store/tests/odd_entries.rs
@@ -8,7 +8,7 @@
 
 use serde_json::{Value, json};
 
-use chestnutlb_core::{DocumentId, DocumentKind};
+use chestnutlb_core::{DocumentId, DocumentKind, ObjectVersion};
 use chestnutlb_store::{FeedIndex, FeedUpdate, StoreCalls, StoreClient};
 
 // Starts a store that answers every call with this body.
@@ -35,14 +35,11 @@
           {\"kind\": \"roster\", \"name\": \"honam-1\", \"version\": 5}]}",
     );
     let update = client.fetch_updates(FeedIndex(0), None, Duration::ZERO);
-    let Ok(FeedUpdate::Versions {
-        list, unreadable, ..
-    }) = update
-    else {
+    let Ok(FeedUpdate::Versions { list, .. }) = update else {
         panic!("{update:?}");
     };
-    assert_eq!(list.revision, 9);
-    assert_eq!(unreadable, 5);
+    assert_eq!(list.revision, ObjectVersion(9));
+    assert_eq!(list.unreadable, 5);
     let names: Vec<_> = list.objects.iter().map(|object| &object.name).collect();
     assert_eq!(names, ["honam-1"]);
 }
@@ -52,7 +49,7 @@
     let value = |body: &'static [u8]| {
         let roster = DocumentId::new(DocumentKind::Roster, "honam-1");
         let reply = start_store(body).read(&roster).unwrap().unwrap();
-        assert_eq!(reply.version, 5);
+        assert_eq!(reply.version, ObjectVersion(5));
         reply.value
     };
     let read = value(b"{\"version\": 5, \"value\": 1e999}");
--- a/crates/store/tests/roster_edits.rs
+++ b/crates/store/tests/roster_edits.rs
@@ -11,9 +11,9 @@
     MemberEdit, ObjectVersion, RosterEdit,
 };
 use chestnutlb_store::{
-    EditOutcome, FeedIndex, FeedUpdate, StoreCalls, StoreError, WriteOutcome, objects,
+    EditOutcome, FeedIndex, FeedUpdate, ReadObject, StoreCalls, StoreError, WriteOutcome, objects,
 };
-use chestnutlb_wire::{ObjectReply, WireHost};
+use chestnutlb_wire::WireHost;
 
 // A store with one object. `cached` is an outdated copy, as a client may have.
 #[derive(Debug, Default)]
@@ -25,11 +25,8 @@
     reads: AtomicUsize,
 }
 
-fn reply((version, value): (ObjectVersion, Value)) -> ObjectReply {
-    ObjectReply {
-        version: version.0,
-        value,
-    }
+fn read_object((version, value): (ObjectVersion, Value)) -> ReadObject {
+    ReadObject { version, value }
 }
 
 impl StoreCalls for OneObjectStore {
@@ -46,17 +43,17 @@
         Err(StoreError::Status(404))
     }
 
-    fn cached_object(&self, _id: &DocumentId) -> Option<ObjectReply> {
-        self.cached.lock().unwrap().clone().map(reply)
+    fn cached_object(&self, _id: &DocumentId) -> Option<ReadObject> {
+        self.cached.lock().unwrap().clone().map(read_object)
     }
 
     fn watch_wait(&self, _feed: FeedIndex) -> Duration {
         Duration::ZERO
     }
 
-    fn read(&self, _id: &DocumentId) -> Result<Option<ObjectReply>, StoreError> {
+    fn read(&self, _id: &DocumentId) -> Result<Option<ReadObject>, StoreError> {
         self.reads.fetch_add(1, Ordering::SeqCst);
-        Ok(self.object.lock().unwrap().clone().map(reply))
+        Ok(self.object.lock().unwrap().clone().map(read_object))
     }
 
     fn write(&self, _id: &DocumentId, expected: ObjectVersion, value: &Value) -> WriteOutcome {
@@ -91,13 +88,13 @@
 // Applies edits derived from version `base`. Returns the version and hosts after it.
 fn edit(store: &OneObjectStore, base: u64, edits: &[RosterEdit]) -> (u64, Vec<String>) {
     let id = DocumentId::new(DocumentKind::Roster, "honam-1");
-    match objects::edit_roster(store, &id, ObjectVersion(base), edits) {
+    match objects::edit_roster(store, &id, ObjectVersion(base.into()), edits) {
         EditOutcome::Done(loaded) => {
             let names = loaded.items.iter().map(|item| match item {
                 DocumentItem::Host(record) => record.name.to_string(),
                 other => panic!("not a host: {other:?}"),
             });
-            (loaded.version.0, names.collect())
+            (loaded.version.revision_u64(), names.collect())
         }
         other => panic!("{other:?}"),
     }
@@ -158,7 +155,7 @@
 
 // Puts an object as another program does.
 fn write_object(store: &OneObjectStore, version: u64, value: Value) {
-    *store.object.lock().unwrap() = Some((ObjectVersion(version), value));
+    *store.object.lock().unwrap() = Some((ObjectVersion(version.into()), value));
 }
 
 // Returns the records of an object: names, or the whole record if it has none.
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -26,4 +26,7 @@
 pub use object::{ManifestObject, ObjectList, ObjectListEntry, ObjectReply, WireDrain, WriteReply};
 pub use packet::{PacketError, PacketFrame, PacketHeader, WireHop, scan_frame, scan_segment};
 pub use peer::{PeerError, PeerMessage, scan_message, write_message};
-pub use records::{WireEntry, WireHost, WireItem, WireMembers, WirePatch, WireRoster, WireVersion};
+pub use records::{
+    WireEntry, WireHost, WireItem, WireMembers, WireObjectVersion, WirePatch, WireRoster,
+    WireVersion,
+};
--- a/crates/wire/src/packet.rs
+++ b/crates/wire/src/packet.rs
@@ -132,7 +132,7 @@
 
     /// Returns the revision of the roster generation that the hop plan was made from.
     pub fn generation(&self) -> StoreRevision {
-        StoreRevision(self.generation)
+        StoreRevision(self.generation.into())
     }
 
     /// Returns the address that owner notices are sent to.
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -14,7 +14,7 @@
 };
 
 use crate::manifest::{DocumentError, WireService};
-use crate::records::{WireEntry, WireHost, WirePatch, WireVersion};
+use crate::records::{WireEntry, WireHost, WireObjectVersion, WirePatch, WireVersion};
 
 /// Version of the message format.
 pub const PEER_VERSION: u8 = 1;
@@ -65,7 +65,7 @@
     /// Number of changes of the host's record.
     pub revision: u64,
     /// Version of the firm's manifest that the host has in force.
-    pub manifest: u64,
+    pub manifest: WireObjectVersion,
 }
 
 /// A host's keep-alive.
@@ -79,7 +79,7 @@
     /// Number of changes of the host's record.
     pub revision: u64,
     /// Version of the firm's manifest that the host has in force.
-    pub manifest: u64,
+    pub manifest: WireObjectVersion,
 }
 
 /// An entry VM's reply to a registration or keep-alive.
@@ -137,7 +137,7 @@
 #[derive(Serialize, Deserialize)]
 pub struct WireDrainNotice {
     /// Version of the document that states it.
-    pub version: u64,
+    pub version: WireObjectVersion,
     /// Whether its hosts get no new flows.
     pub drained: bool,
 }
@@ -145,7 +145,7 @@
 impl From<DrainNotice> for WireDrainNotice {
     fn from(notice: DrainNotice) -> Self {
         Self {
-            version: notice.version.0,
+            version: notice.version.into(),
             drained: notice.drained,
         }
     }
@@ -154,7 +154,7 @@
 impl From<WireDrainNotice> for DrainNotice {
     fn from(wire: WireDrainNotice) -> Self {
         Self {
-            version: ObjectVersion(wire.version),
+            version: wire.version.into(),
             drained: wire.drained,
         }
     }
@@ -293,7 +293,7 @@
 ) -> Result<Vec<(DocumentId, ObjectVersion)>, DocumentError> {
     versions
         .iter()
-        .map(|wire| Ok((wire.try_into()?, ObjectVersion(wire.version))))
+        .map(|wire| Ok((wire.try_into()?, wire.version.0)))
         .collect()
 }
 
@@ -320,7 +320,7 @@
 #[derive(Serialize, Deserialize)]
 pub struct ServiceSlice {
     /// Version of the firm's manifest.
-    pub manifest: u64,
+    pub manifest: WireObjectVersion,
     /// Hash of the manifest version and of the hosts' names, incarnations, weights
     /// and states.
     pub slice: u64,
--- a/crates/wire/src/records.rs
+++ b/crates/wire/src/records.rs
@@ -5,13 +5,14 @@
 use std::sync::Arc;
 
 use compact_str::{CompactString, ToCompactString};
-use serde::{Deserialize, Serialize};
+use serde::de::Visitor;
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
 
 use chestnutlb_core::document::VersionedItem;
 use chestnutlb_core::flow::{BUCKET_COUNT, BucketIndex};
 use chestnutlb_core::{
     DocumentId, DocumentItem, DocumentKind, DocumentPatch, EntryRecord, FirmName, HostRecord,
-    HostWeight, Incarnation, ObjectVersion, ServiceId, StoreEra,
+    HostWeight, Incarnation, ObjectVersion, ServiceId,
 };
 
 use crate::manifest::{DocumentError, WireGrant, WireService, parse_text};
@@ -215,6 +216,56 @@
     }
 }
 
+/// A version in messages: a number where the compact form holds it, as in earlier releases, else
+/// the text.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct WireObjectVersion(pub ObjectVersion);
+
+impl From<ObjectVersion> for WireObjectVersion {
+    fn from(version: ObjectVersion) -> Self {
+        Self(version)
+    }
+}
+
+impl From<WireObjectVersion> for ObjectVersion {
+    fn from(wire: WireObjectVersion) -> Self {
+        wire.0
+    }
+}
+
+impl Serialize for WireObjectVersion {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        match self.0.compact() {
+            Some(number) => serializer.serialize_u64(number),
+            None => serializer.collect_str(&self.0),
+        }
+    }
+}
+
+impl<'de> Deserialize<'de> for WireObjectVersion {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        deserializer.deserialize_any(VersionVisitor)
+    }
+}
+
+struct VersionVisitor;
+
+impl Visitor<'_> for VersionVisitor {
+    type Value = WireObjectVersion;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("a version: a whole number, or text like 1.20261207153000")
+    }
+
+    fn visit_u64<E: serde::de::Error>(self, number: u64) -> Result<Self::Value, E> {
+        Ok(WireObjectVersion(ObjectVersion::from_compact(number)))
+    }
+
+    fn visit_str<E: serde::de::Error>(self, text: &str) -> Result<Self::Value, E> {
+        text.parse().map(WireObjectVersion).map_err(E::custom)
+    }
+}
+
 /// A version for operators, in logs and in the client's output: a number in era zero, and
 /// text with the era in later ones.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -223,16 +274,15 @@
 pub enum VersionField {
     /// The revision of a version of era zero.
     Revision(u64),
-    /// The text of a version of a later era.
+    /// The text of a version of a later era, or with a revision beyond 64 bits.
     Text(CompactString),
 }
 
 impl From<ObjectVersion> for VersionField {
     fn from(version: ObjectVersion) -> Self {
-        if version.era() == StoreEra(0) {
-            Self::Revision(version.revision().0)
-        } else {
-            Self::Text(version.to_compact_string())
+        match u64::try_from(version.0) {
+            Ok(revision) => Self::Revision(revision),
+            Err(_) => Self::Text(version.to_compact_string()),
         }
     }
 }
@@ -255,7 +305,7 @@
     /// Name of the document.
     pub name: CompactString,
     /// Version of the document.
-    pub version: u64,
+    pub version: WireObjectVersion,
 }
 
 impl From<(&DocumentId, ObjectVersion)> for WireVersion {
@@ -263,7 +313,7 @@
         Self {
             kind: id.kind.as_str().into(),
             name: id.name.clone(),
-            version: version.0,
+            version: version.into(),
         }
     }
 }
@@ -290,27 +340,27 @@
     pub document: WireVersion,
     /// Version that the patch applies to; `None` if the patch contains the whole
     /// document.
-    pub since: Option<u64>,
+    pub since: Option<WireObjectVersion>,
     /// New and changed items, each with the version that changed it.
-    pub items: Vec<(u64, WireItem)>,
+    pub items: Vec<(WireObjectVersion, WireItem)>,
     /// Keys of removed items, each with the version that removed it.
-    pub removed: Vec<(CompactString, u64)>,
+    pub removed: Vec<(CompactString, WireObjectVersion)>,
 }
 
 impl From<&DocumentPatch> for WirePatch {
     fn from(patch: &DocumentPatch) -> Self {
         Self {
             document: (&patch.id, patch.version).into(),
-            since: patch.since.map(|version| version.0),
+            since: patch.since.map(Into::into),
             items: patch
                 .items
                 .iter()
-                .map(|versioned| (versioned.changed_in.0, (&versioned.item).into()))
+                .map(|versioned| (versioned.changed_in.into(), (&versioned.item).into()))
                 .collect(),
             removed: patch
                 .removed
                 .iter()
-                .map(|(key, version)| (key.clone(), version.0))
+                .map(|(key, version)| (key.clone(), (*version).into()))
                 .collect(),
         }
     }
@@ -325,20 +375,20 @@
             .iter()
             .map(|(version, item)| {
                 Ok(VersionedItem {
-                    changed_in: ObjectVersion(*version),
+                    changed_in: version.0,
                     item: item.try_into()?,
                 })
             })
             .collect::<Result<_, DocumentError>>()?;
         Ok(Self {
             id: (&wire.document).try_into()?,
-            since: wire.since.map(ObjectVersion),
-            version: ObjectVersion(wire.document.version),
+            since: wire.since.map(Into::into),
+            version: wire.document.version.0,
             items,
             removed: wire
                 .removed
                 .iter()
-                .map(|(key, version)| (key.clone(), ObjectVersion(*version)))
+                .map(|(key, version)| (key.clone(), version.0))
                 .collect(),
         })
     }
--- a/crates/wire/src/status.rs
+++ b/crates/wire/src/status.rs
@@ -8,7 +8,7 @@
 
 use chestnutlb_core::{HostLoad, OpeningCandidate};
 
-use crate::records::{VersionField, WireEntry, WireVersion};
+use crate::records::{VersionField, WireEntry, WireObjectVersion, WireVersion};
 
 /// Status of an entry VM.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -47,7 +47,7 @@
     /// Firm and service, as `firm/service`.
     pub service: CompactString,
     /// Version of the firm's manifest that the host has in force.
-    pub manifest: u64,
+    pub manifest: WireObjectVersion,
 }
 
 /// Status of a side process.
@@ -65,7 +65,7 @@
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub registration: Option<CompactString>,
     /// Version of the firm's manifest that is in force.
-    pub manifest: u64,
+    pub manifest: WireObjectVersion,
     /// Number of open flows.
     pub flows: u64,
     /// Number of running requests.
--- a/crates/wire/tests/versions.rs
+++ b/crates/wire/tests/versions.rs
@@ -7,12 +7,12 @@
     StoreRevision,
 };
 use chestnutlb_wire::packet::write_data;
-use chestnutlb_wire::peer::{PeerHeartbeat, write_message};
+use chestnutlb_wire::peer::{PeerHeartbeat, scan_message, write_message};
 use chestnutlb_wire::records::VersionField;
-use chestnutlb_wire::{PacketHeader, WireHop};
+use chestnutlb_wire::{PacketHeader, WireHop, WireObjectVersion};
 
 fn version(era: u64, revision: u64) -> ObjectVersion {
-    ObjectVersion::new(StoreEra(era), StoreRevision(revision)).unwrap()
+    ObjectVersion::new(StoreEra(era), StoreRevision(revision.into())).unwrap()
 }
 
 #[test]
@@ -48,9 +48,9 @@
     for revision in [18, 200, 40_000] {
         let (first, later) = (version(0, revision), version(3, revision));
         let sizes = [
-            header_bytes(first.revision().0),
-            header_bytes(later.revision().0),
-            header_bytes(later.0),
+            header_bytes(first.revision_u64()),
+            header_bytes(later.revision_u64()),
+            header_bytes(later.compact().unwrap()),
         ];
         println!("revision {revision}: {sizes:?} bytes; the last with the era");
         assert_eq!(sizes[0], sizes[1]);
@@ -82,3 +82,56 @@
     println!("heartbeat: {first} bytes in era 0, {later} in era 1");
     assert!(later <= first + 8 * 8);
 }
+
+// Earlier releases read and write the compact form only.
+#[test]
+fn version_in_messages_is_the_compact_number_where_that_holds_it() {
+    for (version, json) in [
+        (version(0, 20), "20"),
+        (version(1, 7), "17592186044423"),
+        (version(3, (1 << 44) - 1), "70368744177663"),
+        (version(0, 1 << 44), "\"17592186044416\""),
+        (version(1, 20_261_207_153_000), "\"1.20261207153000\""),
+        (version(1, u64::MAX), "\"1.18446744073709551615\""),
+    ] {
+        let wire = WireObjectVersion(version);
+        assert_eq!(serde_json::to_string(&wire).unwrap(), json);
+        assert_eq!(
+            serde_json::from_str::<WireObjectVersion>(json).unwrap(),
+            wire
+        );
+        let message = write_message(&wire);
+        assert_eq!(scan_message::<WireObjectVersion>(&message).unwrap(), wire);
+        if let Some(number) = version.compact() {
+            assert_eq!(message, write_message(&number));
+            assert_eq!(ObjectVersion::from_compact(number), version);
+        }
+    }
+}
+
+#[test]
+fn versions_that_no_store_assigns_are_malformed() {
+    for json in ["-1", "1.5", "\"\"", "\"1.\"", "\"x\"", "null", "[1]"] {
+        assert!(
+            serde_json::from_str::<WireObjectVersion>(json).is_err(),
+            "{json}"
+        );
+    }
+}
+
+#[test]
+fn versions_are_ordered_by_era_then_by_revision_of_any_length() {
+    let ordered = [
+        version(0, 7),
+        version(0, u64::MAX),
+        version(1, 0),
+        version(1, 7),
+        version(1, 1 << 44),
+        version(1, u64::MAX),
+        version(2, 1),
+    ];
+    assert!(ordered.is_sorted_by(|version, next| version < next));
+    for version in ordered {
+        assert_eq!(version.to_string().parse(), Ok(version));
+    }
+}
