A configuration that can't be read does not count as confirmed

Cause: a confirmation was what a feed had delivered, not what was in force. load_object returned true for a malformed document, and each quiet watch after it confirmed again. Same class: a version listed by the object API whose read failed was confirmed by the next quiet watch and never read again; entry VMs that do not watch took the confirmation over; one service cost its whole manifest.

Change: reads tell the control thread whether an operators' document could be read; while the last one can't be, nothing confirms those documents. Heartbeats pass it on, so other entry VMs need not read the store. It shows in /ready, the status, a counter of seconds and a repeated log line. Listed versions are read again until they are in force. A service that can't be read stays as it was.

--- a/crates/core/src/confirmations.rs
+++ b/crates/core/src/confirmations.rs
@@ -70,6 +70,8 @@
     pub operators: Option<TimePoint>,
     /// Rosters and members; `None` if never.
     pub fleet: Option<TimePoint>,
+    /// When the platform last had a document of operators that can't be read; `None` if never.
+    pub unreadable: Option<TimePoint>,
 }
 
 impl Confirmations {
@@ -78,10 +80,33 @@
         self.operators.min(self.fleet)
     }
 
+    /// Returns when the platform last told of the operators' documents, also of one that can't be
+    /// read.
+    pub fn operators_heard(self) -> Option<TimePoint> {
+        self.operators.max(self.unreadable)
+    }
+
+    /// Returns whether operators' documents are in force in an earlier version, since the platform
+    /// has one that can't be read.
+    pub fn is_outdated(self) -> bool {
+        self.unreadable > self.operators
+    }
+
     /// Keeps the later confirmation of each group.
     pub fn merge(&mut self, other: Self) {
         self.operators = self.operators.max(other.operators);
         self.fleet = self.fleet.max(other.fleet);
+        self.unreadable = self.unreadable.max(other.unreadable);
+    }
+
+    /// Returns the same with a document of operators that can't be read: what was heard of them
+    /// confirms nothing.
+    pub fn with_unreadable(self) -> Self {
+        Self {
+            operators: None,
+            unreadable: self.operators_heard(),
+            ..self
+        }
     }
 }
 
@@ -103,6 +128,7 @@
         Confirmations {
             operators: self.oldest(FeedScope::has_operators),
             fleet: self.oldest(FeedScope::has_fleet),
+            unreadable: None,
         }
     }
 
--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -27,6 +27,7 @@
 use crate::member_rings::MemberRings;
 use crate::members::{EntryMonitor, EntryRecord, TRACKERS_PER_HOST};
 use crate::opening_rules::OpeningRules;
+use crate::operator_reads::OperatorRead;
 use crate::roster::HostRecord;
 use crate::timer::{TimerKind, TimerService};
 use crate::units::TimePoint;
@@ -131,6 +132,12 @@
     pub(crate) confirmations: Confirmations,
     // Versions of rosters that peers or the platform have named and that are not in force here.
     pub(crate) newer_rosters: BTreeMap<DocumentId, ObjectVersion>,
+    // Versions that the platform has listed and that are not in force here.
+    pub(crate) listed_versions: BTreeMap<DocumentId, ObjectVersion>,
+    // The last read of each document of operators.
+    pub(crate) operator_reads: BTreeMap<DocumentId, OperatorRead>,
+    // Number of items that were left out of documents of operators, as they can't be read.
+    pub(crate) partly_read: BTreeMap<DocumentId, usize>,
     // The same for the view: the last confirmation of documents that it was built from.
     pub(crate) view_confirmed_at: Option<TimePoint>,
     // When this entry VM last had the same versions as a peer or last requested all
@@ -176,6 +183,9 @@
             feeds: FeedConfirmations::new(&[FeedScope::All]),
             confirmations: Confirmations::default(),
             newer_rosters: BTreeMap::new(),
+            listed_versions: BTreeMap::new(),
+            operator_reads: BTreeMap::new(),
+            partly_read: BTreeMap::new(),
             view_confirmed_at: None,
             last_in_sync: now,
             event_lag: Duration::ZERO,
@@ -374,6 +384,7 @@
                 self.end_job(&id);
                 if version >= self.documents.version(&id) {
                     self.damaged.remove(&id);
+                    self.partly_read.remove(&id);
                 }
                 self.replace_document(id, version, items, now, &mut actions);
             }
@@ -386,6 +397,11 @@
                 self.end_job(&id);
                 self.on_loaded_partly(id, version, items, &unreadable, now, &mut actions);
             }
+            ControlEvent::DocumentRead {
+                id,
+                stored,
+                is_readable,
+            } => self.on_document_read(id, stored, is_readable),
             ControlEvent::AllListed {
                 scope,
                 version,
@@ -399,6 +415,7 @@
                 if scope.has_drains() {
                     self.on_drains_listed(version, &listed, now, &mut actions);
                 }
+                self.forget_unlisted(scope, &listed);
             }
             ControlEvent::VersionsListed { list, confirms } => {
                 self.on_listed(list, confirms, now, &mut actions);
@@ -539,6 +556,7 @@
             self.confirmations.merge(Confirmations {
                 operators: self.told_confirmation(heartbeat.operators_age, now),
                 fleet: self.told_confirmation(heartbeat.fleet_age, now),
+                unreadable: self.told_confirmation(heartbeat.unreadable_age, now),
             });
             return;
         }
--- a/crates/core/src/control_documents.rs
+++ b/crates/core/src/control_documents.rs
@@ -32,16 +32,25 @@
             up_to_date &= version >= self.documents.version(&id);
             self.record_named_version(&id, version);
             if version > self.documents.version(&id) {
-                up_to_date = false;
-                if self.claim_document(&id, now) {
-                    actions.push(ControlAction::Load(id));
-                }
+                self.listed_versions.insert(id, version);
+            }
+        }
+        // What was listed earlier and not read since is listed no more if nothing changes.
+        for id in self.unread_documents() {
+            let is_unreadable = self.is_unreadable(&id);
+            up_to_date &= is_unreadable;
+            if !is_unreadable && self.claim_document(&id, now) {
+                actions.push(ControlAction::Load(id));
             }
         }
         if let Some(confirmation) = confirms.filter(|_| up_to_date) {
             let was_confirmed = self.confirmed_at().is_some();
-            let confirmations = self.feeds.record(confirmation);
-            self.confirmations.merge(confirmations);
+            let heard = self.feeds.record(confirmation);
+            let has_unreadable = self.unreadable_documents().next().is_some();
+            self.confirmations.merge(match has_unreadable {
+                true => heard.with_unreadable(),
+                false => heard,
+            });
             // The first view of all documents replaces that of the first roster.
             if !was_confirmed && self.confirmed_at().is_some() {
                 self.view_builder.expedite();
@@ -136,6 +145,10 @@
         now: TimePoint,
         actions: &mut Vec<ControlAction>,
     ) {
+        if id.kind.is_of_operators() {
+            self.on_operators_document_partly(id, version, items, unreadable, now, actions);
+            return;
+        }
         let before = self.damaged.get(&id);
         let held_version = self.documents.version(&id);
         if version < held_version || (version == held_version && before.is_some()) {
@@ -186,6 +199,8 @@
         let version = self.documents.version(&id);
         self.newer_rosters
             .retain(|newer_id, newer| *newer_id != id || *newer > version);
+        self.listed_versions
+            .retain(|listed_id, listed| *listed_id != id || *listed > version);
         let is_restored = before != ObjectVersion(0) && before.era() != version.era();
         match id.kind {
             DocumentKind::Members => {
@@ -282,6 +297,7 @@
             entry: self.me.clone(),
             summary: self.documents.summary(),
             operators_age: age(self.confirmations.operators),
+            unreadable_age: age(self.confirmations.unreadable),
             fleet_age: age(self.confirmations.fleet),
             recent: self.recent.iter().cloned().collect(),
         }
--- a/crates/core/src/control_duties.rs
+++ b/crates/core/src/control_duties.rs
@@ -99,9 +99,9 @@
             .retain(|_, progress| now.since(progress.last_seen) < SUSPECT_AFTER * 5);
         let stands_in = self.stand_in.is_watching(now);
         let watching = !self.stopping && (self.rings.is_watcher() || stands_in);
-        let operators_confirmed_at = self.confirmations.operators;
+        let operators_heard_at = self.confirmations.operators_heard();
         // A watcher reads too: its watch may wait on a connection that is lost.
-        if self.stand_in.is_probe_due(operators_confirmed_at, now) && !self.stopping {
+        if self.stand_in.is_probe_due(operators_heard_at, now) && !self.stopping {
             self.stand_in.record_probe(&mut self.random, now);
             actions.push(ControlAction::ProbeStore);
         }
--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -31,6 +31,9 @@
     pub summary: u64,
     /// Time since the platform confirmed that the sender's documents of operators are current.
     pub operators_age: Duration,
+    /// Time since the platform last had a document of operators that can't be read; the largest
+    /// duration if never.
+    pub unreadable_age: Duration,
     /// The same for its rosters and members.
     pub fleet_age: Duration,
     /// Recently changed documents with their versions.
@@ -131,6 +134,16 @@
         /// The items that can't be read.
         unreadable: UnreadableItems,
     },
+    /// A document of operators was read from the platform.
+    DocumentRead {
+        /// The document.
+        id: DocumentId,
+        /// Version of its object, zero if it could not be read either. It orders reads; a document
+        /// may have another version, which its content states.
+        stored: ObjectVersion,
+        /// Whether its content can be read.
+        is_readable: bool,
+    },
     /// The platform listed all documents of some kinds that it has.
     AllListed {
         /// These kinds.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -39,6 +39,7 @@
 mod observed_start;
 pub mod opening_plan;
 pub mod opening_rules;
+mod operator_reads;
 pub mod owner_lookup;
 pub mod ownership;
 pub mod passthrough;
--- a/crates/core/tests/control.rs
+++ b/crates/core/tests/control.rs
@@ -343,6 +343,7 @@
         entry: entry(2, "honam-1"),
         summary: control.documents().summary() ^ 1,
         operators_age: Duration::ZERO,
+        unreadable_age: Duration::MAX,
         fleet_age: Duration::ZERO,
         recent,
     }
@@ -791,6 +792,7 @@
         entry: entry(2, "honam-1"),
         summary: told.documents().summary(),
         operators_age: Duration::from_secs(1),
+        unreadable_age: Duration::MAX,
         fleet_age: Duration::from_secs(1),
         recent: Vec::new(),
     };
@@ -812,6 +814,7 @@
             let mut control = control();
             let heartbeat = Heartbeat {
                 operators_age: age,
+                unreadable_age: Duration::MAX,
                 fleet_age: age,
                 summary: control.documents().summary(),
                 ..heartbeat(&control, Vec::new())
--- a/crates/core/tests/possible_owners.rs
+++ b/crates/core/tests/possible_owners.rs
@@ -197,6 +197,7 @@
         entry: entry(2, DATACENTER),
         summary: 1,
         operators_age: Duration::ZERO,
+        unreadable_age: Duration::MAX,
         fleet_age: Duration::ZERO,
         recent: vec![(roster, ObjectVersion(u128::from(run.version + 1)))],
     }));
--- a/crates/daemon/src/entry_control.rs
+++ b/crates/daemon/src/entry_control.rs
@@ -22,6 +22,7 @@
 use crate::event_ring::{ArrivedEvent, EventRing};
 use crate::logs::LoggedVersion;
 use crate::metrics::{Counter, Timing, try_push};
+use crate::outdated_span::{OutdatedReport, OutdatedSpan};
 
 /// Longest wait for an event.
 const MAX_WAIT: Duration = Duration::from_millis(100);
@@ -90,6 +91,7 @@
     // The view up to which changes of hosts are logged.
     logged_view: Arc<RoutingView>,
     published_at: TimePoint,
+    outdated: OutdatedSpan,
     lag_logged_at: TimePoint,
 }
 
@@ -113,6 +115,7 @@
             unsent_view: None,
             logged_view: Arc::default(),
             published_at: TimePoint::default(),
+            outdated: OutdatedSpan::default(),
             lag_logged_at: TimePoint::default(),
         }
     }
@@ -138,6 +141,7 @@
                 Err(RecvTimeoutError::Disconnected) => return,
             }
             let now = clock::now();
+            self.report_outdated(now);
             self.shared
                 .publish_confirmation(self.control.view(), self.control.view_confirmed_at());
             if now.since(self.published_at) >= PUBLISH_PERIOD {
@@ -147,6 +151,36 @@
         }
     }
 
+    // Counts each second in which operators' documents are outdated, and logs the first, some of the
+    // others and the end.
+    fn report_outdated(&mut self, now: TimePoint) {
+        match self.outdated.update(self.control.is_outdated(), now) {
+            OutdatedReport::None => {}
+            OutdatedReport::Second { logged, lasts } => {
+                self.shared.counters.add(Counter::OutdatedSeconds);
+                if logged {
+                    self.log_outdated(lasts);
+                }
+            }
+            OutdatedReport::Ended { lasted } => {
+                log::info!(target: "document", lasted_ms = lasted.as_millis() as u64; "current again");
+            }
+        }
+    }
+
+    fn log_outdated(&self, lasts: Duration) {
+        let documents: Vec<_> = self
+            .control
+            .unreadable_documents()
+            .map(ToString::to_string)
+            .collect();
+        log::warn!(
+            target: "document",
+            documents = documents.join(" ").as_str(), lasts_ms = lasts.as_millis() as u64;
+            "outdated, the platform has one that can't be read"
+        );
+    }
+
     // Handles an event of the ring, which may have waited there.
     fn handle_arrived(&mut self, arrived: ArrivedEvent) {
         let now = clock::now();
--- a/crates/daemon/src/entry_feeds.rs
+++ b/crates/daemon/src/entry_feeds.rs
@@ -265,21 +265,31 @@
     }
 }
 
-// Parses an object of a feed and sends its document to the control thread. Returns false if the
-// ring was full.
+// Parses an object of a feed and sends its document to the control thread, and whether a document of
+// operators can be read. Returns false if the ring was full.
 fn load_object(object: FeedObject, events: &EventRing, counters: &CounterSet) -> bool {
-    let id = object.id.clone();
-    match objects::parse_feed_object(object) {
+    let (id, stored) = (object.id.clone(), object.stored);
+    let parsed = objects::parse_feed_object(object);
+    let is_readable = parsed.is_ok();
+    let mut is_sent = match parsed {
         Ok(loaded) => {
             report_unreadable_items(&id, &loaded, counters);
-            events.push(loaded_event(id, loaded))
+            events.push(loaded_event(id.clone(), loaded))
         }
         Err(error) => {
             counters.add(Counter::BodiesBad);
             log::warn!(target: "platform", document:% = id, cause:% = error; "malformed document");
             true
         }
+    };
+    if id.kind.is_of_operators() {
+        is_sent &= events.push(ControlEvent::DocumentRead {
+            id,
+            stored,
+            is_readable,
+        });
     }
+    is_sent
 }
 
 // Returns the listed documents with their versions. Objects that are not documents of the
--- a/crates/daemon/src/entry_http.rs
+++ b/crates/daemon/src/entry_http.rs
@@ -6,7 +6,7 @@
 use std::sync::{Arc, PoisonError, RwLock};
 use std::time::Duration;
 
-use compact_str::ToCompactString;
+use compact_str::{CompactString, ToCompactString, format_compact};
 use rocket::data::Data;
 use rocket::http::Status;
 use rocket::serde::json::Json;
@@ -33,6 +33,10 @@
 struct ControlSnapshot {
     watching: bool,
     confirmed_at: Option<TimePoint>,
+    is_outdated: bool,
+    // Documents of operators that can't be read, and those with items that can't be.
+    unreadable: Vec<CompactString>,
+    partly_read: Vec<CompactString>,
     hosts: Vec<HostStatus>,
 }
 
@@ -130,6 +134,15 @@
         let control_snapshot = ControlSnapshot {
             watching: control.is_watching(),
             confirmed_at: control.confirmed_at(),
+            is_outdated: control.is_outdated(),
+            unreadable: control
+                .unreadable_documents()
+                .map(ToCompactString::to_compact_string)
+                .collect(),
+            partly_read: control
+                .partly_read_documents()
+                .map(|(id, items)| format_compact!("{id}: {items}"))
+                .collect(),
             hosts: hosts.collect(),
         };
         replace(&self.control_snapshot, Arc::new(control_snapshot));
@@ -140,6 +153,23 @@
         read(&self.view)
     }
 
+    // Returns why no packets should be sent here, if so. Where there are several manifests, one that
+    // can't be read keeps the others in use.
+    fn unready_cause(&self) -> Option<&'static str> {
+        let documents = self.documents();
+        let is_manifest = |id: &DocumentId| id.kind == DocumentKind::Manifest;
+        let manifests = documents.iter().filter(|(id, _)| is_manifest(id)).count();
+        if self.stopping.load(Ordering::Relaxed) {
+            Some("stopping")
+        } else if read(&self.control_snapshot).is_outdated && manifests <= 1 {
+            Some("the platform has a document of operators that can't be read")
+        } else if read(&self.view).ids().next().is_none() {
+            Some("no service is known")
+        } else {
+            None
+        }
+    }
+
     // Built per request instead of kept current: the members alone may be thousands.
     fn status(&self) -> EntryStatus {
         let documents = self.documents();
@@ -154,6 +184,9 @@
                 .confirmed_at
                 .map(|confirmed_at| clock::now().since(confirmed_at).as_millis() as u64),
             documents: wire_versions(&documents.digest()),
+            outdated: control_snapshot.is_outdated,
+            unreadable: control_snapshot.unreadable.clone(),
+            partly_read: control_snapshot.partly_read.clone(),
             drained: documents
                 .drained_datacenters()
                 .map(ToCompactString::to_compact_string)
@@ -183,12 +216,14 @@
     health_status(!shared.stopping.load(Ordering::Relaxed))
 }
 
-// Returns 200 while the entry VM can forward packets: it has the view of at least one
-// service and is not stopping.
+// Returns 200 while the entry VM can forward packets as operators want it: it has the view of at
+// least one service, its manifest is not outdated and it is not stopping. The text says why not.
 #[get("/ready")]
-fn ready(shared: &State<Arc<EntryShared>>) -> Status {
-    let has_services = read(&shared.view).ids().next().is_some();
-    health_status(has_services && !shared.stopping.load(Ordering::Relaxed))
+fn ready(shared: &State<Arc<EntryShared>>) -> (Status, &'static str) {
+    match shared.unready_cause() {
+        Some(cause) => (Status::ServiceUnavailable, cause),
+        None => (Status::Ok, ""),
+    }
 }
 
 #[get("/metrics")]
--- a/crates/daemon/src/entry_store.rs
+++ b/crates/daemon/src/entry_store.rs
@@ -8,7 +8,7 @@
 use crossbeam_channel::Receiver;
 
 use chestnutlb_core::{ControlEvent, DocumentId, DocumentPatch, ObjectVersion, StoreEra};
-use chestnutlb_store::{EditOutcome, LoadedDocument, StoreCalls, objects};
+use chestnutlb_store::{EditOutcome, LoadedDocument, StoreCalls, StoreError, objects};
 use chestnutlb_wire::peer::{
     PullQuery, PullReply, core_versions, scan_message, wire_versions, write_message,
 };
@@ -40,11 +40,12 @@
         counters.add(Counter::PlatformCalls);
         let (id, loaded) = match job {
             StoreJob::Load(id) => {
-                let loaded = objects::load(client, &id).map_err(|error| error.to_string());
+                let loaded = objects::load(client, &id);
                 if let Ok(Some(loaded)) = &loaded {
                     report_unreadable_items(&id, loaded, counters);
                 }
-                (id, loaded)
+                push_read(&id, &loaded, events);
+                (id, loaded.map_err(|error| error.to_string()))
             }
             StoreJob::WriteRoster(id, base, edits) => {
                 let outcome = objects::edit_roster(client, &id, base, &edits);
@@ -77,12 +78,35 @@
     }
 }
 
+// Tells the control thread whether a document of operators can be read. A read that failed tells
+// nothing.
+fn push_read(
+    id: &DocumentId,
+    loaded: &Result<Option<LoadedDocument>, StoreError>,
+    events: &EventRing,
+) {
+    let (stored, is_readable) = match loaded {
+        Ok(Some(loaded)) => (loaded.version, true),
+        // The listed version is the one that can't be read.
+        Err(StoreError::Format(_)) => (ObjectVersion::default(), false),
+        Ok(None) | Err(_) => return,
+    };
+    if id.kind.is_of_operators() {
+        events.push(ControlEvent::DocumentRead {
+            id: id.clone(),
+            stored,
+            is_readable,
+        });
+    }
+}
+
 /// Returns the event of a document that was read.
 pub fn loaded_event(id: DocumentId, loaded: LoadedDocument) -> ControlEvent {
     let LoadedDocument {
         version,
         items,
         unreadable,
+        ..
     } = loaded;
     if unreadable.is_empty() {
         ControlEvent::Loaded { id, version, items }
@@ -113,7 +137,8 @@
         target: "platform",
         document:% = id, version = LoggedVersion::from(loaded.version),
         readable = loaded.items.len(), unreadable = unreadable.count(),
-        names = names.join(" ").as_str(), whole = unreadable.is_whole;
+        names = names.join(" ").as_str(), whole = unreadable.is_whole,
+        cause = loaded.cause.as_ref().map(ToString::to_string).as_deref();
         "unreadable items left out"
     );
 }
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -29,6 +29,7 @@
 mod http1;
 mod logs;
 mod metrics;
+mod outdated_span;
 mod packet_format;
 mod passthrough_control;
 mod passthrough_http;
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -93,6 +93,9 @@
     PlatformFailed = "platform.failed",
     /// Reads of the operators' objects by an entry VM whose documents nobody confirmed.
     StoreProbes = "platform.probes",
+    /// Seconds in which operators' documents were in force in an earlier version, since the platform
+    /// had one that can't be read.
+    OutdatedSeconds = "documents.outdated-s",
     /// Malformed or oversized HTTP bodies.
     BodiesBad = "http.bad-body",
     /// Reports and deregistrations of a backend server that were older than the current report,
--- a/crates/standin/src/capacity.rs
+++ b/crates/standin/src/capacity.rs
@@ -315,6 +315,7 @@
         entry: entry_record(1),
         summary: control.documents().summary(),
         operators_age: Duration::ZERO,
+        unreadable_age: Duration::MAX,
         fleet_age: Duration::ZERO,
         recent: Vec::new(),
     };
@@ -394,6 +395,7 @@
             entry: entry_record(5_000),
             summary: u64::MAX / 3,
             operators_age: Duration::from_millis(1500),
+            unreadable_age: Duration::MAX,
             fleet_age: Duration::from_millis(1500),
             recent,
         }))
--- a/crates/store/src/calls.rs
+++ b/crates/store/src/calls.rs
@@ -47,11 +47,15 @@
 pub struct FeedObject {
     /// Id of the document that the object holds.
     pub id: DocumentId,
-    /// Version of the object.
+    /// Version of the document.
     pub version: ObjectVersion,
+    /// Version of the object. It differs from that of a document whose content states a version.
+    pub stored: ObjectVersion,
     /// Content in the format of the project's object API, or the error if it
     /// can't be converted to that format.
     pub value: Result<Value, StoreError>,
+    /// Number of items that can't be converted to that format and were left out.
+    pub unreadable: usize,
 }
 
 /// An update of a feed.
--- a/crates/store/src/objects.rs
+++ b/crates/store/src/objects.rs
@@ -8,11 +8,11 @@
 use serde_json::Value;
 
 use chestnutlb_core::{
-    DatacenterName, DocumentId, DocumentItem, DocumentKind, FirmManifest, MemberEdit,
-    ObjectVersion, RosterEdit, UnreadableItems,
+    DatacenterName, DocumentId, DocumentItem, DocumentKind, MemberEdit, ObjectVersion, RosterEdit,
+    UnreadableItems,
 };
 use chestnutlb_wire::manifest::shared_services;
-use chestnutlb_wire::{ManifestObject, WireDrain, WireGrants, WireItem};
+use chestnutlb_wire::{DocumentError, ManifestObject, WireDrain, WireGrants, WireItem};
 
 use crate::calls::{FeedObject, ReadObject, StoreCalls};
 use crate::client::{StoreError, WriteOutcome};
@@ -31,20 +31,15 @@
 
 // Parses an object into a document of this version.
 //
-// A manifest and grants, which operators commit, are valid as a whole. Rosters and members may
-// contain items of other programs, which are left out.
+// Grants are valid as a whole. Services of a manifest, and items of rosters and members, that can't
+// be read are left out.
 fn parse_document(
     id: &DocumentId,
     version: ObjectVersion,
     value: Value,
 ) -> Result<LoadedDocument, StoreError> {
     let items = match id.kind {
-        DocumentKind::Manifest => {
-            let object: ManifestObject = parse_value(value)?;
-            let manifest = FirmManifest::try_from(&object.manifest).map_err(format_error)?;
-            let services = shared_services(manifest);
-            services.into_iter().map(DocumentItem::Service).collect()
-        }
+        DocumentKind::Manifest => return parse_manifest(version, value),
         DocumentKind::Grants => {
             let object: WireGrants = parse_value(value)?;
             let grants = object.grants.into_iter().map(WireItem::Grant);
@@ -66,6 +61,23 @@
         version,
         items,
         unreadable: UnreadableItems::default(),
+        cause: None,
+    })
+}
+
+fn parse_manifest(version: ObjectVersion, value: Value) -> Result<LoadedDocument, StoreError> {
+    let object: ManifestObject = parse_value(value)?;
+    let (manifest, rejected) = object.manifest.check_services().map_err(format_error)?;
+    let mut unreadable = UnreadableItems::default();
+    let cause = rejected.first().map(|service| service.error.clone());
+    let names = rejected.into_iter().map(|service| service.name);
+    unreadable.keys.extend(names);
+    let services = shared_services(manifest).into_iter();
+    Ok(LoadedDocument {
+        version,
+        items: services.map(DocumentItem::Service).collect(),
+        unreadable,
+        cause,
     })
 }
 
@@ -76,13 +88,17 @@
     pub version: ObjectVersion,
     /// Items of the document.
     pub items: Vec<DocumentItem>,
-    /// Items that can't be read, only in rosters and members.
+    /// Items that can't be read.
     pub unreadable: UnreadableItems,
+    /// What is wrong with the first of them, if known.
+    pub cause: Option<DocumentError>,
 }
 
 /// Parses an object of a feed into a document.
 pub fn parse_feed_object(object: FeedObject) -> Result<LoadedDocument, StoreError> {
-    parse_document(&object.id, object.version, object.value?)
+    let mut loaded = parse_document(&object.id, object.version, object.value?)?;
+    loaded.unreadable.unnamed += object.unreadable;
+    Ok(loaded)
 }
 
 /// Reads a document; returns `None` if it does not exist.
--- a/crates/store/src/stored_list.rs
+++ b/crates/store/src/stored_list.rs
@@ -125,6 +125,7 @@
             }
         }
         LoadedDocument {
+            cause: None,
             version,
             items: self.records,
             unreadable,
--- a/crates/wire/src/manifest.rs
+++ b/crates/wire/src/manifest.rs
@@ -3,7 +3,7 @@
 //! Every error contains the path in the document, the value found there and the
 //! allowed values.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddrV4;
 use std::num::NonZeroU32;
 use std::str::FromStr;
@@ -470,40 +470,90 @@
     }
 }
 
+/// A service of a manifest that was left out.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RejectedService {
+    /// Name of the service, as it stands in the manifest.
+    pub name: CompactString,
+    /// What is wrong with it.
+    pub error: DocumentError,
+}
+
+// Services that were checked one after the other.
+#[derive(Debug, Default)]
+struct CheckedServices {
+    services: Vec<ServiceSpec>,
+    ids: HashSet<ServiceId>,
+    by_address: HashMap<SocketAddrV4, ServiceId>,
+}
+
+impl CheckedServices {
+    fn add(
+        &mut self,
+        firm: &FirmName,
+        service: &WireService,
+        path: &str,
+    ) -> Result<(), DocumentError> {
+        let spec = service.check(firm, path)?;
+        if self.ids.contains(&spec.id) {
+            let field_path = format!("{path}.name");
+            return Err(value_error(&field_path, &service.name, "a name used once"));
+        }
+        let mut own_addresses = HashSet::new();
+        for address in spec.addresses() {
+            let other = match own_addresses.insert(address) {
+                true => self.by_address.get(&address),
+                false => Some(&spec.id),
+            };
+            if let Some(other) = other {
+                let field_path = if address == spec.address {
+                    format!("{path}.address")
+                } else {
+                    format!("{path}.aliases")
+                };
+                let allowed = format!("an address other than that of {other}");
+                return Err(value_error(&field_path, address, &allowed));
+            }
+        }
+        let addresses = own_addresses.into_iter();
+        self.by_address
+            .extend(addresses.map(|address| (address, spec.id.clone())));
+        self.ids.insert(spec.id.clone());
+        self.services.push(spec);
+        Ok(())
+    }
+}
+
+impl WireManifest {
+    /// Checks the services one by one. Returns the manifest of those that pass, and the others.
+    pub fn check_services(&self) -> Result<(FirmManifest, Vec<RejectedService>), DocumentError> {
+        let firm: FirmName = parse_text("firm", &self.firm, NAME_FORMAT)?;
+        let mut checked = CheckedServices::default();
+        let mut rejected = Vec::new();
+        for (index, service) in self.services.iter().enumerate() {
+            if let Err(error) = checked.add(&firm, service, &format!("services[{index}]")) {
+                let name = service.name.clone();
+                rejected.push(RejectedService { name, error });
+            }
+        }
+        let services = checked.services;
+        Ok((FirmManifest { firm, services }, rejected))
+    }
+}
+
 impl TryFrom<&WireManifest> for FirmManifest {
     type Error = DocumentError;
 
     fn try_from(wire: &WireManifest) -> Result<Self, DocumentError> {
-        let firm: FirmName = parse_text("firm", &wire.firm, NAME_FORMAT)?;
         if wire.services.len() > MAX_SERVICES {
             let allowed = format!("at most {MAX_SERVICES} services");
             return Err(value_error("services", wire.services.len(), &allowed));
         }
-        let mut services: Vec<ServiceSpec> = Vec::with_capacity(wire.services.len());
-        let mut services_by_address: HashMap<SocketAddrV4, ServiceId> = HashMap::new();
-        for (index, service) in wire.services.iter().enumerate() {
-            let path = format!("services[{index}]");
-            let spec = service.check(&firm, &path)?;
-            for earlier in &services {
-                if earlier.id == spec.id {
-                    let field_path = format!("{path}.name");
-                    return Err(value_error(&field_path, &service.name, "a name used once"));
-                }
-            }
-            for address in spec.addresses() {
-                if let Some(other) = services_by_address.insert(address, spec.id.clone()) {
-                    let field_path = if address == spec.address {
-                        format!("{path}.address")
-                    } else {
-                        format!("{path}.aliases")
-                    };
-                    let allowed = format!("an address other than that of {other}");
-                    return Err(value_error(&field_path, address, &allowed));
-                }
-            }
-            services.push(spec);
+        let (manifest, rejected) = wire.check_services()?;
+        match rejected.into_iter().next() {
+            Some(service) => Err(service.error),
+            None => Ok(manifest),
         }
-        Ok(Self { firm, services })
     }
 }
 
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -193,7 +193,8 @@
 /// Times since the platform confirmed operators' documents and those of the fleet, in one number.
 ///
 /// The low half is the age of the fleet's documents in milliseconds, the high half is zero if both
-/// ages are the same, otherwise the other age plus one. An earlier release takes the number for
+/// ages are the same, otherwise the other age plus one, with a mark if it is that of a document of
+/// operators that can't be read. An earlier release takes the number for
 /// one age, so large that it confirms nothing, and sends numbers whose high half is zero.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -204,13 +205,21 @@
     const HALF_BITS: u32 = 32;
     /// Age of documents that were never confirmed.
     const NEVER: u64 = u32::MAX as u64;
-
-    /// Encodes the two ages.
-    pub fn new(operators: Duration, fleet: Duration) -> Self {
-        let [operators, fleet] = [operators, fleet].map(|age| {
+    /// Bit of the high half that marks the age of a document of operators that can't be read. To an
+    /// earlier release it is a large age, which confirms nothing.
+    const UNREADABLE: u64 = 1 << 31;
+
+    /// Encodes the ages. That of an unreadable document is left out if operators' documents were
+    /// confirmed later.
+    pub fn new(operators: Duration, unreadable: Duration, fleet: Duration) -> Self {
+        let [operators, unreadable, fleet] = [operators, unreadable, fleet].map(|age| {
             let millis = u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
             millis.min(Self::NEVER)
         });
+        if unreadable < operators {
+            let high = (unreadable + 1).min(Self::UNREADABLE - 1) | Self::UNREADABLE;
+            return Self(high << Self::HALF_BITS | fleet);
+        }
         if operators == fleet {
             return Self(if fleet == Self::NEVER {
                 u64::MAX
@@ -218,7 +227,10 @@
                 fleet
             });
         }
-        let high = (operators + 1).min(Self::NEVER);
+        let high = match operators + 1 {
+            high if high < Self::UNREADABLE => high,
+            _ => Self::NEVER,
+        };
         Self(high << Self::HALF_BITS | fleet)
     }
 
@@ -226,11 +238,23 @@
     pub fn operators(self) -> Duration {
         match self.0 >> Self::HALF_BITS {
             0 => self.fleet(),
-            Self::NEVER => Duration::MAX,
+            high if high & Self::UNREADABLE != 0 => Duration::MAX,
             high => Duration::from_millis(high - 1),
         }
     }
 
+    /// Returns the age of a document of operators that can't be read; the largest duration if there
+    /// is none.
+    pub fn unreadable(self) -> Duration {
+        match self.0 >> Self::HALF_BITS {
+            Self::NEVER => Duration::MAX,
+            high if high & Self::UNREADABLE != 0 => {
+                Duration::from_millis((high & !Self::UNREADABLE).saturating_sub(1))
+            }
+            _ => Duration::MAX,
+        }
+    }
+
     /// Returns the age of rosters and members; the largest duration if never confirmed.
     pub fn fleet(self) -> Duration {
         match self.0 & Self::NEVER {
@@ -259,7 +283,11 @@
         Self {
             entry: (&heartbeat.entry).into(),
             summary: heartbeat.summary,
-            ages: WireAges::new(heartbeat.operators_age, heartbeat.fleet_age),
+            ages: WireAges::new(
+                heartbeat.operators_age,
+                heartbeat.unreadable_age,
+                heartbeat.fleet_age,
+            ),
             recent: wire_versions(&heartbeat.recent),
         }
     }
@@ -273,6 +301,7 @@
             entry: (&wire.entry).try_into()?,
             summary: wire.summary,
             operators_age: wire.ages.operators(),
+            unreadable_age: wire.ages.unreadable(),
             fleet_age: wire.ages.fleet(),
             recent: core_versions(&wire.recent)?,
         })
--- a/crates/wire/src/status.rs
+++ b/crates/wire/src/status.rs
@@ -27,6 +27,16 @@
     pub age_ms: Option<u64>,
     /// Versions of the documents in force.
     pub documents: Vec<WireVersion>,
+    /// Whether documents of operators are in force in an earlier version, since the platform has
+    /// one that can't be read, here or at a peer.
+    #[serde(default)]
+    pub outdated: bool,
+    /// Documents of operators that the platform has and that can't be read here.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub unreadable: Vec<CompactString>,
+    /// Documents of operators with items that can't be read, and their numbers.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub partly_read: Vec<CompactString>,
     /// Data centres that operators have drained.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub drained: Vec<CompactString>,
--- a/crates/wire/tests/datagrams.rs
+++ b/crates/wire/tests/datagrams.rs
@@ -150,7 +150,11 @@
     let message = PeerMessage::Heartbeat(PeerHeartbeat {
         entry,
         summary: 1,
-        ages: WireAges::new(Duration::from_millis(2), Duration::from_millis(7)),
+        ages: WireAges::new(
+            Duration::from_millis(2),
+            Duration::MAX,
+            Duration::from_millis(7),
+        ),
         recent: Vec::new(),
     });
     let mut bytes = write_message(&message);
@@ -202,23 +206,43 @@
     }
 }
 
+// Returns the age that a release takes this number for which knows one age only.
+fn age_for_earlier_release(ages: WireAges) -> Duration {
+    let number = serde_json::to_value(ages).unwrap();
+    Duration::from_millis(number.as_u64().unwrap())
+}
+
 // An earlier release reads the two ages as one, which must not confirm what is not current.
 #[test]
 fn ages_of_a_heartbeat_are_read_as_written_and_never_younger_by_an_earlier_release() {
     // Seven weeks.
     const LARGE_AGE: Duration = Duration::from_millis(1 << 32);
     let never = Duration::MAX;
+    // The mark of a document that can't be read takes a bit of the operators' age.
+    const LONGEST_AGE: Duration = Duration::from_millis((1 << 31) - 3);
     let ages = [0, 1, 2_500, 4_000_000_000].map(Duration::from_millis);
-    let ages: Vec<_> = ages.into_iter().chain([never]).collect();
+    let ages: Vec<_> = ages.into_iter().chain([LONGEST_AGE, never]).collect();
     for operators in &ages {
         for fleet in &ages {
-            let ages = WireAges::new(*operators, *fleet);
-            assert_eq!((ages.operators(), ages.fleet()), (*operators, *fleet));
-            let number: u64 = serde_json::from_value(serde_json::to_value(ages).unwrap()).unwrap();
+            let ages = WireAges::new(*operators, never, *fleet);
+            let is_exact = *operators <= LONGEST_AGE || operators == fleet;
+            let read = if is_exact { *operators } else { never };
+            assert_eq!((ages.operators(), ages.fleet()), (read, *fleet));
+            assert_eq!(ages.unreadable(), never);
             let oldest = (*operators).max(*fleet);
-            assert!(Duration::from_millis(number) >= oldest.min(LARGE_AGE));
+            assert!(age_for_earlier_release(ages) >= oldest.min(LARGE_AGE));
+        }
+    }
+    for unreadable in ages.iter().filter(|age| **age <= LONGEST_AGE) {
+        for fleet in &ages {
+            let ages = WireAges::new(never, *unreadable, *fleet);
+            assert_eq!((ages.operators(), ages.fleet()), (never, *fleet));
+            assert_eq!(ages.unreadable(), *unreadable);
+            assert!(age_for_earlier_release(ages) >= LARGE_AGE);
         }
     }
+    let confirmed_since = WireAges::new(ages[1], ages[2], ages[1]);
+    assert_eq!(confirmed_since, WireAges::new(ages[1], never, ages[1]));
     let of_earlier_release = |age: u64| -> WireAges { serde_json::from_value(age.into()).unwrap() };
     let same = of_earlier_release(1_700);
     assert_eq!(same.operators(), Duration::from_millis(1_700));
--- a/crates/wire/tests/versions.rs
+++ b/crates/wire/tests/versions.rs
@@ -73,6 +73,7 @@
             },
             summary: u64::MAX,
             operators_age: Duration::from_millis(300),
+            unreadable_age: Duration::MAX,
             fleet_age: Duration::from_millis(900),
             recent: vec![(id, version(era, 4_000)); 8],
         };
