--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -12,6 +12,7 @@
 use chestnutlb_core::{
     ColdLimit, DatacenterName, EntryName, FlowKey, HostName, HostWeight, ServiceId,
 };
+use chestnutlb_platform::names;
 use chestnutlb_wire::{DocumentError, parse_json, parse_text};
 
 use crate::wire_millis::WireMillis;
@@ -495,6 +496,17 @@
     }
 }
 
+// Parses the firm and service. The platform's services may have names that the product's can't have.
+fn parse_service(dialect: Dialect, text: &str) -> Result<ServiceId, DocumentError> {
+    const FORMAT: &str = "firm/service";
+    match dialect {
+        Dialect::Own => parse_text("service", text, FORMAT),
+        Dialect::Platform => names::service_id(text).map_err(|_| {
+            DocumentError::Value("service".to_owned(), text.to_owned(), FORMAT.to_owned())
+        }),
+    }
+}
+
 impl TryFrom<&WireSideSettings> for SideSettings {
     type Error = DocumentError;
 
@@ -510,7 +522,7 @@
         Ok(Self {
             name: parse_text("name", &wire.name, NAME_FORMAT)?,
             datacenter: parse_text("datacenter", &wire.datacenter, NAME_FORMAT)?,
-            service: parse_text("service", &wire.service, "firm/service")?,
+            service: parse_service(wire.dialect, &wire.service)?,
             packets: parse_text("packets", &wire.packets, ADDRESS_FORMAT)?,
             registration_address: parse_text("announce", &wire.announce, ADDRESS_FORMAT)?,
             status: parse_text("status", &wire.status, ADDRESS_FORMAT)?,
--- a/crates/wire/src/manifest.rs
+++ b/crates/wire/src/manifest.rs
@@ -20,6 +20,9 @@
     RequestClass, RouteRule, ServiceId, ServiceKind, ServiceSpec,
 };
 
+/// Largest limit of flows of a host.
+pub const MAX_FLOWS: u64 = 1_000_000;
+
 /// Largest limit of new flows per second of a cold host.
 pub const MAX_COLD_FLOWS: u64 = 1_000_000;
 
@@ -331,7 +334,7 @@
         Ok(HostLimits {
             slots: count("slots", self.slots, 1024)?,
             queue: count("queue", self.queue, 65_536)?,
-            flows: count("flows", self.flows, 1_000_000)?,
+            flows: count("flows", self.flows, MAX_FLOWS)?,
             head: size("head", &self.head, 64 << 10)?,
             body: size("body", &self.body, 16 << 20)?,
             cold: self.check_cold_limit(path)?,
