Process tests have folders of their own and tell what their processes did

Cause, shown: the folder of a test depended on its name alone, so runs beside each other, or beside processes that an interrupted run had left, wrote each other's settings, which the processes watch. Second: passthrough.rs started its side process without the lock that keeps ports from being tried meanwhile. A process that starts then inherits the trial socket for a moment.

--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -55,6 +55,8 @@
 
 /// Exit code after a fatal error at run time.
 pub const EXIT_FAILURE: i32 = 1;
+/// Exit code after the end of standard input, if the process ends with it.
+const EXIT_INPUT_CLOSED: i32 = 3;
 /// Exit code if the settings can't be read or are invalid, or logging can't start.
 pub const EXIT_SETTINGS: u8 = 2;
 
@@ -72,6 +74,9 @@
     /// check the settings, print them as JSON with all defaults filled in, and exit
     #[argh(switch)]
     check: bool,
+    /// end at once when standard input closes, as it does with the end of the starting process
+    #[argh(switch)]
+    end_with_input: bool,
 }
 
 fn main() -> ExitCode {
@@ -90,6 +95,12 @@
             return ExitCode::from(EXIT_SETTINGS);
         }
     };
+    if options.end_with_input
+        && let Err(error) = end_with_input()
+    {
+        eprintln!("standard input: {error}");
+        return ExitCode::FAILURE;
+    }
     chestnutlb_core::check_charts();
     if options.check {
         println!("{effective}");
@@ -143,6 +154,16 @@
     }
 }
 
+// Starts the thread that ends the process when standard input closes.
+fn end_with_input() -> std::io::Result<()> {
+    let watch = std::thread::Builder::new().name("input".to_owned());
+    watch.spawn(|| {
+        let _ = std::io::copy(&mut std::io::stdin(), &mut std::io::sink());
+        std::process::exit(EXIT_INPUT_CLOSED);
+    })?;
+    Ok(())
+}
+
 // Starts the thread that receives signals: SIGHUP requests a reload, SIGTERM and SIGINT
 // a stop.
 fn watch_signals() -> std::io::Result<(Receiver<StopSignal>, Receiver<ReloadSignal>)> {
--- a/crates/daemon/src/side_control.rs
+++ b/crates/daemon/src/side_control.rs
@@ -34,6 +34,8 @@
 /// Time for which a leaving host stays after the roster shows it as leaving, so
 /// that every entry VM receives this state before the process ends.
 const LEAVE_PROPAGATION_TIME: Duration = Duration::from_secs(5);
+/// Interval at which the log says what a stopping host still waits for.
+const STOP_REPORT_PERIOD: Duration = Duration::from_secs(10);
 /// Number of times that a deregistration, which is a registration with state
 /// `gone`, is sent, since each one may be lost.
 const DEREGISTRATION_REPEATS: usize = 3;
@@ -61,6 +63,8 @@
     warm_up: Duration,
     drain_grace: Duration,
     leaving_shown_at: Option<TimePoint>,
+    // When the log last said what the host still waits for, or when it began to leave.
+    stop_reported_at: TimePoint,
     failed_connections: u32,
     slice_hash: Option<u64>,
     agent: ureq::Agent,
@@ -94,6 +98,7 @@
             warm_up: Duration::ZERO,
             drain_grace: Duration::ZERO,
             leaving_shown_at: None,
+            stop_reported_at: now,
             failed_connections: 0,
             slice_hash: None,
             agent: ureq::AgentBuilder::new().timeout(SLICE_TIMEOUT).build(),
@@ -126,12 +131,33 @@
             if !self.shared.busy.load(Ordering::Relaxed) && self.is_leave_propagated(now) {
                 self.apply(HostEvent::End, now);
             }
+            self.report_stop(now);
         }
         if self.state == HostState::Warming && now.since(self.state_since) >= self.warm_up {
             self.apply(HostEvent::Warmed, now);
         }
     }
 
+    // Logs what a stopping host still waits for. Its flows are cut at the end of its drain grace.
+    fn report_stop(&mut self, now: TimePoint) {
+        let reported_at = self.stop_reported_at.max(self.state_since);
+        if self.state != HostState::Leaving || now.since(reported_at) < STOP_REPORT_PERIOD {
+            return;
+        }
+        self.stop_reported_at = now;
+        let shared = &self.shared;
+        log::warn!(
+            target: "process",
+            host:% = self.settings.name, busy = shared.busy.load(Ordering::Relaxed),
+            flows = shared.flows.load(Ordering::Relaxed),
+            running = shared.running.load(Ordering::Relaxed),
+            waiting = shared.waiting.load(Ordering::Relaxed),
+            leaving_shown = self.leaving_shown_at.is_some(),
+            grace_ms = self.drain_grace.as_millis() as u64;
+            "still stopping"
+        );
+    }
+
     // Returns whether the entry VMs have had time to receive the leaving state.
     // Without the platform the roster can't show the state; the host then
     // stays for its drain grace.
--- a/crates/daemon/tests/seeds.rs
+++ b/crates/daemon/tests/seeds.rs
@@ -4,6 +4,7 @@
 use std::net::{Ipv4Addr, SocketAddrV4, TcpListener, TcpStream, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::{Mutex, PoisonError};
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
@@ -14,6 +15,10 @@
 /// Interval between two checks of a condition.
 const POLL_PERIOD: Duration = Duration::from_millis(20);
 
+// A process that starts while another test tries a port inherits its socket for a moment, and blocks
+// the port.
+static START_LOCK: Mutex<()> = Mutex::new(());
+
 // A side process and the addresses in its settings.
 struct SideProcess {
     child: Child,
@@ -24,6 +29,7 @@
 
 impl SideProcess {
     fn start(name: &str, delivery: &str) -> Self {
+        let _guard = START_LOCK.lock().unwrap_or_else(PoisonError::into_inner);
         let [packets, announce, outbound] = [(); 3].map(|()| free_udp_address());
         let status = free_tcp_address();
         let delivery = delivery.replace("OUTBOUND", &outbound.to_string());
@@ -34,12 +40,16 @@
             "seeds": [SEEDS], "log": {{"target": "stderr"}}{delivery}}}"#
         );
         let dir = Path::new(env!("CARGO_TARGET_TMPDIR"));
+        // Processes watch their settings, also those that an earlier run has left.
+        let name = format!("{name}-{}", status.port());
         let path = dir.join(format!("{name}.json"));
         std::fs::write(&path, settings.replace("SEEDS", "")).unwrap();
         let log = std::fs::File::create(dir.join(format!("{name}.log"))).unwrap();
         let child = Command::new(env!("CARGO_BIN_EXE_chestnutlbd"))
+            .arg("--end-with-input")
             .arg("--settings")
             .arg(&path)
+            .stdin(Stdio::piped())
             .stderr(log)
             .stdout(Stdio::null())
             .spawn()
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -3,6 +3,7 @@
 //! The tryout, the load tools, the fault soak and the tests use it.
 
 use std::collections::BTreeMap;
+use std::fmt;
 use std::fs::{File, OpenOptions};
 use std::net::SocketAddrV4;
 use std::path::{Path, PathBuf};
@@ -27,6 +28,8 @@
 
 /// Timeout for a condition, far longer than any condition takes to become true.
 pub const WAIT_LIMIT: Duration = Duration::from_secs(60);
+/// Number of lines of each log in the report of a failure.
+const REPORTED_LINES: usize = 20;
 /// Interval between two checks of a condition.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -40,8 +43,8 @@
             display("{}", error)
         }
         /// A condition did not become true within [`WAIT_LIMIT`].
-        Timeout(what: String) {
-            display("timed out waiting for {}", what)
+        Timeout(what: String, processes: ProcessReport) {
+            display("timed out waiting for {}{}", what, processes)
         }
         /// An operation failed, as described by the text.
         Failed(what: String) {
@@ -113,6 +116,23 @@
     pub status: SocketAddrV4,
 }
 
+/// What the processes of a fleet were doing when a wait failed.
+#[derive(Clone, Default)]
+pub struct ProcessReport(String);
+
+impl fmt::Display for ProcessReport {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+// Failed tests print errors in this form.
+impl fmt::Debug for ProcessReport {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
 /// Processes of a fleet; all of them are killed when it is dropped.
 #[derive(Debug)]
 pub struct Fleet {
@@ -134,6 +154,8 @@
     /// Packet address of the fabric.
     pub fabric: SocketAddrV4,
     fabric_admin: SocketAddrV4,
+    // Whether the folder of settings and logs is removed unless a test fails.
+    is_temporary: bool,
 }
 
 /// Sends a signal to the process with this process id.
@@ -170,6 +192,7 @@
             platform: free_address()?,
             fabric: free_address()?,
             fabric_admin: free_address()?,
+            is_temporary: false,
         };
         let address = fleet.platform.to_string();
         fleet.spawn(
@@ -189,6 +212,14 @@
         Ok(fleet)
     }
 
+    /// Starts the platform and the fabric of a test. The folder is removed at the end of the fleet,
+    /// unless its thread panics.
+    pub fn start_temporary(binaries: &Path, logs: &Path) -> FleetResult<Self> {
+        let mut fleet = Self::start(binaries, logs)?;
+        fleet.is_temporary = true;
+        Ok(fleet)
+    }
+
     fn spawn(&mut self, name: &str, program: &str, arguments: &[&str]) -> FleetResult<()> {
         let log = File::create(self.log_path(name))?;
         self.spawn_logged(name, program, arguments, log)
@@ -206,9 +237,11 @@
         log: File,
     ) -> FleetResult<()> {
         let _guard = lock_ports();
+        // The child keeps the other end of its input, which closes if this process is killed.
         let child = Command::new(self.binaries.join(program))
+            .arg("--end-with-input")
             .args(arguments)
-            .stdin(Stdio::null())
+            .stdin(Stdio::piped())
             .stdout(log.try_clone()?)
             .stderr(log)
             .spawn()?;
@@ -226,13 +259,30 @@
         let start = Instant::now();
         while !condition() {
             if start.elapsed() > WAIT_LIMIT {
-                return Err(FleetError::Timeout(what.to_owned()));
+                return Err(FleetError::Timeout(
+                    what.to_owned(),
+                    self.report_processes(),
+                ));
             }
             std::thread::sleep(POLL_INTERVAL);
         }
         Ok(())
     }
 
+    // Returns the state, the settings and the end of the log of each process.
+    fn report_processes(&self) -> ProcessReport {
+        let mut report = format!("; settings and logs in {}", self.logs.display());
+        for (name, child) in &self.processes {
+            let settings = std::fs::read_to_string(self.settings_path(name)).unwrap_or_default();
+            let log = self.log(name);
+            let lines: Vec<_> = log.lines().collect();
+            let shown = &lines[lines.len().saturating_sub(REPORTED_LINES)..];
+            let state = process_state(child.id());
+            report += &format!("\n== {name}, {state}\n{settings}\n{}", shown.join("\n"));
+        }
+        ProcessReport(report)
+    }
+
     /// Writes the first version of the grants, each an address block and a firm. In
     /// production the staff of the platform do this once.
     pub fn grant(&self, grants: &[(&str, &str)]) -> FleetResult<()> {
@@ -642,7 +692,8 @@
             }
             if start.elapsed() > WAIT_LIMIT {
                 self.processes.insert(name.to_owned(), child);
-                return Err(FleetError::Timeout(format!("{name} to end")));
+                let what = format!("{name} to end");
+                return Err(FleetError::Timeout(what, self.report_processes()));
             }
             std::thread::sleep(POLL_INTERVAL);
         }
@@ -710,6 +761,22 @@
     }
 }
 
+/// Returns whether a process runs, or its exit status as proc(5) has it until it is waited for.
+pub fn process_state(id: u32) -> String {
+    let stat = std::fs::read_to_string(format!("/proc/{id}/stat")).unwrap_or_default();
+    // Counted from 1: the state is field 3, the first after the name in parentheses; the exit
+    // status is the last, field 52.
+    let fields: Vec<&str> = match stat.rsplit_once(')') {
+        Some((_, fields)) => fields.split_whitespace().collect(),
+        None => return "gone".to_owned(),
+    };
+    match (fields.first(), fields.get(49)) {
+        (Some(&"Z"), Some(status)) => format!("ended with wait status {status}"),
+        (Some(state), _) => format!("process {id} in state {state}"),
+        (None, _) => "gone".to_owned(),
+    }
+}
+
 // Parses a version as the client prints it: a number, or text with an era.
 fn parse_version(printed: &serde_json::Value) -> Option<ObjectVersion> {
     match printed.as_str() {
@@ -732,5 +799,8 @@
             let _ = child.kill();
             let _ = child.wait();
         }
+        if self.is_temporary && !std::thread::panicking() {
+            let _ = std::fs::remove_dir_all(&self.logs);
+        }
     }
 }
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -20,6 +20,9 @@
 #[derive(Debug)]
 #[derive(FromArgs)]
 struct StandinOptions {
+    /// end at once when standard input closes, as it does with the end of the starting process
+    #[argh(switch)]
+    end_with_input: bool,
     #[argh(subcommand)]
     command: StandinCommand,
 }
@@ -219,8 +222,22 @@
     json: bool,
 }
 
+/// Exit code after the end of standard input, if the process ends with it.
+const EXIT_INPUT_CLOSED: i32 = 3;
+
+// Starts the thread that ends the process when standard input closes.
+fn end_with_input() {
+    std::thread::spawn(|| {
+        let _ = std::io::copy(&mut std::io::stdin(), &mut std::io::sink());
+        std::process::exit(EXIT_INPUT_CLOSED);
+    });
+}
+
 fn main() -> ExitCode {
     let options: StandinOptions = argh::from_env();
+    if options.end_with_input {
+        end_with_input();
+    }
     let outcome = match options.command {
         StandinCommand::Platform(options) => {
             rocket::execute(platform::server(options.address).launch())
--- a/crates/standin/src/tryout.rs
+++ b/crates/standin/src/tryout.rs
@@ -11,7 +11,7 @@
 use serde::Serialize;
 
 use crate::caller::{CallerEnd, CallerLoop, CallerResult, CallerTask, TaskKind};
-use crate::fleet::{Fleet, FleetError, HostPlan, WAIT_LIMIT};
+use crate::fleet::{Fleet, FleetError, HostPlan, ProcessReport, WAIT_LIMIT};
 
 /// Configuration of a tryout.
 #[derive(Debug, Clone)]
@@ -246,10 +246,8 @@
     let start = Instant::now();
     feeds.run(|feeds| feeds.live_feeds() == expected || start.elapsed() > WAIT_LIMIT);
     if feeds.live_feeds() < expected {
-        return Err(FleetError::Timeout(format!(
-            "{expected} feeds: {:?}",
-            feeds.results()
-        )));
+        let what = format!("{expected} feeds: {:?}", feeds.results());
+        return Err(FleetError::Timeout(what, ProcessReport::default()));
     }
     Ok(feeds)
 }
--- a/crates/standin/tests/common/mod.rs
+++ b/crates/standin/tests/common/mod.rs
@@ -5,7 +5,8 @@
 
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::path::{Path, PathBuf};
-use std::time::Duration;
+use std::sync::LazyLock;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use chestnutlb_standin::caller::{CallerEnd, CallerLoop, CallerTask, TaskKind};
 use chestnutlb_standin::fleet::{Fleet, HostPlan};
@@ -21,9 +22,25 @@
     Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples")
 }
 
-/// Returns the folder for settings and logs of the test with this name.
+/// Returns the folder for settings and logs of the test with this name. Each run of the tests has
+/// another one: processes watch their settings, also those that an earlier run has left.
 pub fn output_folder(name: &str) -> PathBuf {
-    Path::new(env!("CARGO_TARGET_TMPDIR")).join(name)
+    static RUN: LazyLock<String> = LazyLock::new(|| {
+        let started_at = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
+        format!("{}-{}", std::process::id(), started_at.as_millis())
+    });
+    Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}-{}", *RUN))
+}
+
+/// Removes the folder of a test at its end, unless it fails.
+pub struct FolderGuard(pub PathBuf);
+
+impl Drop for FolderGuard {
+    fn drop(&mut self) {
+        if !std::thread::panicking() {
+            let _ = std::fs::remove_dir_all(&self.0);
+        }
+    }
 }
 
 /// Writes the example manifest of a firm, with text replacements, and returns the new path.
@@ -65,7 +82,8 @@
 
 /// Starts the fleet and waits until all entry VMs and hosts are ready.
 pub fn start_fleet(name: &str) -> Fleet {
-    let mut fleet = Fleet::start(&program_folder().unwrap(), &output_folder(name)).unwrap();
+    let mut fleet =
+        Fleet::start_temporary(&program_folder().unwrap(), &output_folder(name)).unwrap();
     fleet
         .grant(&[("10.20.0.0/16", "dalbit"), ("10.30.0.0/16", "calinawan")])
         .unwrap();
--- a/crates/standin/tests/passthrough.rs
+++ b/crates/standin/tests/passthrough.rs
@@ -1,9 +1,12 @@
 //! A side process with passthrough flows, run as a separate process. The test takes the
 //! roles of the entry VM, the fabric, the next host and the backend server.
 
+mod common;
+
+use std::fs::OpenOptions;
 use std::net::{SocketAddrV4, UdpSocket};
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, ChildStdin, Command, Stdio};
 use std::time::{Duration, Instant};
 
 use chestnutlb_core::{
@@ -11,8 +14,8 @@
     RegistrationReply, ServiceId, TimePoint,
 };
 use chestnutlb_stack::FlowStack;
-use chestnutlb_standin::fleet::send_signal;
-use chestnutlb_standin::free_ports::free_address;
+use chestnutlb_standin::fleet::{process_state, send_signal};
+use chestnutlb_standin::free_ports::{free_address, lock_ports};
 use chestnutlb_standin::http::send_request;
 use chestnutlb_standin::tryout::program_folder;
 use chestnutlb_wire::packet::{WireLookupQuery, mark_returned, write_data, write_lookup_query};
@@ -28,7 +31,10 @@
 // A running side process and the sockets of its peers.
 struct TestSetup {
     side: Child,
-    settings: PathBuf,
+    // Input of the side process, which ends when it closes.
+    input: Option<ChildStdin>,
+    // Settings and log, in a folder of this run.
+    folder: PathBuf,
     packets: SocketAddrV4,
     outbound: SocketAddrV4,
     status: SocketAddrV4,
@@ -43,6 +49,9 @@
         // Both calls fail if the process has ended already.
         let _ = self.side.kill();
         let _ = self.side.wait();
+        if !std::thread::panicking() {
+            let _ = std::fs::remove_dir_all(&self.folder);
+        }
     }
 }
 
@@ -57,13 +66,24 @@
     socket.local_addr().unwrap().to_string().parse().unwrap()
 }
 
-fn spawn_side(settings: &Path) -> Child {
-    Command::new(program_folder().unwrap().join("chestnutlbd"))
+// Starts a side process. Waiting for its end would close an input that it still holds.
+fn spawn_side(folder: &Path) -> (Child, Option<ChildStdin>) {
+    let mut options = OpenOptions::new();
+    let log = options.create(true).append(true).open(folder.join("log"));
+    let log = log.unwrap();
+    // A process that starts while another test tries a port blocks that port for a moment.
+    let _guard = lock_ports();
+    let mut child = Command::new(program_folder().unwrap().join("chestnutlbd"))
+        .arg("--end-with-input")
         .arg("--settings")
-        .arg(settings)
-        .stdout(Stdio::null())
+        .arg(folder.join("settings.json"))
+        .stdin(Stdio::piped())
+        .stdout(log.try_clone().unwrap())
+        .stderr(log)
         .spawn()
-        .unwrap()
+        .unwrap();
+    let input = child.stdin.take();
+    (child, input)
 }
 
 impl TestSetup {
@@ -89,11 +109,14 @@
             local_address(&entry),
             local_address(&backend),
         );
-        let settings = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}.json"));
-        std::fs::write(&settings, text).unwrap();
+        let folder = common::output_folder(name);
+        std::fs::create_dir_all(&folder).unwrap();
+        std::fs::write(folder.join("settings.json"), text).unwrap();
+        let (side, input) = spawn_side(&folder);
         let setup = Self {
-            side: spawn_side(&settings),
-            settings,
+            side,
+            input,
+            folder,
             packets,
             outbound,
             status,
@@ -111,16 +134,24 @@
         while send_request(self.status, "GET", "/v1/status", "").is_err() {
             assert!(
                 start.elapsed() < TEST_TIMEOUT,
-                "the side process did not answer in time"
+                "the side process did not answer in time: {}",
+                self.describe_side()
             );
             std::thread::sleep(Duration::from_millis(20));
         }
     }
 
+    // Returns the state, the settings and the log of the side process.
+    fn describe_side(&self) -> String {
+        let read = |name| std::fs::read_to_string(self.folder.join(name)).unwrap_or_default();
+        let state = process_state(self.side.id());
+        format!("{state}\n{}\n{}", read("settings.json"), read("log"))
+    }
+
     fn restart(&mut self) {
         self.side.kill().unwrap();
         self.side.wait().unwrap();
-        self.side = spawn_side(&self.settings);
+        (self.side, self.input) = spawn_side(&self.folder);
         self.wait_until_started();
     }
 
--- a/crates/standin/tests/soak.rs
+++ b/crates/standin/tests/soak.rs
@@ -19,9 +19,11 @@
 };
 
 fn assert_soak_passes(seed: u64) {
+    let logs = common::output_folder(&format!("soak-{seed}"));
+    let _guard = common::FolderGuard(logs.clone());
     let setup = SoakSetup {
         binaries: program_folder().unwrap(),
-        logs: common::output_folder(&format!("soak-{seed}")),
+        logs,
         manifests: common::example_folder(),
         seed,
         shape: SHAPE,
--- a/crates/standin/tests/store_restore.rs
+++ b/crates/standin/tests/store_restore.rs
@@ -543,7 +543,8 @@
 // Starts a platform without entry VMs and hosts, so that only operators write to it, and
 // commits a first manifest.
 fn start_platform(name: &str) -> Fleet {
-    let fleet = Fleet::start(&program_folder().unwrap(), &common::output_folder(name)).unwrap();
+    let fleet =
+        Fleet::start_temporary(&program_folder().unwrap(), &common::output_folder(name)).unwrap();
     fleet.grant(&[("10.30.0.0/16", "calinawan")]).unwrap();
     commit(&fleet, &order_desk_at(name, common::ORDER_SERVICE));
     fleet
--- a/crates/standin/tests/tryout.rs
+++ b/crates/standin/tests/tryout.rs
@@ -6,9 +6,11 @@
 
 #[test]
 fn tryout_loses_and_repeats_no_request_and_breaks_no_feed() {
+    let logs = common::output_folder("tryout");
+    let _guard = common::FolderGuard(logs.clone());
     let plan = TryoutPlan {
         binaries: program_folder().unwrap(),
-        logs: common::output_folder("tryout"),
+        logs,
         manifests: common::example_folder(),
         requests: 240,
         feeds: 30,
