An incarnation alone identifies no host

Cause: an incarnation is a start time in milliseconds and was taken for the identity of a host. order-1 and order-2 had the same one, so order-2 took the record of order-1, which was serving, for its own, never saw itself as leaving, and would have stayed for its drain grace of ten minutes.

Same class: the proof of a side process that a walk visited all hosts (a reset of a living flow is possible, not seen), the extension of plans, owner notices, and the loss of a host. All compare name or address too.

--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -8,6 +8,7 @@
 //! that a flow has no owner resets it.
 
 use std::collections::VecDeque;
+use std::net::SocketAddrV4;
 use std::num::NonZeroUsize;
 use std::sync::Arc;
 use std::time::Duration;
@@ -242,8 +243,8 @@
         None
     }
 
-    /// Records that the host with this incarnation owns the flow.
-    pub fn record_owner(&mut self, key: FlowKey, owner: Incarnation) {
+    /// Records that the host at this packet address, with this incarnation, owns the flow.
+    pub fn record_owner(&mut self, key: FlowKey, packets: SocketAddrV4, owner: Incarnation) {
         let (Some(flows), Some(service)) = (&mut self.flows, self.view.service_at(key.service))
         else {
             return;
@@ -251,7 +252,7 @@
         let position = service
             .hosts()
             .iter()
-            .position(|host| host.record.incarnation == owner);
+            .position(|host| host.record.packets == packets && host.record.incarnation == owner);
         if let (Some(position), Some(cached)) = (position, flows.get_mut(&key)) {
             cached.hint = Some(OwnerHint {
                 host: HostIndex(position as u32),
--- a/crates/core/src/roster.rs
+++ b/crates/core/src/roster.rs
@@ -41,6 +41,12 @@
         matches!(self.state, HostState::Warming | HostState::Serving)
     }
 
+    /// Returns whether this is the record of a process. Hosts that started in the same millisecond
+    /// have the same incarnation, so that alone identifies none.
+    pub fn is_of_process(&self, name: &HostName, incarnation: Incarnation) -> bool {
+        self.name == *name && self.incarnation == incarnation
+    }
+
     /// Returns whether the host may hold flows.
     pub fn holds_flows(&self) -> bool {
         !matches!(self.state, HostState::Joining | HostState::Gone)
--- a/crates/core/src/view.rs
+++ b/crates/core/src/view.rs
@@ -250,10 +250,10 @@
     fn has_lost_hosts(&self, later: &ServiceView) -> bool {
         self.hosts().iter().any(|host| {
             host.record.state != HostState::Leaving
-                && later
-                    .hosts()
-                    .iter()
-                    .all(|other| other.record.incarnation != host.record.incarnation)
+                && later.hosts().iter().all(|other| {
+                    let record = &host.record;
+                    !other.record.is_of_process(&record.name, record.incarnation)
+                })
         })
     }
 
--- a/crates/core/tests/routing.rs
+++ b/crates/core/tests/routing.rs
@@ -183,7 +183,7 @@
     };
     let owner = last_hop(&mut router);
     let record = hosts.iter().find(|h| h.name.as_str() == owner).unwrap();
-    router.record_owner(key(1), record.incarnation);
+    router.record_owner(key(1), record.packets, record.incarnation);
     let RouteDecision::Forward(plan) = router.route(&data(1, 1), TimePoint(0)) else {
         panic!("packet was dropped");
     };
--- a/crates/daemon/src/entry_packets.rs
+++ b/crates/daemon/src/entry_packets.rs
@@ -268,7 +268,7 @@
                     Some(service) if is_passthrough(service) => {
                         self.passthrough.record_owner(&view, notice.key(), from);
                     }
-                    _ => self.router.record_owner(notice.key(), notice.owner()),
+                    _ => self.router.record_owner(notice.key(), from, notice.owner()),
                 }
                 Ok(())
             }
--- a/crates/daemon/src/side_control.rs
+++ b/crates/daemon/src/side_control.rs
@@ -172,7 +172,7 @@
     fn record_leaving_shown(&mut self, hosts: &[HostRecord], now: TimePoint) {
         let own_record = hosts
             .iter()
-            .find(|host| host.incarnation == self.incarnation);
+            .find(|host| host.is_of_process(&self.settings.name, self.incarnation));
         let shown = own_record.is_none_or(|host| host.state == HostState::Leaving);
         if self.state == HostState::Leaving && shown && self.leaving_shown_at.is_none() {
             self.leaving_shown_at = Some(now);
--- a/crates/daemon/src/side_flows.rs
+++ b/crates/daemon/src/side_flows.rs
@@ -352,10 +352,7 @@
     // that accept flows, and sends the SYN on to the first of them. Returns false if
     // there is none. The plan of an entry VM with an outdated roster may lack hosts.
     fn extend_plan(&self, header: &PacketHeader, segment: &TcpSegment, inner: &[u8]) -> bool {
-        let is_unplanned = |host: &&HostRecord| {
-            let hops = &mut header.hops.iter();
-            !hops.any(|hop| hop.incarnation() == host.incarnation)
-        };
+        let is_unplanned = |host: &&HostRecord| !header.visits(host);
         let accepting = self.hosts.iter().filter(|host| host.accepts_flows());
         let free_hops = MAX_PLAN_HOPS.saturating_sub(header.hops.len());
         let added: Vec<WireHop> = accepting
@@ -392,12 +389,7 @@
                 .hosts
                 .iter()
                 .filter(|host| host.holds_flows())
-                .all(|host| {
-                    header
-                        .hops
-                        .iter()
-                        .any(|hop| hop.incarnation() == host.incarnation)
-                })
+                .all(|host| header.visits(host))
     }
 
     fn send_packet(&self, packet: &[u8], target: SocketAddrV4) {
--- a/crates/standin/src/capacity.rs
+++ b/crates/standin/src/capacity.rs
@@ -172,8 +172,8 @@
         if let Some(service) = view.service_at(segment.key.service)
             && let Some(host) = service.hosts().last()
         {
-            let owner = host.record.incarnation;
-            router.record_owner(segment.key, owner);
+            let record = &host.record;
+            router.record_owner(segment.key, record.packets, record.incarnation);
         }
     }
     let hinted = median_ns(SEGMENTS, |step| {
--- a/crates/wire/src/packet.rs
+++ b/crates/wire/src/packet.rs
@@ -125,6 +125,11 @@
 }
 
 impl PacketHeader {
+    /// Returns whether the hop plan contains this host, in the incarnation of its record.
+    pub fn visits(&self, host: &HostRecord) -> bool {
+        self.hops.contains(&WireHop::from(host))
+    }
+
     /// Returns the tag of the service.
     pub fn tag(&self) -> ServiceTag {
         ServiceTag(self.tag)
