Status names unreadable documents only while they are outdated

Found by reading the diff: an entry VM that read the store once in place of a watcher, and reads no more, went on to name a document as unreadable in its status after its peers had confirmed a later one. Ruled out: an effect on readiness, which follows the confirmations.

Change: the list is empty unless documents are outdated. The field of heartbeats stands after the one that its neighbour's comment refers to.

Test: entry_that_reads_no_more_learns_from_peers_that_the_document_is_current.

--- a/crates/core/src/control_documents.rs
+++ b/crates/core/src/control_documents.rs
@@ -46,8 +46,7 @@
         if let Some(confirmation) = confirms.filter(|_| up_to_date) {
             let was_confirmed = self.confirmed_at().is_some();
             let heard = self.feeds.record(confirmation);
-            let has_unreadable = self.unreadable_documents().next().is_some();
-            self.confirmations.merge(match has_unreadable {
+            self.confirmations.merge(match self.has_unreadable_read() {
                 true => heard.with_unreadable(),
                 false => heard,
             });
--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -31,11 +31,11 @@
     pub summary: u64,
     /// Time since the platform confirmed that the sender's documents of operators are current.
     pub operators_age: Duration,
+    /// The same for its rosters and members.
+    pub fleet_age: Duration,
     /// Time since the platform last had a document of operators that can't be read; the largest
     /// duration if never.
     pub unreadable_age: Duration,
-    /// The same for its rosters and members.
-    pub fleet_age: Duration,
     /// Recently changed documents with their versions.
     pub recent: Vec<(DocumentId, ObjectVersion)>,
 }
--- a/crates/core/src/operator_reads.rs
+++ b/crates/core/src/operator_reads.rs
@@ -28,14 +28,21 @@
         self.confirmations.is_outdated()
     }
 
-    /// Returns the documents of operators that the platform has and that can't be read.
+    /// Returns the documents of operators that could not be read here, while they are outdated.
     pub fn unreadable_documents(&self) -> impl Iterator<Item = &DocumentId> {
+        let is_outdated = self.is_outdated();
         let reads = self.operator_reads.iter();
         reads
-            .filter(|(_, read)| !read.is_readable)
+            .filter(move |(_, read)| is_outdated && !read.is_readable)
             .map(|(id, _)| id)
     }
 
+    // Returns whether the last read of a document of operators failed for its content. A process
+    // that reads no more keeps this; its peers tell what holds.
+    pub(crate) fn has_unreadable_read(&self) -> bool {
+        self.operator_reads.values().any(|read| !read.is_readable)
+    }
+
     /// Returns the documents of operators with items that can't be read, and their numbers.
     pub fn partly_read_documents(&self) -> impl Iterator<Item = (&DocumentId, usize)> {
         self.partly_read.iter().map(|(id, items)| (id, *items))
--- a/crates/core/tests/unreadable_documents.rs
+++ b/crates/core/tests/unreadable_documents.rs
@@ -340,3 +340,29 @@
     handle(&mut control, 3_000, vec![loaded(10, vec![spec()])]);
     assert_eq!(control.partly_read_documents().count(), 0);
 }
+
+// It read the store in place of a watcher once, and reads no more.
+#[test]
+fn entry_that_reads_no_more_learns_from_peers_that_the_document_is_current() {
+    let seed = vec![entry(2, "honam-1").peers];
+    let mut reader = control_of(2);
+    let unreadable = vec![
+        loaded(7, vec![spec()]),
+        read(21, false),
+        answer(OPERATORS, 2_000),
+    ];
+    handle(&mut reader, 2_000, unreadable);
+    assert_eq!(reader.unreadable_documents().count(), 1);
+    let mut watcher = current_control();
+    watcher.handle(ControlEvent::SeedsChanged(seed), TimePoint(1_000));
+    let again = vec![
+        read(22, true),
+        answer(OPERATORS, 3_000),
+        answer(FLEET, 3_000),
+    ];
+    handle(&mut watcher, 3_000, again);
+    let told = heartbeat(&mut watcher, 3_000);
+    reader.handle(ControlEvent::HeartbeatReceived(told), TimePoint(3_000));
+    assert!(!reader.is_outdated());
+    assert_eq!(reader.unreadable_documents().count(), 0);
+}
