Tests of services without a route over a store that is away or restored

An entry VM that has its documents from peers only asks all hosts and gives no verdict; hosts that a restored roster lacks are asked while they register.

Not tried with processes.

--- a/crates/core/tests/unrouted_services.rs
+++ b/crates/core/tests/unrouted_services.rs
@@ -8,9 +8,10 @@
 
 use chestnutlb_core::known_hosts::{REGISTRATION_WAIT, VANISHED_HOST_MEMORY};
 use chestnutlb_core::{
-    DocumentItem, DocumentKind, HostRecord, HostState, LookupVerdict, OwnershipReply, ServiceSpec,
+    ControlEvent, DocumentId, DocumentItem, DocumentKind, HostRecord, HostState, LookupVerdict,
+    ObjectVersion, OwnershipReply, ServiceSpec, StoreEra, StoreRevision,
 };
-use common::entry_run::{EntryRun, LISTED_HOSTS, STEP_MS, listed_hosts, registration};
+use common::entry_run::{DATACENTER, EntryRun, LISTED_HOSTS, STEP_MS, listed_hosts, registration};
 use common::{data, host, key, spec};
 
 const MOVED_TO: &str = "dalbit/patterns";
@@ -227,6 +228,51 @@
     );
 }
 
+// The store is away: a process that starts has its documents from peers.
+#[test]
+fn entry_that_has_its_documents_from_peers_only_resets_no_flow() {
+    let mut peer = started_after_the_change();
+    let patches: Vec<_> = peer
+        .control
+        .documents()
+        .iter()
+        .filter_map(|(id, document)| document.patch(id, ObjectVersion(0)))
+        .collect();
+    let mut run = EntryRun::start_without_documents();
+    run.handle(ControlEvent::Pulled(patches));
+    run.advance_view(REGISTRATION_WAIT.as_millis() as u64 + STEP_MS, false);
+    assert_eq!(run.queried_hosts(), addresses(&all_hosts()));
+    let view = Arc::clone(run.control.view());
+    let (flow, now) = (key(run.flows), run.now);
+    let verdicts = addresses(&all_hosts()).into_iter().filter_map(|host| {
+        let reply = OwnershipReply::NotOwned;
+        run.router
+            .record_lookup_reply(&view, flow, host, reply, false, now)
+    });
+    assert_eq!(verdicts.last(), Some(LookupVerdict::Unconfirmed));
+    assert!(matches!(peer.verdict(), Some(LookupVerdict::NoOwner(_))));
+}
+
+// The store is restored from a copy whose roster lacks the hosts without a route.
+#[test]
+fn hosts_that_a_restored_roster_lacks_are_asked_while_they_register() {
+    let mut run = started_after_the_change();
+    for host in listed_hosts() {
+        run.register(host);
+    }
+    let patterns = all_hosts()
+        .split_off(LISTED_HOSTS)
+        .into_iter()
+        .map(Arc::new);
+    run.handle(ControlEvent::Loaded {
+        id: DocumentId::new(DocumentKind::Roster, DATACENTER),
+        version: ObjectVersion::new(StoreEra(1), StoreRevision(1)).unwrap(),
+        items: patterns.map(DocumentItem::Host).collect(),
+    });
+    run.advance(STEP_MS);
+    assert_eq!(run.queried_hosts(), addresses(&all_hosts()));
+}
+
 // No host of another firm is asked for flows of this one, with or without a route.
 #[test]
 fn hosts_of_another_firm_without_a_route_are_not_asked() {
