--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -18,15 +18,13 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
-use crate::chart::HostState;
 use crate::confirmations::{Confirmations, FeedConfirmations, FeedScope};
 use crate::document::{DocumentId, DocumentItem, DocumentKind, DocumentStore};
-use crate::events::{ControlAction, ControlEvent, Heartbeat, MemberEdit, RegistrationReply};
-use crate::host_tracker::{HostRevision, HostTracker};
-use crate::ids::{DatacenterName, EntryName, HostName, ObjectVersion, ServiceId};
+use crate::events::{ControlAction, ControlEvent, MemberEdit};
+use crate::host_tracker::HostTracker;
+use crate::ids::{EntryName, HostName, ObjectVersion, ServiceId};
 use crate::member_rings::MemberRings;
-use crate::members::{EntryMonitor, EntryRecord, TRACKERS_PER_HOST};
-use crate::opening_rules::OpeningRules;
+use crate::members::{EntryMonitor, EntryRecord};
 use crate::operator_reads::OperatorRead;
 use crate::roster::HostRecord;
 use crate::timer::{TimerKind, TimerService};
@@ -436,190 +434,13 @@
         actions
     }
 
-    fn on_registration(
-        &mut self,
-        record: HostRecord,
-        revision: HostRevision,
-        manifest: ObjectVersion,
-        now: TimePoint,
-    ) -> RegistrationReply {
-        let registration_targets = self.rings.registration_targets(&record);
-        let rank = registration_targets
-            .iter()
-            .take(TRACKERS_PER_HOST)
-            .position(|entry| entry.name == self.me.name);
-        // A host that has not received its trackers yet is tracked with the lowest
-        // rank by every entry VM that it registers at.
-        let rank = rank.unwrap_or(TRACKERS_PER_HOST) as u32;
-        if record.state == HostState::Gone {
-            self.progress.remove(&record.name);
-        } else {
-            let progress = HostProgress {
-                service: record.service.clone(),
-                manifest,
-                last_seen: now,
-                registered_at: now,
-            };
-            self.progress.insert(record.name.clone(), progress);
-        }
-        let service = record.service.clone();
-        let opening = self.opening_rules(&record.service, &record.datacenter);
-        self.tracker
-            .record_registration(record, revision, rank, now);
-        self.update_registered(now);
-        // An urgent rebuild precedes the reply, so that its slice hash covers this
-        // change: hosts that need each other's records fetch them without delay.
-        let built = self.view_builder.poll(&self.documents, now);
-        self.publish_due |= built;
-        RegistrationReply {
-            targets: registration_targets,
-            opening,
-            ..self.reply_for_service(&service, now)
-        }
-    }
-
-    fn on_keep_alive(
-        &mut self,
-        name: HostName,
-        known_host: Option<(ServiceId, DatacenterName)>,
-        manifest: ObjectVersion,
-        now: TimePoint,
-    ) -> RegistrationReply {
-        let registered_at = self
-            .progress
-            .get(&name)
-            .map(|progress| progress.registered_at);
-        if let Some((service, datacenter)) = known_host {
-            let has_current_targets = registered_at.is_some_and(|at| at >= self.members_changed_at);
-            let progress = HostProgress {
-                service: service.clone(),
-                manifest,
-                last_seen: now,
-                registered_at: registered_at.unwrap_or_default(),
-            };
-            self.progress.insert(name, progress);
-            if has_current_targets {
-                return RegistrationReply {
-                    opening: self.opening_rules(&service, &datacenter),
-                    ..self.reply_for_service(&service, now)
-                };
-            }
-        }
-        RegistrationReply {
-            targets: Vec::new(),
-            slice_hash: 0,
-            fresh: false,
-            resend: true,
-            opening: OpeningRules::default(),
-        }
-    }
-
-    fn reply_for_service(&self, service: &ServiceId, now: TimePoint) -> RegistrationReply {
-        RegistrationReply {
-            targets: Vec::new(),
-            slice_hash: self
-                .view()
-                .service(service)
-                .map_or(0, |view| view.slice_hash),
-            fresh: self
-                .confirmation_age(now)
-                .is_some_and(|age| age < FRESH_AGE),
-            resend: false,
-            opening: OpeningRules::default(),
-        }
-    }
-
-    fn opening_rules(&self, service: &ServiceId, datacenter: &DatacenterName) -> OpeningRules {
-        let spec = self.documents.service(service);
-        let limits = spec.map(|(spec, _)| spec.limits);
-        OpeningRules {
-            drain: self.documents.drain_notice(datacenter),
-            cold: limits.and_then(|limits| limits.cold),
-            learns_capacity: limits.is_some_and(|limits| limits.learns_capacity),
-        }
-    }
-
-    fn on_heartbeat(
-        &mut self,
-        heartbeat: Heartbeat,
-        now: TimePoint,
-        actions: &mut Vec<ControlAction>,
-    ) {
-        if heartbeat.entry.name == self.me.name {
-            return;
-        }
-        self.entry_monitor
-            .record_heartbeat(heartbeat.entry.name.clone(), now);
-        self.silent_entries.remove(&heartbeat.entry.name);
-        if heartbeat.summary == self.documents.summary() {
-            self.last_in_sync = now;
-            self.confirmations.merge(Confirmations {
-                operators: self.told_confirmation(heartbeat.operators_age, now),
-                fleet: self.told_confirmation(heartbeat.fleet_age, now),
-                unreadable: self.told_confirmation(heartbeat.unreadable_age, now),
-            });
-            return;
-        }
-        for (id, version) in &heartbeat.recent {
-            self.record_named_version(id, *version);
-        }
-        self.pull_newer(&heartbeat, now, actions);
-        if !self.rings.contains(&heartbeat.entry.name) {
-            // The sender may have just started and have no members document yet.
-            actions.push(ControlAction::Heartbeat(
-                heartbeat.entry.peers,
-                self.heartbeat(now),
-            ));
-        }
-    }
-
-    // Returns when documents were confirmed whose age the current event tells. An entry VM without
-    // a confirmation sends the largest age: no time that can have been.
-    fn told_confirmation(&self, age: Duration, now: TimePoint) -> Option<TimePoint> {
-        let age = age.saturating_add(self.event_lag);
-        let age_ms = u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
-        now.0.checked_sub(age_ms).map(TimePoint)
-    }
-
-    // Pulls the newer documents listed in the heartbeat, or all differing ones if
-    // none of the listed is newer or the versions have differed for REPAIR_AFTER.
-    fn pull_newer(
-        &mut self,
-        heartbeat: &Heartbeat,
-        now: TimePoint,
-        actions: &mut Vec<ControlAction>,
-    ) {
-        let newer: Vec<_> = heartbeat
-            .recent
-            .iter()
-            .map(|(id, version)| (id.clone(), *version, self.documents.version(id)))
-            .filter(|(_, version, own_version)| version > own_version)
-            .map(|(id, _, own_version)| (id, own_version))
-            .collect();
-        let repair_due = now.since(self.last_in_sync) >= REPAIR_AFTER;
-        if newer.is_empty() || repair_due {
-            if self.claim_job(ControlJob::Repair, now) {
-                self.last_in_sync = now;
-                actions.push(ControlAction::Pull(heartbeat.entry.status, Vec::new()));
-            }
-            return;
-        }
-        let wanted: Vec<_> = newer
-            .into_iter()
-            .filter(|(id, _)| self.claim_document(id, now))
-            .collect();
-        if !wanted.is_empty() {
-            actions.push(ControlAction::Pull(heartbeat.entry.status, wanted));
-        }
-    }
-
     // Returns whether no read, pull or write of this document is in flight, and if
     // so records one as in flight.
     pub(crate) fn claim_document(&mut self, id: &DocumentId, now: TimePoint) -> bool {
         self.claim_job(ControlJob::Document(id.clone()), now)
     }
 
-    fn claim_job(&mut self, job: ControlJob, now: TimePoint) -> bool {
+    pub(crate) fn claim_job(&mut self, job: ControlJob, now: TimePoint) -> bool {
         let free = self
             .jobs
             .get(&job)
