The specification of verdicts has a configuration that moves a route

Change: a variant of the model in which the only route of the host's service is moved; entry VMs learn it late, offer no flows from then on, and restart without it. The mutation leaves out hosts without a route, as the code did before.

--- a/crates/spec/src/verdicts.rs
+++ b/crates/spec/src/verdicts.rs
@@ -18,6 +18,10 @@
 //! hosts stay listed, hosts in no roster get no flows, and the settle time is skipped unless the
 //! store was restored. There every service has another host that all entry VMs know.
 //!
+//! In a variant of the model, the operators' configuration moves the only route of the host's
+//! service to another one. Entry VMs learn it late, and offer the host no flows from then on; its
+//! open flow stays where it is.
+//!
 //! Not modelled: replies to lookups (a live host that is asked always replies, the reply of one
 //! that is gone is not required), the maximum age of flows, restarts of the host, writes that
 //! arrive late (see the model of rosters), members, and how entry VMs order the versions before
@@ -64,6 +68,19 @@
     UnlistedHostOffered,
     /// Rosters count as naming all owners after a restore of the store too.
     RestoreIgnored,
+    /// An entry VM knows the hosts of services with a route only.
+    UnroutedHostForgotten,
+}
+
+/// The route of the host's service, as of the newest configuration.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+enum RouteLife {
+    /// It stays, in the basic model.
+    Fixed,
+    /// It is still there, and may be moved.
+    Present,
+    /// Another service has it.
+    Moved,
 }
 
 /// Whether the rosters name every live host that may own flows.
@@ -107,6 +124,10 @@
     is_remembered: bool,
     /// Whether the host has ever registered with this entry VM, also before a restart.
     was_registered: bool,
+    /// Whether it holds the configuration that moved the route.
+    knows_move: bool,
+    /// Whether it leaves the host out of its view, in spite of its roster and registration.
+    ignores_host: bool,
 }
 
 /// Whose flow an entry VM found to have no owner.
@@ -140,6 +161,7 @@
     versions: usize,
     coverage: OwnerCoverage,
     was_restored: bool,
+    route: RouteLife,
     entry_vms: [EntryVm; ENTRY_VMS],
     has_flow: bool,
     verdict: Option<JudgedFlow>,
@@ -156,6 +178,8 @@
             is_registered: false,
             is_remembered: false,
             was_registered: false,
+            knows_move: false,
+            ignores_host: false,
         };
         Self {
             host: HostLife::NotStarted,
@@ -163,12 +187,27 @@
             versions: 1,
             coverage,
             was_restored: false,
+            route: RouteLife::Fixed,
             entry_vms: [entry_vm; ENTRY_VMS],
             has_flow: false,
             verdict: None,
         }
     }
 
+    /// Returns the same state in the variant of the model in which the route may be moved.
+    pub fn with_route_move(self) -> Self {
+        Self {
+            route: RouteLife::Present,
+            ..self
+        }
+    }
+
+    /// Returns whether no flow of a lost host has got a verdict of an entry VM after the route was
+    /// moved. The search must find a violation.
+    pub fn no_flow_of_lost_host_is_judged_after_a_move(&self) -> bool {
+        self.route != RouteLife::Moved || self.no_flow_of_lost_host_is_judged()
+    }
+
     /// Returns whether no entry VM has found a flow of the live host to have no owner.
     pub fn no_live_flow_is_judged(&self) -> bool {
         self.verdict != Some(JudgedFlow::LiveHost)
@@ -205,11 +244,17 @@
             return steps;
         }
         self.host_steps(&mut steps);
+        if self.route == RouteLife::Present {
+            let mut state = self.clone();
+            state.route = RouteLife::Moved;
+            steps.push(step("a configuration moves the route".to_owned(), state));
+        }
         if self.versions < MAX_VERSIONS {
             self.roster_steps(mutation, &mut steps);
         }
         for index in 0..ENTRY_VMS {
             self.learning_steps(index, mutation, &mut steps);
+            self.configuration_steps(index, mutation, &mut steps);
             self.view_steps(index, mutation, &mut steps);
             self.registration_steps(index, mutation, &mut steps);
             self.flow_steps(index, mutation, &mut steps);
@@ -225,9 +270,20 @@
         version.is_some_and(|version| self.listed[version])
     }
 
+    // Returns whether the roster or a registration names the host to the entry VM.
+    fn is_named(&self, entry_vm: &EntryVm) -> bool {
+        self.is_listed(entry_vm.version) || entry_vm.is_registered
+    }
+
     // Returns whether the host is in the view of the entry VM.
     fn is_in_view(&self, entry_vm: &EntryVm) -> bool {
-        self.is_listed(entry_vm.version) || entry_vm.is_registered
+        self.is_named(entry_vm) && !entry_vm.ignores_host
+    }
+
+    // Returns whether the entry VM holds the newest documents.
+    fn is_current(&self, entry_vm: &EntryVm) -> bool {
+        let has_configuration = self.route != RouteLife::Moved || entry_vm.knows_move;
+        entry_vm.version == Some(self.newest()) && has_configuration
     }
 
     // Returns whether a lookup of the entry VM asks the host.
@@ -326,6 +382,24 @@
         }
     }
 
+    fn configuration_steps(
+        &self,
+        index: usize,
+        mutation: VerdictMutation,
+        steps: &mut Vec<SpecStep<Self>>,
+    ) {
+        if self.route != RouteLife::Moved || self.entry_vms[index].knows_move {
+            return;
+        }
+        let was_in_view = self.is_in_view(&self.entry_vms[index]);
+        let mut state = self.clone();
+        state.entry_vms[index].knows_move = true;
+        state.entry_vms[index].ignores_host = mutation == VerdictMutation::UnroutedHostForgotten;
+        state.remember(index, was_in_view);
+        let label = format!("entry VM {index} learns that the route was moved");
+        steps.push(step(label, state));
+    }
+
     fn learn(&mut self, index: usize, version: usize, mutation: VerdictMutation) {
         let was_in_view = self.is_in_view(&self.entry_vms[index]);
         self.entry_vms[index].version = Some(version);
@@ -358,7 +432,7 @@
                 format!("the view of entry VM {index} becomes stale"),
                 state,
             ));
-        } else if entry_vm.version == Some(self.newest()) {
+        } else if self.is_current(&entry_vm) {
             let mut state = self.clone();
             let entry_vm = &mut state.entry_vms[index];
             entry_vm.has_fresh_view = true;
@@ -388,6 +462,8 @@
             is_registered: false,
             is_remembered: false,
             was_registered: entry_vm.was_registered,
+            knows_move: false,
+            ignores_host: false,
         };
         steps.push(step(format!("entry VM {index} restarts"), state));
     }
@@ -406,7 +482,8 @@
                 .entry_vms
                 .iter()
                 .any(|entry_vm| self.is_listed(entry_vm.version));
-        self.host != HostLife::Live || self.is_known(entry_vm) || trusts_old_version
+        let is_named = self.is_named(entry_vm) || entry_vm.is_remembered;
+        self.host != HostLife::Live || is_named || trusts_old_version
     }
 
     fn registration_steps(
@@ -467,6 +544,9 @@
     // the first time this holds adds no violation, since an open flow stays open.
     fn offers_flow(&self, index: usize, mutation: VerdictMutation) -> bool {
         let entry_vm = &self.entry_vms[index];
+        if entry_vm.knows_move {
+            return false;
+        }
         if self.is_listed(entry_vm.version) {
             return self.is_delay_over(entry_vm, mutation);
         }
--- a/crates/spec/tests/properties.rs
+++ b/crates/spec/tests/properties.rs
@@ -353,6 +353,34 @@
     insta::assert_snapshot!(results.join("\n"));
 }
 
+// A configuration may move the only route of the host's service. Fewer versions of the roster keep
+// the search short.
+#[test]
+fn verdict_properties_hold_after_the_route_was_moved_if_hosts_without_a_route_are_known() {
+    type MovedRouteSpec = VerdictSpec<2, 3>;
+    let search_moved = |coverage, mutation, property: fn(&MovedRouteSpec) -> bool| {
+        let start = MovedRouteSpec::start(coverage).with_route_move();
+        search(start, |state| state.next(mutation), property)
+    };
+    let mut results = Vec::new();
+    for (name, coverage) in [
+        ("rosters that may lack a host", OwnerCoverage::Partial),
+        ("rosters that name all owners", OwnerCoverage::Full),
+    ] {
+        let none = VerdictMutation::None;
+        let holds = search_moved(coverage, none, MovedRouteSpec::no_live_flow_is_judged);
+        results.push(describe(name, &holds));
+        // Must be reachable.
+        let lost = MovedRouteSpec::no_flow_of_lost_host_is_judged_after_a_move;
+        let reachable = search_moved(coverage, none, lost);
+        results.push(describe("no verdict on a flow of a lost host", &reachable));
+        let forgotten = VerdictMutation::UnroutedHostForgotten;
+        let violated = search_moved(coverage, forgotten, MovedRouteSpec::no_live_flow_is_judged);
+        results.push(describe("hosts without a route are forgotten", &violated));
+    }
+    insta::assert_snapshot!(results.join("\n"));
+}
+
 #[test]
 fn verdict_properties_hold_with_three_entry_vms() {
     let result = search(
