Lines about services without a route are bounded and wait for a manifest

Found by reading the logs of a start: rosters come before the manifest, so each service was logged as one without a route and a moment later with one, without a bound. Ruled out: an effect on views, which do not depend on these lines.

Change: lines are written once a service has a route, at most 32 for a view, and only about services whose state differs from the last lines.

--- a/crates/daemon/src/entry_control.rs
+++ b/crates/daemon/src/entry_control.rs
@@ -1,6 +1,7 @@
 //! The control thread of an entry VM: passes events to [`EntryControl`] and executes
 //! the actions that it returns.
 
+use std::collections::BTreeSet;
 use std::net::{SocketAddrV4, UdpSocket};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -33,6 +34,9 @@
 /// Time for which an event has waited from which on a line says so, at most one in this time.
 const LAG_LIMIT: Duration = Duration::from_secs(1);
 
+/// Maximum number of services without a route that are logged for one view.
+const MAX_LOGGED_UNROUTED: usize = 32;
+
 /// Maximum number of host changes that are logged for one view.
 const MAX_LOGGED_HOST_CHANGES: usize = 32;
 
@@ -90,6 +94,8 @@
     unsent_view: Option<Arc<RoutingView>>,
     // The view up to which changes of hosts are logged.
     logged_view: Arc<RoutingView>,
+    // Services without a route as of the last log lines about them.
+    logged_unrouted: BTreeSet<ServiceId>,
     published_at: TimePoint,
     outdated: OutdatedSpan,
     lag_logged_at: TimePoint,
@@ -114,6 +120,7 @@
             shared,
             unsent_view: None,
             logged_view: Arc::default(),
+            logged_unrouted: BTreeSet::new(),
             published_at: TimePoint::default(),
             outdated: OutdatedSpan::default(),
             lag_logged_at: TimePoint::default(),
@@ -181,6 +188,31 @@
         );
     }
 
+    // Logs which services have hosts and no route, and which of those have one again or no hosts.
+    // Their hosts may own flows all the while. Before a manifest is known, no service has a route.
+    fn log_unrouted_services(&mut self, view: &RoutingView) {
+        let is_unrouted = view.unrouted_services() > 0;
+        let has_manifest = view.ids().next().is_some();
+        if !has_manifest || (!is_unrouted && self.logged_unrouted.is_empty()) {
+            return;
+        }
+        let ids = view.service_hosts().map(|service| service.id());
+        let unrouted: BTreeSet<ServiceId> = ids
+            .filter(|id| view.service(id).is_none())
+            .cloned()
+            .collect();
+        let changes = unrouted.symmetric_difference(&self.logged_unrouted);
+        for id in changes.take(MAX_LOGGED_UNROUTED) {
+            let hosts = view.hosts_of(id).map_or(0, |service| service.hosts().len());
+            log::info!(
+                target: "placement",
+                service:% = id, routed = view.service(id).is_some(), hosts = hosts;
+                "hosts kept as owners"
+            );
+        }
+        self.logged_unrouted = unrouted;
+    }
+
     // Handles an event of the ring, which may have waited there.
     fn handle_arrived(&mut self, arrived: ArrivedEvent) {
         let now = clock::now();
@@ -274,9 +306,9 @@
             ControlAction::Publish => {
                 let view = Arc::clone(self.control.view());
                 log_host_changes(&view, &self.logged_view);
-                log_unrouted_services(&view, &self.logged_view);
                 log_drains(&view, &self.logged_view);
                 self.logged_view = Arc::clone(&view);
+                self.log_unrouted_services(&view);
                 self.shared.publish_view(&view, self.control.documents());
                 self.unsent_view = Some(view);
                 self.send_view();
@@ -350,27 +382,6 @@
     }
 }
 
-// Logs which services have lost their last route or were found without one, and which of those
-// have one again. Their hosts may own flows all the while.
-fn log_unrouted_services(view: &RoutingView, old: &RoutingView) {
-    let is_unrouted = |view: &RoutingView, id: &ServiceId| {
-        view.hosts_of(id).is_some() && view.service(id).is_none()
-    };
-    for service in view.service_hosts() {
-        let (before, after) = (
-            is_unrouted(old, service.id()),
-            is_unrouted(view, service.id()),
-        );
-        if before != after {
-            log::info!(
-                target: "placement",
-                service:% = service.id(), routed = !after, hosts = service.hosts().len();
-                "hosts kept as owners"
-            );
-        }
-    }
-}
-
 // Logs which data centres are drained if that has changed.
 fn log_drains(view: &RoutingView, old: &RoutingView) {
     if view.drained != old.drained {
