--- a/crates/core/src/view.rs
+++ b/crates/core/src/view.rs
@@ -280,6 +280,14 @@
     AllOwners,
 }
 
+// What a view has of a service.
+#[derive(Debug, Clone)]
+struct ViewedService {
+    hosts: Arc<ServiceHosts>,
+    // `None` without a route.
+    routed: Option<Arc<ServiceView>>,
+}
+
 /// The services of all firms, by address and by name.
 #[derive(Debug, Clone, Default)]
 pub struct RoutingView {
@@ -299,36 +307,46 @@
     /// Data centres that operators have drained.
     pub drained: BTreeSet<DatacenterName>,
     by_address: HashMap<SocketAddrV4, Arc<ServiceView>>,
-    by_id: HashMap<ServiceId, Arc<ServiceView>>,
-    // The hosts of all services, with and without a route.
-    hosts: HashMap<ServiceId, Arc<ServiceHosts>>,
+    // One map, since each new view copies it.
+    by_id: HashMap<ServiceId, ViewedService>,
+    unrouted_services: usize,
 }
 
 impl RoutingView {
     /// Adds or replaces a service with a route.
     pub fn put(&mut self, service: ServiceView) {
         self.remove(&service.spec.id);
-        let owners = Arc::clone(&service.owners);
-        self.hosts.insert(owners.id.clone(), owners);
         let service = Arc::new(service);
         for address in service.spec.addresses() {
             self.by_address.insert(address, Arc::clone(&service));
         }
-        self.by_id.insert(service.spec.id.clone(), service);
+        let viewed = ViewedService {
+            hosts: Arc::clone(&service.owners),
+            routed: Some(Arc::clone(&service)),
+        };
+        self.by_id.insert(service.id().clone(), viewed);
     }
 
     /// Adds or replaces the hosts of a service without a route. One without hosts is removed.
     pub fn put_unrouted(&mut self, hosts: ServiceHosts) {
         self.remove(&hosts.id);
         if !hosts.hosts.is_empty() {
-            self.hosts.insert(hosts.id.clone(), Arc::new(hosts));
+            let viewed = ViewedService {
+                hosts: Arc::new(hosts),
+                routed: None,
+            };
+            self.by_id.insert(viewed.hosts.id.clone(), viewed);
+            self.unrouted_services += 1;
         }
     }
 
     /// Removes a service.
     pub fn remove(&mut self, id: &ServiceId) {
-        self.hosts.remove(id);
-        if let Some(old) = self.by_id.remove(id) {
+        let Some(viewed) = self.by_id.remove(id) else {
+            return;
+        };
+        self.unrouted_services -= usize::from(viewed.routed.is_none());
+        if let Some(old) = viewed.routed {
             for address in old.spec.addresses() {
                 // The address may have been assigned to another service meanwhile.
                 let maps_to_service = self
@@ -349,7 +367,7 @@
 
     /// Returns the service of this name.
     pub fn service(&self, id: &ServiceId) -> Option<&Arc<ServiceView>> {
-        self.by_id.get(id)
+        self.by_id.get(id)?.routed.as_ref()
     }
 
     /// Returns the addresses of the services that lost a host since `old`. A lost host was
@@ -370,8 +388,8 @@
     /// Returns the hosts that were added, removed or changed their state since `old`.
     pub fn host_changes(&self, old: &RoutingView) -> Vec<HostChange> {
         let mut changes = Vec::new();
-        for (id, service) in &self.hosts {
-            let earlier = old.hosts.get(id);
+        for service in self.service_hosts() {
+            let earlier = old.hosts_of(service.id());
             if earlier.is_some_and(|earlier| Arc::ptr_eq(earlier, service)) {
                 continue;
             }
@@ -386,10 +404,9 @@
             changes.extend(removed.map(|host| old.host_change(host, Some(host.state), None)));
         }
         let removed_services = old
-            .hosts
-            .iter()
-            .filter(|(id, _)| !self.hosts.contains_key(*id));
-        for host in removed_services.flat_map(|(_, service)| service.hosts()) {
+            .service_hosts()
+            .filter(|service| self.hosts_of(service.id()).is_none());
+        for host in removed_services.flat_map(|service| service.hosts()) {
             changes.push(old.host_change(host, Some(host.state), None));
         }
         changes.sort_by(|change, other| change.name.cmp(&other.name));
@@ -413,27 +430,31 @@
 
     /// Returns all services with a route.
     pub fn services(&self) -> impl Iterator<Item = &ServiceView> {
-        self.by_id.values().map(Arc::as_ref)
+        let routed = self
+            .by_id
+            .values()
+            .filter_map(|viewed| viewed.routed.as_ref());
+        routed.map(Arc::as_ref)
     }
 
     /// Returns the ids of all services with a route.
     pub fn ids(&self) -> impl Iterator<Item = &ServiceId> {
-        self.by_id.keys()
+        self.services().map(ServiceView::id)
     }
 
     /// Returns the hosts of a service, which may have no route.
     pub fn hosts_of(&self, id: &ServiceId) -> Option<&Arc<ServiceHosts>> {
-        self.hosts.get(id)
+        self.by_id.get(id).map(|viewed| &viewed.hosts)
     }
 
     /// Returns the hosts of each service, with and without a route. Views share those that are
     /// equal in them.
     pub fn service_hosts(&self) -> impl Iterator<Item = &Arc<ServiceHosts>> {
-        self.hosts.values()
+        self.by_id.values().map(|viewed| &viewed.hosts)
     }
 
     /// Returns the number of services that have hosts and no route.
     pub fn unrouted_services(&self) -> usize {
-        self.hosts.len() - self.by_id.len()
+        self.unrouted_services
     }
 }
