Lost hosts are looked for once a host, and not in passthrough services

Cause: compares hosts by name and incarnation, each with each, for every address and view, also of passthrough services, whose equal incarnations had ended the comparison at once.

Change: a set of the later hosts, and no comparison in passthrough services, of which no flow is probed.

--- a/crates/core/src/view.rs
+++ b/crates/core/src/view.rs
@@ -9,14 +9,14 @@
 //! flows; every service has them that the rosters list hosts of, since a configuration that
 //! moves or removes a route leaves open flows where they are.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::net::SocketAddrV4;
 use std::sync::Arc;
 
 use crate::chart::HostState;
 use crate::flow::BucketIndex;
 use crate::ids::{DatacenterName, HostName, Incarnation, ObjectVersion, ServiceId, ServiceTag};
-use crate::manifest::ServiceSpec;
+use crate::manifest::{ServiceKind, ServiceSpec};
 use crate::placement::{CHAIN_HOPS, HostChain, HostRanking, HostSeed, NEAR_HOPS, RankedHost};
 use crate::roster::{HostIndex, HostRecord};
 pub use crate::service_hosts::{PlacementLimits, ServiceHosts, ViewHost};
@@ -157,12 +157,10 @@
     // Returns whether a host of this view that was not leaving is missing from `later`. A
     // restarted host counts as a different one.
     fn has_lost_hosts(&self, later: &ServiceView) -> bool {
+        let process = |host: &ViewHost| (host.record.name.clone(), host.record.incarnation);
+        let remaining: HashSet<_> = later.hosts().iter().map(process).collect();
         self.hosts().iter().any(|host| {
-            host.record.state != HostState::Leaving
-                && later.hosts().iter().all(|other| {
-                    let record = &host.record;
-                    !other.record.is_of_process(&record.name, record.incarnation)
-                })
+            host.record.state != HostState::Leaving && !remaining.contains(&process(host))
         })
     }
 
@@ -378,7 +376,9 @@
             let Some(after) = self.by_address.get(address) else {
                 continue;
             };
-            if !Arc::ptr_eq(before, after) && before.has_lost_hosts(after) {
+            // Flows of passthrough services outlive their side processes and are not probed.
+            let is_probed = before.spec.kind != ServiceKind::Passthrough;
+            if is_probed && !Arc::ptr_eq(before, after) && before.has_lost_hosts(after) {
                 lost.insert(*address);
             }
         }
